--- /dev/null
+++ b/src/error/error_test.cpp
@@ -0,0 +1,22 @@
+#include "error/error.hpp"
+
+#include <catch2/catch.hpp>
+#include <set>
+
+using namespace marjorambeam;
+
+// Guards against two kinds that share a counter, and against a refusal worth
+// repeating that does not say when to come back.
+TEST_CASE("each error kind has its own name and a time to come back")
+{
+    std::set<std::string_view> names;
+    for (error_answer const& it : all_error_answers())
+    {
+        INFO(it.name);
+        CHECK(names.insert(it.name).second);
+        CHECK(it.http_status >= 400);
+        CHECK(
+            (it.advice == retry_advice::never) ==
+            (it.retry_after == duration(0)));
+    }
+}
--- /dev/null
+++ b/src/event_loop/event_loop.hpp
@@ -0,0 +1,95 @@
+// Timers and signals on the process's libev loop, with closures as callbacks.
+//
+// Example:
+//   ev::dynamic_loop loop;
+//   loop_timer tick(loop, [&] { on_tick(steady_now()); });
+//   tick.start_every(std::chrono::milliseconds(100));
+//   loop_signal term(loop, SIGTERM, [&] { begin_shutdown(); });
+//   loop.run();
+//
+// Everything here runs on the loop's thread; nothing is thread-safe.
+#pragma once
+
+#include "base/time.hpp"
+
+#include <ev++.h>
+#include <functional>
+
+namespace marjorambeam
+{
+
+// Calls a closure after a delay, once or repeatedly. The closure may start or
+// stop the timer; it must not destroy it.
+class loop_timer
+{
+public:
+    loop_timer(ev::loop_ref loop, std::function<void()> callback)
+        : timer_(loop)
+        , callback_(std::move(callback))
+    {
+        timer_.set<loop_timer, &loop_timer::on_timer>(this);
+    }
+    loop_timer(loop_timer const&) = delete;
+    loop_timer& operator=(loop_timer const&) = delete;
+    ~loop_timer() = default;
+
+    // Calls the closure once, `delay` from now. Replaces an earlier start.
+    void start(duration delay)
+    {
+        timer_.stop();
+        timer_.start(to_seconds(delay));
+    }
+    // Calls the closure every `period`, first after one period.
+    // Precondition: `period` is positive.
+    void start_every(duration period)
+    {
+        timer_.stop();
+        timer_.start(to_seconds(period), to_seconds(period));
+    }
+    // Prevents further calls. Harmless when not started.
+    void stop()
+    {
+        timer_.stop();
+    }
+    // Whether a call is due.
+    bool is_active() const
+    {
+        return timer_.is_active();
+    }
+
+private:
+    void on_timer(ev::timer&, int)
+    {
+        callback_();
+    }
+
+    ev::timer timer_;
+    std::function<void()> callback_;
+};
+
+// Calls a closure on the loop when the process receives a signal.
+class loop_signal
+{
+public:
+    loop_signal(ev::loop_ref loop, int number, std::function<void()> callback)
+        : signal_(loop)
+        , callback_(std::move(callback))
+    {
+        signal_.set<loop_signal, &loop_signal::on_signal>(this);
+        signal_.start(number);
+    }
+    loop_signal(loop_signal const&) = delete;
+    loop_signal& operator=(loop_signal const&) = delete;
+    ~loop_signal() = default;
+
+private:
+    void on_signal(ev::sig&, int)
+    {
+        callback_();
+    }
+
+    ev::sig signal_;
+    std::function<void()> callback_;
+};
+
+} // namespace marjorambeam
--- /dev/null
+++ b/src/http_client/http_client.cpp
@@ -0,0 +1,311 @@
+#include "http_client/http_client.hpp"
+
+#include <algorithm>
+#include <cctype>
+#include <curl/curl.h>
+
+namespace marjorambeam
+{
+namespace
+{
+
+// One call under way.
+struct transfer
+{
+    http_client::call_id id = 0;
+    CURL* easy = nullptr;
+    curl_slist* header_list = nullptr;
+    http_call call;
+    http_reply reply;
+    http_client::done_handler done;
+    http_client::data_handler on_data;
+    bool is_too_large = false;
+    bool is_stopped = false;
+
+    transfer() = default;
+    transfer(transfer const&) = delete;
+    transfer& operator=(transfer const&) = delete;
+    ~transfer()
+    {
+        curl_easy_cleanup(easy);
+        curl_slist_free_all(header_list);
+    }
+};
+
+// Watches one socket for libcurl.
+struct socket_watch
+{
+    ev::io io;
+
+    explicit socket_watch(ev::loop_ref loop)
+        : io(loop)
+    {
+    }
+};
+
+std::size_t take_body(char* data, std::size_t, std::size_t n, void* user)
+{
+    auto& t = *static_cast<transfer*>(user);
+    if (t.on_data)
+    {
+        long status = 0;
+        curl_easy_getinfo(t.easy, CURLINFO_RESPONSE_CODE, &status);
+        t.is_stopped =
+            !t.on_data(static_cast<int>(status), std::string_view(data, n));
+        return t.is_stopped ? 0 : n;
+    }
+    if (t.reply.body.size() + n > t.call.max_body_bytes)
+    {
+        t.is_too_large = true;
+        return 0;
+    }
+    t.reply.body.append(data, n);
+    return n;
+}
+
+std::size_t take_header(char* data, std::size_t, std::size_t n, void* user)
+{
+    auto& t = *static_cast<transfer*>(user);
+    std::string_view line(data, n);
+    std::size_t const colon = line.find(':');
+    if (colon == std::string_view::npos)
+        return n;
+    std::string name(line.substr(0, colon));
+    std::transform(
+        name.begin(), name.end(), name.begin(),
+        [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+    line.remove_prefix(colon + 1);
+    while (!line.empty() && std::isspace(static_cast<unsigned char>(line[0])))
+        line.remove_prefix(1);
+    while (!line.empty() &&
+           std::isspace(static_cast<unsigned char>(line.back())))
+        line.remove_suffix(1);
+    t.reply.headers[std::move(name)] = line;
+    return n;
+}
+
+result<http_reply> outcome(transfer& t, CURLcode code)
+{
+    if (code == CURLE_OK)
+    {
+        long status = 0;
+        curl_easy_getinfo(t.easy, CURLINFO_RESPONSE_CODE, &status);
+        t.reply.status = static_cast<int>(status);
+        return std::move(t.reply);
+    }
+    if (t.is_too_large)
+        return fail(error_kind::body_too_large, "the response is too long");
+    if (t.is_stopped)
+        return fail(error_kind::cancelled, "the call was cancelled");
+    double connect_seconds = 0;
+    curl_easy_getinfo(t.easy, CURLINFO_CONNECT_TIME, &connect_seconds);
+    bool const is_timeout = code == CURLE_OPERATION_TIMEDOUT;
+    error e = make_error(
+        is_timeout ? error_kind::upstream_silent : error_kind::connection_lost,
+        curl_easy_strerror(code));
+    long new_connections = 0;
+    curl_easy_getinfo(t.easy, CURLINFO_NUM_CONNECTS, &new_connections);
+    bool const is_unconnected =
+        code == CURLE_COULDNT_CONNECT ||
+        (is_timeout && new_connections > 0 && connect_seconds == 0);
+    if (is_unconnected)
+        e.run = run_state::not_run;
+    return tl::unexpected<error>(std::move(e));
+}
+
+void set_options(transfer& t)
+{
+    CURL* easy = t.easy;
+    curl_easy_setopt(easy, CURLOPT_URL, t.call.url.c_str());
+    curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, t.call.method.c_str());
+    curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http");
+    curl_easy_setopt(easy, CURLOPT_NOPROXY, "*");
+    curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
+    curl_easy_setopt(easy, CURLOPT_PRIVATE, &t);
+    curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &take_body);
+    curl_easy_setopt(easy, CURLOPT_WRITEDATA, &t);
+    curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &take_header);
+    curl_easy_setopt(easy, CURLOPT_HEADERDATA, &t);
+    auto to_ms = [](duration d) -> long {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(d).count();
+    };
+    curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, to_ms(t.call.timeout));
+    curl_easy_setopt(
+        easy, CURLOPT_CONNECTTIMEOUT_MS, to_ms(t.call.connect_timeout));
+    if (t.call.use_fresh_connection)
+    {
+        curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
+        curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
+    }
+    if (t.call.method == "HEAD")
+        curl_easy_setopt(easy, CURLOPT_NOBODY, 1L);
+    bool const has_body = !t.call.body.empty() || t.call.method == "POST" ||
+                          t.call.method == "PUT" || t.call.method == "PATCH";
+    if (has_body)
+    {
+        curl_easy_setopt(
+            easy, CURLOPT_POSTFIELDSIZE_LARGE,
+            static_cast<curl_off_t>(t.call.body.size()));
+        curl_easy_setopt(easy, CURLOPT_POSTFIELDS, t.call.body.data());
+        curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, t.call.method.c_str());
+    }
+    t.header_list = curl_slist_append(nullptr, "Expect:");
+    for (auto const& [name, value] : t.call.headers)
+    {
+        std::string line = name;
+        line.append(": ").append(value);
+        t.header_list = curl_slist_append(t.header_list, line.c_str());
+    }
+    curl_easy_setopt(easy, CURLOPT_HTTPHEADER, t.header_list);
+}
+
+} // namespace
+
+struct http_client::implementation
+{
+    ev::loop_ref loop;
+    CURLM* multi;
+    ev::timer timer;
+    std::map<call_id, std::unique_ptr<transfer>> transfers;
+    std::map<curl_socket_t, std::unique_ptr<socket_watch>> sockets;
+    call_id last_id = 0;
+
+    explicit implementation(ev::loop_ref l)
+        : loop(l)
+        , multi(curl_multi_init())
+        , timer(l)
+    {
+        timer.set<implementation, &implementation::on_timer>(this);
+        curl_multi_setopt(multi, CURLMOPT_SOCKETFUNCTION, &watch_socket);
+        curl_multi_setopt(multi, CURLMOPT_SOCKETDATA, this);
+        curl_multi_setopt(multi, CURLMOPT_TIMERFUNCTION, &set_timer);
+        curl_multi_setopt(multi, CURLMOPT_TIMERDATA, this);
+    }
+
+    implementation(implementation const&) = delete;
+    implementation& operator=(implementation const&) = delete;
+
+    ~implementation()
+    {
+        for (auto const& [id, t] : transfers)
+            curl_multi_remove_handle(multi, t->easy);
+        transfers.clear();
+        curl_multi_cleanup(multi);
+    }
+
+    static int watch_socket(
+        CURL* /*easy*/, curl_socket_t fd, int what, void* user,
+        void* /*socket_data*/)
+    {
+        auto& self = *static_cast<implementation*>(user);
+        if (what == CURL_POLL_REMOVE)
+        {
+            self.sockets.erase(fd);
+            return 0;
+        }
+        int events = 0;
+        if ((what & CURL_POLL_IN) != 0)
+            events |= ev::READ;
+        if ((what & CURL_POLL_OUT) != 0)
+            events |= ev::WRITE;
+        std::unique_ptr<socket_watch>& watch = self.sockets[fd];
+        if (!watch)
+        {
+            watch = std::make_unique<socket_watch>(self.loop);
+            watch->io.set<implementation, &implementation::on_socket>(&self);
+        }
+        watch->io.stop();
+        watch->io.start(fd, events);
+        return 0;
+    }
+
+    static int set_timer(CURLM* /*multi*/, long timeout_ms, void* user)
+    {
+        auto& self = *static_cast<implementation*>(user);
+        self.timer.stop();
+        if (timeout_ms >= 0)
+            self.timer.start(static_cast<double>(timeout_ms) / 1000.0);
+        return 0;
+    }
+
+    void on_socket(ev::io& io, int events)
+    {
+        int mask = 0;
+        if ((events & ev::READ) != 0)
+            mask |= CURL_CSELECT_IN;
+        if ((events & ev::WRITE) != 0)
+            mask |= CURL_CSELECT_OUT;
+        act(io.fd, mask);
+    }
+
+    void on_timer(ev::timer&, int)
+    {
+        act(CURL_SOCKET_TIMEOUT, 0);
+    }
+
+    void act(curl_socket_t fd, int mask)
+    {
+        int running = 0;
+        curl_multi_socket_action(multi, fd, mask, &running);
+        finish_transfers();
+    }
+
+    void finish_transfers()
+    {
+        int left = 0;
+        while (CURLMsg* message = curl_multi_info_read(multi, &left))
+        {
+            if (message->msg != CURLMSG_DONE)
+                continue;
+            CURLcode const code = message->data.result;
+            transfer* t = nullptr;
+            curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &t);
+            std::unique_ptr<transfer> const owner = std::move(transfers[t->id]);
+            transfers.erase(t->id);
+            curl_multi_remove_handle(multi, t->easy);
+            if (t->done)
+                t->done(outcome(*t, code));
+        }
+    }
+};
+
+http_client::http_client(ev::loop_ref loop)
+    : impl_(std::make_unique<implementation>(loop))
+{
+}
+
+http_client::~http_client() = default;
+
+http_client::call_id
+http_client::send(http_call call, done_handler done, data_handler on_data)
+{
+    auto t = std::make_unique<transfer>();
+    t->id = ++impl_->last_id;
+    t->easy = curl_easy_init();
+    t->call = std::move(call);
+    t->done = std::move(done);
+    t->on_data = std::move(on_data);
+    set_options(*t);
+    call_id const id = t->id;
+    CURL* easy = t->easy;
+    impl_->transfers[id] = std::move(t);
+    curl_multi_add_handle(impl_->multi, easy);
+    return id;
+}
+
+void http_client::cancel(call_id id)
+{
+    auto const it = impl_->transfers.find(id);
+    if (it == impl_->transfers.end())
+        return;
+    curl_multi_remove_handle(impl_->multi, it->second->easy);
+    impl_->transfers.erase(it);
+}
+
+std::size_t http_client::active() const
+{
+    return impl_->transfers.size();
+}
+
+} // namespace marjorambeam
--- /dev/null
+++ b/src/http_client/http_client_test.cpp
@@ -0,0 +1,129 @@
+#include "http_client/http_client.hpp"
+
+#include "event_loop/event_loop.hpp"
+#include "http_server/http_server.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace marjorambeam;
+
+namespace
+{
+
+std::string url_of(http_server const& server, std::string const& path)
+{
+    return "http://127.0.0.1:" + std::to_string(server.port()) + path;
+}
+
+// Sends one call and runs the loop until it is done.
+result<http_reply> call(ev::loop_ref loop, http_call c)
+{
+    http_client client(loop);
+    result<http_reply> reply = fail(error_kind::internal, "no reply");
+    client.send(
+        std::move(c),
+        [&](result<http_reply> r)
+        {
+            reply = std::move(r);
+            loop.break_loop(ev::ALL);
+        });
+    loop.run();
+    return reply;
+}
+
+} // namespace
+
+// Guards against a body or header that is lost between client and server.
+TEST_CASE("a request and its response arrive whole")
+{
+    ev::dynamic_loop loop;
+    http_server server(
+        loop, {},
+        [](std::shared_ptr<http_exchange> const& ex)
+        {
+            http_request const& r = ex->request();
+            ex->respond(
+                201, {{"X-Seen", std::string(r.header("x-sent"))}},
+                r.method + r.path + std::string(r.parameter("q")) + r.body);
+        });
+    std::string const body(100000, 'x');
+    result<http_reply> reply = call(
+        loop, {.method = "PUT",
+               .url = url_of(server, "/a?q=1"),
+               .headers = {{"X-Sent", "7"}},
+               .body = body});
+    REQUIRE(reply);
+    CHECK(reply->status == 201);
+    CHECK(reply->headers["x-seen"] == "7");
+    CHECK(reply->body == "PUT/a1" + body);
+}
+
+// Guards against a response that is sent from a later turn of the loop and
+// never reaches the caller, and against a stream that ends silently.
+TEST_CASE("a stream written later arrives whole, and a cut is an error")
+{
+    ev::dynamic_loop loop;
+    std::shared_ptr<http_exchange> held;
+    int step = 0;
+    bool is_whole = true;
+    loop_timer* next = nullptr;
+    loop_timer timer(
+        loop,
+        [&]
+        {
+            if (step == 0)
+                held->start_stream(200, {});
+            else if (step <= 3)
+                held->write("part " + std::to_string(step) + "\n");
+            else
+                held->end_stream(is_whole);
+            if (++step < 5)
+                next->start(std::chrono::milliseconds(1));
+        });
+    next = &timer;
+    http_server server(
+        loop, {},
+        [&](std::shared_ptr<http_exchange> const& ex)
+        {
+            held = ex;
+            timer.start(std::chrono::milliseconds(1));
+        });
+    result<http_reply> whole = call(loop, {.url = url_of(server, "/")});
+    REQUIRE(whole);
+    CHECK(whole->body == "part 1\npart 2\npart 3\n");
+    step = 0;
+    is_whole = false;
+    result<http_reply> cut = call(loop, {.url = url_of(server, "/")});
+    REQUIRE_FALSE(cut);
+    CHECK(cut.error().run == run_state::unknown);
+}
+
+// Guards against a body over the limit that is taken into memory.
+TEST_CASE("a body over the limit is refused by name")
+{
+    ev::dynamic_loop loop;
+    int refusals = 0;
+    http_server server(
+        loop, {.max_body_bytes = 1000},
+        [](std::shared_ptr<http_exchange> const& ex)
+        { ex->respond(200, {}, ""); },
+        [&](error_kind kind)
+        { refusals += kind == error_kind::body_too_large ? 1 : 0; });
+    result<http_reply> reply = call(
+        loop, {.method = "POST",
+               .url = url_of(server, "/"),
+               .body = std::string(5000, 'x')});
+    REQUIRE(reply);
+    CHECK(reply->status == 413);
+    CHECK(refusals == 1);
+}
+
+// Guards against a refused connection that is reported as work that may have
+// run.
+TEST_CASE("a call without a connection did not run")
+{
+    ev::dynamic_loop loop;
+    result<http_reply> reply = call(loop, {.url = "http://127.0.0.1:1/"});
+    REQUIRE_FALSE(reply);
+    CHECK(reply.error().run == run_state::not_run);
+}
