--- /dev/null
+++ b/src/session/session.hpp
@@ -0,0 +1,161 @@
+// Sessions: signed tokens that carry the version a session is pinned to, and
+// the table of pins for ids that callers chose themselves.
+//
+// Example:
+//   session_key key = make_session_key("the shared secret");
+//   std::string token = make_session_token(key, {"havbris", "m", "v3", now});
+//   result<session_token> t = read_session_token(key, token, "havbris", now);
+//   if (!t)
+//       refuse(t.error()); // session_invalid
+#pragma once
+
+#include "base/time.hpp"
+#include "error/error.hpp"
+
+#include <array>
+#include <cstdint>
+#include <list>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace marjorambeam
+{
+
+// Key of the signatures; equal at all daemons with the same secret.
+using session_key = std::array<unsigned char, 32>;
+
+// Longest id that a caller may choose. The shortest token is longer, so that
+// a damaged token is never taken for a caller's own id.
+constexpr std::size_t max_own_session_id_bytes = 64;
+
+// How long a token is valid after it was made.
+constexpr duration session_lifetime = std::chrono::hours(24);
+
+// What a token says.
+struct session_token
+{
+    std::string customer;
+    std::string model;
+    std::string version;
+    std::int64_t created_ms = 0; // Unix time
+};
+
+// Returns the key for the secret text of the settings. Precondition: the
+// secret isn't empty. Thread-safe.
+session_key make_session_key(std::string_view secret);
+
+// Returns `token` in text form with its signature, in characters that need no
+// escaping in an HTTP header. Thread-safe.
+std::string
+make_session_token(session_key const& key, session_token const& token);
+
+// Whether `text` has the form of a token. Any other text is a caller's own
+// id, which is refused with session_invalid by check_own_session_id() when it
+// is too long. Thread-safe.
+bool is_session_token(std::string_view text);
+
+// Returns what the token says. Error: session_invalid when the text was
+// changed, signed with another key, made for another customer, or is older
+// than `lifetime`. Thread-safe.
+result<session_token> read_session_token(
+    session_key const& key, std::string_view text, std::string_view customer,
+    wall_time now, duration lifetime = session_lifetime);
+
+// Checks an id that a caller chose: 1 to 64 visible ASCII characters. Error:
+// session_invalid. Thread-safe.
+result<void> check_own_session_id(std::string_view id);
+
+// Name of the peer_call that carries an encoded session_pin.
+constexpr std::string_view session_pin_call = "session_pin";
+
+// The version that a caller's own id is pinned to. As a question, `version`
+// may be empty: look up only, adopt nothing.
+struct session_pin
+{
+    std::string customer;
+    std::string id;
+    std::string model;
+    std::string version;
+    std::int64_t created_ms = 0; // Unix time at the entry that chose
+    std::int64_t used_ms = 0;    // Unix time of the latest use
+
+    template <class Archive>
+    void serialize(Archive& ar)
+    {
+        ar(customer, id, model, version, created_ms, used_ms);
+    }
+
+    bool operator==(session_pin const&) const = default;
+};
+
+// Returns the body of a session_pin call. Thread-safe.
+std::string encode_session_pin(session_pin const& pin);
+
+// Returns the pin in a call's body. Error: frame_corrupt. Thread-safe.
+result<session_pin> decode_session_pin(std::string_view body);
+
+// Returns the names of the two owners of a caller's own id, the preferred one
+// first; fewer when fewer entries are live. Thread-safe.
+std::vector<std::string> pin_owners(
+    std::string_view customer, std::string_view id,
+    std::span<std::string const> live_entries);
+
+// Whether `a` wins over `b` when two copies differ: the earlier pin, and by
+// version when both were made in the same millisecond, so that all owners
+// choose alike. Thread-safe.
+bool is_earlier_pin(session_pin const& a, session_pin const& b);
+
+// The pins that one owner holds, bounded in number and age. An owner that
+// learns of an earlier pin for an id replaces its own. Not thread-safe.
+class pin_table
+{
+public:
+    // Keeps at most `capacity` pins (at least 1), each until `max_age` after
+    // its latest use.
+    explicit pin_table(
+        std::size_t capacity = 100000, duration max_age = session_lifetime);
+
+    // Returns the pin of the id, or adopts `question` when there is none and
+    // it names a version. Nothing when there is none to return. Refreshes the
+    // time of the latest use.
+    std::optional<session_pin>
+    find_or_adopt(session_pin const& question, wall_time now);
+
+    // Takes another owner's copy; the earlier pin wins. Returns the pin that
+    // is in force afterwards, to be sent back if it differs.
+    session_pin merge(session_pin const& copy, wall_time now);
+
+    // All pins that are not too old, for a new owner.
+    std::vector<session_pin> pins(wall_time now) const;
+
+    std::size_t size() const
+    {
+        return by_id_.size();
+    }
+
+    // Pins dropped for want of room, the least recently used first.
+    std::uint64_t evictions() const
+    {
+        return evictions_;
+    }
+
+private:
+    using pin_list = std::list<session_pin>;
+
+    bool is_old(session_pin const& pin, wall_time now) const;
+    void touch(pin_list::iterator it, std::int64_t used_ms);
+    session_pin insert(session_pin const& pin);
+    void drop_old(wall_time now);
+
+    std::size_t capacity_;
+    duration max_age_;
+    pin_list pins_; // most recently used first
+    std::unordered_map<std::string, pin_list::iterator> by_id_;
+    std::uint64_t evictions_ = 0;
+};
+
+} // namespace marjorambeam
--- /dev/null
+++ b/src/session/session_test.cpp
@@ -0,0 +1,180 @@
+#include "session/session.hpp"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <cstdlib>
+#include <random>
+#include <rapidcheck.h>
+
+using namespace marjorambeam;
+using std::chrono::hours;
+
+namespace
+{
+
+// RapidCheck draws a seed at random unless this is set before its first use.
+[[maybe_unused]] bool const has_fixed_seed =
+    setenv("RC_PARAMS", "seed=1", 0) == 0;
+
+wall_time const start = from_unix_ms(1750000000000);
+
+session_token sample()
+{
+    return {"havbris", "seam", "v3", to_unix_ms(start)};
+}
+
+session_pin
+make_pin(std::string id, std::string version, std::int64_t created_ms)
+{
+    return {"havbris",          std::move(id), "seam",
+            std::move(version), created_ms,    created_ms};
+}
+
+} // namespace
+
+// Guards against a token whose version or customer a caller can change.
+TEST_CASE("any change to a token is session_invalid")
+{
+    session_key const key = make_session_key("secret");
+    std::string const text = make_session_token(key, sample());
+    REQUIRE(text.size() > max_own_session_id_bytes);
+    CHECK(rc::check(
+        [&]()
+        {
+            std::string changed = text;
+            auto const at = *rc::gen::inRange<std::size_t>(0, text.size());
+            switch (*rc::gen::inRange(0, 4))
+            {
+            case 0:
+                changed[at] = *rc::gen::distinctFrom(
+                    rc::gen::arbitrary<char>(), text[at]);
+                break;
+            case 1:
+                changed.resize(at);
+                break;
+            case 2:
+                changed.insert(at, 1, *rc::gen::arbitrary<char>());
+                break;
+            default:
+                changed += *rc::gen::arbitrary<char>();
+            }
+            RC_PRE(changed != text);
+            auto const r = read_session_token(key, changed, "havbris", start);
+            RC_ASSERT(!r);
+            RC_ASSERT(r.error().kind == error_kind::session_invalid);
+        }));
+}
+
+// Guards against tokens that work for another customer, for ever, or with
+// another fleet's secret.
+TEST_CASE("a token is valid for its customer, its time and its key")
+{
+    session_key const key = make_session_key("secret");
+    std::string const text = make_session_token(key, sample());
+    auto const r = read_session_token(key, text, "havbris", start);
+    REQUIRE(r);
+    REQUIRE(r->version == "v3");
+    REQUIRE(r->model == "seam");
+    REQUIRE(r->created_ms == to_unix_ms(start));
+    REQUIRE_FALSE(read_session_token(key, text, "fjord", start));
+    REQUIRE_FALSE(read_session_token(key, text, "havbris", start + hours(24)));
+    REQUIRE_FALSE(
+        read_session_token(make_session_key("other"), text, "havbris", start));
+}
+
+// Guards against own ids that would break a log line or a header.
+TEST_CASE("a caller's own id is short and visible")
+{
+    REQUIRE(check_own_session_id("cart-17"));
+    REQUIRE_FALSE(check_own_session_id(""));
+    REQUIRE_FALSE(check_own_session_id("a b"));
+    REQUIRE_FALSE(check_own_session_id("a\n"));
+    REQUIRE_FALSE(check_own_session_id(std::string(65, 'a')));
+}
+
+// Guards against a pin that moves although both of its owners live, and
+// against two customers that share a pin.
+TEST_CASE("two owners stay while they live")
+{
+    std::vector<std::string> const all{"e1", "e2", "e3", "e4"};
+    auto const owners = pin_owners("havbris", "cart", all);
+    REQUIRE(owners.size() == 2);
+    std::vector<std::string> fewer = owners;
+    REQUIRE(pin_owners("havbris", "cart", fewer) == owners);
+    fewer.erase(fewer.begin());
+    REQUIRE(pin_owners("havbris", "cart", fewer)[0] == owners[1]);
+    REQUIRE(pin_owners("havbris", "cart", {}).empty());
+    pin_table t;
+    t.find_or_adopt(make_pin("cart", "v1", 1), from_unix_ms(1));
+    session_pin other = make_pin("cart", "v2", 1);
+    other.customer = "fjord";
+    REQUIRE(t.find_or_adopt(other, from_unix_ms(1))->version == "v2");
+}
+
+// Guards against a session that changes its version at an owner.
+TEST_CASE("a pin is adopted once and looked up afterwards")
+{
+    pin_table t;
+    session_pin const question = make_pin("cart", "", 0);
+    REQUIRE_FALSE(t.find_or_adopt(question, start));
+    REQUIRE(t.find_or_adopt(make_pin("cart", "v1", 1), start)->version == "v1");
+    REQUIRE(t.find_or_adopt(make_pin("cart", "v2", 2), start)->version == "v1");
+    REQUIRE(t.find_or_adopt(question, start)->version == "v1");
+}
+
+// Guards against a table that grows without bound or drops what is in use.
+TEST_CASE("the table is bounded in number and age")
+{
+    pin_table t(2, hours(1));
+    t.find_or_adopt(make_pin("a", "v1", 1), start);
+    t.find_or_adopt(make_pin("b", "v1", 1), start);
+    t.find_or_adopt(make_pin("a", "", 1), start);
+    t.find_or_adopt(make_pin("c", "v1", 1), start);
+    REQUIRE(t.size() == 2);
+    REQUIRE(t.evictions() == 1);
+    REQUIRE(t.find_or_adopt(make_pin("a", "", 1), start));
+    REQUIRE_FALSE(t.find_or_adopt(make_pin("b", "", 1), start));
+    REQUIRE_FALSE(t.find_or_adopt(make_pin("a", "", 1), start + hours(1)));
+    REQUIRE(t.size() == 0);
+}
+
+// Guards against owners that end with different pins when copies arrive in
+// different orders.
+TEST_CASE("merging copies in any order gives the earliest pin")
+{
+    CHECK(rc::check(
+        []()
+        {
+            auto const times = *rc::gen::nonEmpty(
+                rc::gen::container<std::vector<std::int64_t>>(
+                    rc::gen::inRange<std::int64_t>(0, 4)));
+            std::vector<session_pin> copies;
+            for (std::size_t i = 0; i < times.size(); ++i)
+                copies.push_back(
+                    make_pin("cart", "v" + std::to_string(i % 3), times[i]));
+            pin_table a;
+            pin_table b;
+            for (auto const& it : copies)
+                a.merge(it, from_unix_ms(10));
+            auto turned = copies;
+            std::mt19937 random(*rc::gen::arbitrary<std::uint32_t>());
+            std::shuffle(turned.begin(), turned.end(), random);
+            for (auto const& it : turned)
+                b.merge(it, from_unix_ms(10));
+            RC_ASSERT(a.pins(from_unix_ms(10)) == b.pins(from_unix_ms(10)));
+            auto const p = a.pins(from_unix_ms(10)).at(0);
+            for (auto const& it : copies)
+                RC_ASSERT(!is_earlier_pin(it, p));
+        }));
+}
+
+// Guards against a peer's damaged call that is taken for a pin.
+TEST_CASE("a pin survives the wire and a damaged one is refused")
+{
+    session_pin const p = make_pin("cart", "v1", 5);
+    std::string const body = encode_session_pin(p);
+    REQUIRE(*decode_session_pin(body) == p);
+    REQUIRE_FALSE(decode_session_pin(body.substr(1)));
+    REQUIRE_FALSE(decode_session_pin(body + "x"));
+    REQUIRE_FALSE(decode_session_pin(""));
+}
