Let an HTTP server drop a connection without an answer

Fakes have to lose answers: the change takes effect, but not one byte of a response arrives. A stream that is cut still sends a status line, and libcurl behaves differently then: it repeats a request only on a reused connection that closed before the first byte. http_exchange::drop closes the connection in libmicrohttpd's next turn.

--- a/src/http_server/http_server.cpp
+++ b/src/http_server/http_server.cpp
@@ -124,6 +124,8 @@
                 server.on_request_(ex);
             }
         }
+        if (ex->is_dropped_)
+            return MHD_NO;
         if (ex->is_started_)
             ex->queue_response();
         else
@@ -234,6 +236,16 @@
     resume();
 }
 
+void http_exchange::drop()
+{
+    if (is_started_)
+        return;
+    is_started_ = true;
+    is_ended_ = true;
+    is_dropped_ = true;
+    resume();
+}
+
 void http_exchange::on_close(std::function<void()> callback)
 {
     on_close_ = std::move(callback);
--- a/src/http_server/http_server.hpp
+++ b/src/http_server/http_server.hpp
@@ -73,6 +73,10 @@
     // final chunk, so that the caller sees a cut.
     void end_stream(bool is_whole = true);
 
+    // Closes the connection without a byte of a response, as a process that
+    // dies does. Precondition: nothing was sent.
+    void drop();
+
     // Sets the function to call when the caller disconnects early.
     void on_close(std::function<void()> callback);
 
@@ -116,6 +120,7 @@
     bool is_whole_ = true;
     bool is_queued_ = false;
     bool is_suspended_ = false;
+    bool is_dropped_ = false;
     std::function<void()> on_close_;
 };
 
