--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -56,6 +56,24 @@
     return out.str();
 }
 
+// Stores the positional arguments. TCLAP takes a misspelt flag for one of
+// them, so words that look like flags are refused here; "-" alone is a word.
+bool take_positional(
+    std::string_view binary, std::vector<std::string> const& words,
+    positional_arguments& positional, std::ostream& err)
+{
+    for (std::string const& it : words)
+    {
+        if (it.size() > 1 && it.front() == '-')
+        {
+            err << binary << ": " << it << " is not a known flag\n";
+            return false;
+        }
+    }
+    positional.words = words;
+    return true;
+}
+
 } // namespace
 
 setting text_setting(
@@ -180,6 +198,34 @@
         std::move(help), store};
 }
 
+setting url_list_setting(
+    std::string name, std::string default_value, std::string help,
+    std::vector<std::string>& value)
+{
+    auto store = [&value](std::string_view text)
+    {
+        std::vector<std::string> parts;
+        if (!text.empty())
+        {
+            boost::split(
+                parts, std::string(text), [](char c) { return c == ','; });
+        }
+        std::string checked;
+        setting const one = url_setting("", "", "", checked);
+        for (std::string& it : parts)
+        {
+            if (!one.store(it))
+                return false;
+            it = checked;
+        }
+        value = std::move(parts);
+        return true;
+    };
+    return {
+        std::move(name), std::move(default_value),
+        "http:// URLs, separated by commas", std::move(help), store};
+}
+
 setting choice_setting(
     std::string name, std::string default_value,
     std::vector<std::string> choices, std::string help, std::string& value)
@@ -246,12 +292,16 @@
 settings_outcome parse_settings(
     std::string_view binary, std::string_view prefix,
     std::span<setting const> table, std::span<std::string const> args,
-    environment const& env, std::ostream& out, std::ostream& err)
+    environment const& env, std::ostream& out, std::ostream& err,
+    positional_arguments* positional)
 {
     TCLAP::CmdLine cmd(
         std::string(binary) + " of the marjorambeam router", ' ',
         std::string(version));
     cmd.setExceptionHandling(false);
+    std::optional<TCLAP::UnlabeledMultiArg<std::string>> words;
+    if (positional != nullptr)
+        words.emplace(positional->name, positional->help, false, "word", cmd);
     std::deque<TCLAP::ValueArg<std::string>> flags;
     // TCLAP prints arguments in reverse order of addition.
     TCLAP::SwitchArg check("", "check", "Check the settings and exit", cmd);
@@ -266,9 +316,9 @@
     }
     try
     {
-        std::vector<std::string> words(args.begin(), args.end());
-        words.insert(words.begin(), std::string(binary));
-        cmd.parse(words);
+        std::vector<std::string> line(args.begin(), args.end());
+        line.insert(line.begin(), std::string(binary));
+        cmd.parse(line);
     }
     catch (TCLAP::ExitException const& e)
     {
@@ -284,7 +334,8 @@
         out << settings_page(binary, prefix, table);
         return {true, 0};
     }
-    bool is_valid = true;
+    bool is_valid =
+        !words || take_positional(binary, words->getValue(), *positional, err);
     for (std::size_t i = 0; i < table.size(); ++i)
     {
         std::string value = flags[i].getValue();
--- a/src/settings/settings.hpp
+++ b/src/settings/settings.hpp
@@ -79,6 +79,11 @@
     std::string name, std::string default_value, std::string help,
     std::string& value, bool may_be_empty = false);
 
+// A list of http:// URLs separated by commas; may be empty.
+setting url_list_setting(
+    std::string name, std::string default_value, std::string help,
+    std::vector<std::string>& value);
+
 // One of `choices`.
 setting choice_setting(
     std::string name, std::string default_value,
@@ -95,6 +100,14 @@
 // Returns the environment of this process. Not thread-safe.
 environment process_environment();
 
+// Takes the arguments that are not flags, such as the command of a tool.
+struct positional_arguments
+{
+    std::string name; // in --help, such as "command"
+    std::string help;
+    std::vector<std::string> words; // filled by parse_settings
+};
+
 // What the caller of parse_settings does next.
 struct settings_outcome
 {
@@ -107,11 +120,15 @@
 // MARJORAMBEAM_ENTRY_DRAIN_MS. All errors are written to `err` together with
 // the name, the value and what is allowed, and the outcome is exit code 2.
 // Handles --help, --version, --check (check only) and --print-docs (the
-// documentation page in Markdown) on `out`. Not thread-safe.
+// documentation page in Markdown) on `out`. Without `positional`, an argument
+// that is not a flag is an error; with it, such arguments are stored there, and
+// one that looks like a flag and is none is an error all the same. Not
+// thread-safe.
 settings_outcome parse_settings(
     std::string_view binary, std::string_view prefix,
     std::span<setting const> table, std::span<std::string const> args,
-    environment const& env, std::ostream& out, std::ostream& err);
+    environment const& env, std::ostream& out, std::ostream& err,
+    positional_arguments* positional = nullptr);
 
 // Returns the Markdown section that documents the table. Thread-safe.
 std::string settings_page(
--- a/src/settings/settings_test.cpp
+++ b/src/settings/settings_test.cpp
@@ -70,3 +70,23 @@
     CHECK(s.drain == std::chrono::milliseconds(250));
     CHECK(s.listen == "127.0.0.1:0");
 }
+
+// Guards against a misspelt flag that is taken for an argument of a command.
+TEST_CASE("words that are not flags are kept in order")
+{
+    sample s;
+    std::ostringstream out;
+    std::ostringstream err;
+    positional_arguments line{"command", "what to do", {}};
+    std::vector<std::string> args{"apply", "--limit", "7", "-"};
+    settings_outcome o = parse_settings(
+        "x", "X", s.table(), args, no_environment(), out, err, &line);
+    CHECK_FALSE(o.exit_now);
+    CHECK(line.words == std::vector<std::string>{"apply", "-"});
+    CHECK(s.limit == 7);
+    args = {"apply", "--limti", "7"};
+    o = parse_settings(
+        "x", "X", s.table(), args, no_environment(), out, err, &line);
+    CHECK(o.exit_code == 2);
+    CHECK(err.str().find("--limti is not a known flag") != std::string::npos);
+}
