--- a/src/cluster/cluster_state.hpp
+++ b/src/cluster/cluster_state.hpp
@@ -28,13 +28,18 @@
     std::string instance;
     process_role role = process_role::entry;
     std::string availability_zone;
-    std::string upstream;   // of an agent
-    std::string address;    // TCP and UDP
-    incarnation sender = 0; // 0 until heard from
+    std::string upstream;     // of an agent
+    std::string address;      // TCP and UDP
+    std::string admin;        // HTTP URL, may be empty
+    incarnation sender = 0;   // 0 until heard from
+    incarnation previous = 0; // the process before it, 0 for none
     std::uint64_t generation = 0;
     steady_time last_heard{}; // by datagram, frame or answer
     bool is_listed = false;   // by the instance list
     bool is_leaving = false;  // by the instance list or its own word
+    bool is_listed_leaving = false;
+    bool has_said_leaving = false;
+    steady_time last_refused{}; // its address refused a connection
 };
 
 // Who this daemon is, from its settings.
--- /dev/null
+++ b/src/membership/membership.hpp
@@ -0,0 +1,127 @@
+// Decides which daemons are live, from the platform's lagging instance list
+// and from what the daemons themselves send.
+//
+// Example:
+//   merge_list(state.peers, *parse_instance_list(body), self, now);
+//   merge_word(state.peers, received_digest, self, now);
+//   remove_gone(state.peers, rules, now);
+//   if (condition_of(p, rules, now) == peer_condition::live)
+//       send_work_to(p);
+//
+// Pure decisions; the peers are the caller's. All functions are thread-safe as
+// long as no two threads use the same peers.
+#pragma once
+
+#include "base/time.hpp"
+#include "cluster/cluster_state.hpp"
+#include "error/error.hpp"
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace marjorambeam
+{
+
+struct membership_rules
+{
+    // A daemon that the list does not name counts as live this long after its
+    // last word. Longer than the usual lag of the list, because a new daemon
+    // speaks before the list names it.
+    duration unlisted_lifetime = std::chrono::seconds(30);
+    // A daemon whose address refused a connection counts as gone this long
+    // unless it is heard from again; then the list is believed again.
+    duration refused_lifetime = std::chrono::seconds(30);
+    // Watchers of the store in each region. Three, so that the loss of an
+    // instance or a rack leaves one.
+    std::size_t watchers_per_region = 3;
+};
+
+enum class peer_condition
+{
+    live,
+    leaving, // finishes its work and takes no new work
+    gone
+};
+
+// One row of the instance list.
+struct listed_peer
+{
+    std::string instance;
+    process_role role = process_role::entry;
+    std::string availability_zone;
+    std::string upstream;
+    std::string address;
+    std::string admin;
+    bool is_leaving = false;
+};
+
+// What happened to a received word.
+enum class word_outcome
+{
+    taken,
+    from_self,   // own datagram
+    from_double, // another process uses this daemon's instance name
+    from_earlier // a late word of the process before the present one
+};
+
+// Reads the platform's answer. Rows that lack a name, role or address are left
+// out. Error: bad_document.
+result<std::vector<listed_peer>> parse_instance_list(std::string_view json);
+
+// Adds the listed daemons and marks the others as not listed. A word that is
+// younger than `rules.unlisted_lifetime` overrides the list's address, because
+// the list lags. `self` is left out.
+void merge_list(
+    document_map<peer>& peers, std::vector<listed_peer> const& list,
+    std::string_view self, membership_rules const& rules, steady_time now);
+
+// Takes a daemon's own word. A late word of an earlier process with the same
+// instance name is ignored.
+word_outcome merge_word(
+    document_map<peer>& peers, digest const& word, daemon_identity const& self,
+    steady_time now);
+
+// Takes the generation that a frame of `instance` carried; unknown instances
+// are ignored.
+void note_heard(
+    document_map<peer>& peers, std::string_view instance,
+    std::uint64_t generation, steady_time now);
+
+// Notes that `instance` refused a connection at its address.
+void note_refused(
+    document_map<peer>& peers, std::string_view instance, steady_time now);
+
+// A peer is gone when it has neither a place on the list nor a recent word,
+// or when it refused a connection recently and was not heard from since;
+// leaving when the list or its own word says so; else live.
+peer_condition
+condition_of(peer const& p, membership_rules const& rules, steady_time now);
+
+// Removes peers that are gone and not listed. Returns how many.
+std::size_t remove_gone(
+    document_map<peer>& peers, membership_rules const& rules, steady_time now);
+
+// Names of live peers, in order.
+std::vector<std::string> live_peers(
+    document_map<peer> const& peers, membership_rules const& rules,
+    steady_time now);
+
+// The region of a zone; a zone without a document is a region of its own.
+std::string_view
+region_of(document_map<availability_zone> const& zones, std::string_view zone);
+
+// Daemons of this daemon's region that hold a watch on the store: the first
+// by rendezvous hash over the live ones, this daemon included.
+std::vector<std::string> watch_holders(
+    daemon_identity const& self, document_map<peer> const& peers,
+    document_map<availability_zone> const& zones, membership_rules const& rules,
+    steady_time now);
+
+// Whether a daemon that knows of peers has heard nothing for `limit`.
+// `last_word` is the last word of the store or any peer, or the start of the
+// process. A daemon without peers is never isolated.
+bool is_isolated(
+    bool knows_peers, steady_time last_word, duration limit, steady_time now);
+
+} // namespace marjorambeam
--- /dev/null
+++ b/src/membership/membership_test.cpp
@@ -0,0 +1,167 @@
+#include "membership/membership.hpp"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+
+using namespace marjorambeam;
+
+namespace
+{
+
+membership_rules const rules;
+daemon_identity const self{
+    .instance = "self", .availability_zone = "hitra", .self = 1};
+
+steady_time at(int seconds)
+{
+    return steady_time{std::chrono::seconds(1000 + seconds)};
+}
+
+digest word_of(std::string name, incarnation sender, std::uint64_t generation)
+{
+    return {
+        .sender = sender,
+        .instance = std::move(name),
+        .availability_zone = "hitra",
+        .address = "127.0.0.1:" + std::to_string(sender),
+        .generation = generation};
+}
+
+listed_peer row(std::string name, bool is_leaving = false)
+{
+    return {
+        .instance = std::move(name),
+        .availability_zone = "hitra",
+        .address = "127.0.0.1:9",
+        .is_leaving = is_leaving};
+}
+
+} // namespace
+
+// Guards against a new daemon that stays unknown until the list names it, and
+// against a dead one that stays live for ever.
+TEST_CASE("a word makes an unlisted peer live for a bounded time")
+{
+    document_map<peer> peers;
+    merge_word(peers, word_of("a", 7, 3), self, at(0));
+    merge_list(peers, {}, "self", rules, at(1));
+    CHECK(condition_of(peers.at("a"), rules, at(29)) == peer_condition::live);
+    CHECK(remove_gone(peers, rules, at(29)) == 0);
+    CHECK(condition_of(peers.at("a"), rules, at(30)) == peer_condition::gone);
+    CHECK(remove_gone(peers, rules, at(30)) == 1);
+}
+
+// Guards against a lagging list that sends traffic to the address of a
+// process that was replaced, or hides that a peer leaves.
+TEST_CASE("a recent word overrides the list")
+{
+    document_map<peer> peers;
+    merge_list(peers, {row("a"), row("self")}, "self", rules, at(0));
+    CHECK(peers.size() == 1);
+    CHECK(condition_of(peers.at("a"), rules, at(0)) == peer_condition::live);
+    digest w = word_of("a", 7, 3);
+    w.is_leaving = true;
+    merge_word(peers, w, self, at(1));
+    merge_list(peers, {row("a")}, "self", rules, at(2));
+    CHECK(peers.at("a").address == "127.0.0.1:7");
+    CHECK(condition_of(peers.at("a"), rules, at(2)) == peer_condition::leaving);
+    merge_list(peers, {row("a")}, "self", rules, at(40));
+    CHECK(peers.at("a").address == "127.0.0.1:9");
+    merge_word(peers, word_of("a", 8, 3), self, at(41));
+    CHECK(condition_of(peers.at("a"), rules, at(41)) == peer_condition::live);
+    merge_list(peers, {row("a", true)}, "self", rules, at(42));
+    CHECK(
+        condition_of(peers.at("a"), rules, at(42)) == peer_condition::leaving);
+}
+
+// Guards against late datagrams of a replaced process, and against a second
+// process under the same instance name going unnoticed.
+TEST_CASE("words of earlier processes and doubles are not taken")
+{
+    document_map<peer> peers;
+    merge_word(peers, word_of("a", 7, 9), self, at(0));
+    merge_word(peers, word_of("a", 8, 4), self, at(1));
+    CHECK(
+        merge_word(peers, word_of("a", 7, 9), self, at(2)) ==
+        word_outcome::from_earlier);
+    CHECK(peers.at("a").generation == 4);
+    CHECK(
+        merge_word(peers, word_of("self", 1, 9), self, at(2)) ==
+        word_outcome::from_self);
+    CHECK(
+        merge_word(peers, word_of("self", 2, 9), self, at(2)) ==
+        word_outcome::from_double);
+    CHECK(peers.size() == 1);
+}
+
+// Guards against a crashed daemon that keeps its place while the list lags.
+TEST_CASE("a refused connection makes a listed peer gone until it speaks")
+{
+    document_map<peer> peers;
+    merge_list(peers, {row("a")}, "self", rules, at(0));
+    note_refused(peers, "a", at(1));
+    CHECK(condition_of(peers.at("a"), rules, at(2)) == peer_condition::gone);
+    CHECK(condition_of(peers.at("a"), rules, at(31)) == peer_condition::live);
+    note_refused(peers, "a", at(32));
+    note_heard(peers, "a", 5, at(33));
+    CHECK(condition_of(peers.at("a"), rules, at(33)) == peer_condition::live);
+    CHECK(live_peers(peers, rules, at(33)).size() == 1);
+}
+
+// Guards against watches whose number grows with the fleet, or a region that
+// has none.
+TEST_CASE("three daemons of each region hold a watch and agree on it")
+{
+    document_map<availability_zone> zones;
+    zones["hitra"] = {.name = "hitra", .region = "north"};
+    zones["frosta"] = {.name = "frosta", .region = "north"};
+    zones["sfax"] = {.name = "sfax", .region = "south"};
+    std::vector<digest> words;
+    for (incarnation i = 1; i <= 30; ++i)
+    {
+        digest w = word_of("d" + std::to_string(i), i, 0);
+        w.availability_zone = i % 3 == 0   ? "sfax"
+                              : i % 3 == 1 ? "hitra"
+                                           : "frosta";
+        words.push_back(w);
+    }
+    std::map<std::string, std::size_t> holders;
+    for (digest const& own : words)
+    {
+        daemon_identity const id{
+            .instance = own.instance,
+            .availability_zone = own.availability_zone,
+            .self = own.sender};
+        document_map<peer> peers;
+        for (digest const& w : words)
+            merge_word(peers, w, id, at(0));
+        auto const names = watch_holders(id, peers, zones, rules, at(1));
+        CHECK(names.size() == 3);
+        if (std::count(names.begin(), names.end(), own.instance) == 1)
+            ++holders[std::string(region_of(zones, own.availability_zone))];
+    }
+    CHECK(holders["north"] == 3);
+    CHECK(holders["south"] == 3);
+}
+
+// Guards against an isolated instance that keeps taking work, and against a
+// single instance that refuses all of it.
+TEST_CASE("a daemon that knows peers and hears nothing is isolated")
+{
+    duration const limit = std::chrono::seconds(10);
+    CHECK_FALSE(is_isolated(true, at(0), limit, at(9)));
+    CHECK(is_isolated(true, at(0), limit, at(10)));
+    CHECK_FALSE(is_isolated(false, at(0), limit, at(100)));
+}
+
+// Guards against one malformed row that hides the whole list.
+TEST_CASE("malformed rows of the list are left out")
+{
+    auto const list = parse_instance_list(
+        R"({"instances":[{"name":"a","role":"agent","address":"127.0.0.1:1",)"
+        R"("state":"leaving"},{"name":5},7,{"name":"b","role":"x"}]})");
+    REQUIRE(list);
+    REQUIRE(list->size() == 1);
+    CHECK(list->front().is_leaving);
+    CHECK_FALSE(parse_instance_list("<html>"));
+}
--- a/src/wire/message.hpp
+++ b/src/wire/message.hpp
@@ -294,14 +294,17 @@
     std::string upstream;
     std::string address; // TCP
     std::uint64_t generation = 0;
-    std::int64_t store_seen_ms = 0; // last contact with the store, wall clock
+    // Time since the last contact with the store that the sender knows of, by
+    // itself or by digests that it received; -1 for none. An age, because the
+    // wall clocks of two instances differ.
+    std::int64_t store_age_ms = -1;
     bool is_leaving = false;
 
     template <class Archive>
     void serialize(Archive& ar)
     {
         ar(sender, role, instance, availability_zone, upstream, address,
-           generation, store_seen_ms, is_leaving);
+           generation, store_age_ms, is_leaving);
     }
 };
 
