--- /dev/null
+++ b/src/config_sync/config_history.hpp
@@ -0,0 +1,76 @@
+// The generations that a daemon has applied, with the texts that its peers may
+// still need.
+//
+// Example:
+//   config_history h;
+//   offer_outcome o = offer(h, std::move(received), limits);
+//   if (o.applied > 0)
+//       state.config = h.current;
+//   connection->send(answer_pull(h, pull.after, limits));
+//
+// Generations are applied in order of number, from any source in any order of
+// arrival; the generation in force never decreases. Pure decisions; no
+// function is thread-safe on the same history.
+#pragma once
+
+#include "config/generation.hpp"
+#include "wire/message.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace marjorambeam
+{
+
+struct history_limits
+{
+    // Texts kept for peers. A quarter of the 64 MB that a daemon may use for
+    // control.
+    std::size_t max_text_bytes = std::size_t{16} << 20U;
+    // Generations that arrived before their predecessors.
+    std::size_t max_pending = 2 * checkpoint_interval;
+    std::size_t max_pending_bytes = std::size_t{8} << 20U;
+    // Generations in one answer. A checkpoint (up to 1 MB, as the store holds)
+    // is added to it; a frame holds 8 MiB.
+    std::size_t max_answer_bytes = std::size_t{4} << 20U;
+    std::size_t max_refused_kept = 100; // reasons shown in status
+};
+
+struct config_history
+{
+    std::shared_ptr<config_snapshot const> current =
+        std::make_shared<config_snapshot>();
+    // The last two checkpoints; `base` is the older one. Texts start after it.
+    std::uint64_t base = 0;
+    std::string base_text; // empty for generation 0
+    std::uint64_t newest = 0;
+    std::string newest_text;
+    std::map<std::uint64_t, std::string> texts; // base + 1 to current
+    std::size_t text_bytes = 0;
+    std::map<std::uint64_t, std::string> pending; // not yet in order
+    std::size_t pending_bytes = 0;
+};
+
+struct offer_outcome
+{
+    std::uint64_t applied = 0;      // how far the generation in force advanced
+    std::uint64_t refused = 0;      // of these, refused as invalid
+    bool has_gap = false;           // later generations wait for a missing one
+    bool is_bad_checkpoint = false; // the snapshot could not be read
+};
+
+// Takes what a peer or the store sent and applies all that is in order.
+offer_outcome offer(
+    config_history& h, config_generations received,
+    history_limits const& limits);
+
+// Returns the generations after `after`, as many as fit; when their texts are
+// no longer kept, the newest checkpoint with what follows it. Empty when
+// nothing newer is in force. The asker repeats until it is empty.
+config_generations answer_pull(
+    config_history const& h, std::uint64_t after, history_limits const& limits);
+
+} // namespace marjorambeam
--- /dev/null
+++ b/src/config_sync/sync_decisions.cpp
@@ -0,0 +1,259 @@
+#include "config_sync/sync_decisions.hpp"
+
+#include <algorithm>
+
+namespace marjorambeam
+{
+namespace
+{
+
+bool is_reachable(peer const& p, membership_rules const& rules, steady_time now)
+{
+    return !p.address.empty() &&
+           condition_of(p, rules, now) != peer_condition::gone;
+}
+
+std::size_t
+count_reachable(sync_view const& view, sync_rules const& rules, steady_time now)
+{
+    return static_cast<std::size_t>(std::count_if(
+        view.peers.begin(), view.peers.end(),
+        [&](auto const& it)
+        { return is_reachable(it.second, rules.members, now); }));
+}
+
+bool failed_lately(
+    sync_state const& s, std::string_view name, sync_rules const& rules,
+    steady_time now)
+{
+    auto const it = s.failed_pulls.find(name);
+    return it != s.failed_pulls.end() &&
+           now - it->second < rules.retry_peer_after;
+}
+
+// Peers worth asking: those ahead, or while starting those not yet asked.
+std::string choose_source(
+    sync_state const& s, sync_view const& view, sync_rules const& rules,
+    random_source& random, steady_time now)
+{
+    std::vector<std::string_view> names;
+    for (auto const& [name, p] : view.peers)
+    {
+        bool const is_useful =
+            p.generation > view.current ||
+            (!s.has_config && s.answered_at_start.count(name) == 0);
+        if (is_useful && name != view.self &&
+            is_reachable(p, rules.members, now) &&
+            !failed_lately(s, name, rules, now))
+            names.push_back(name);
+    }
+    if (names.empty())
+        return {};
+    std::uniform_int_distribution<std::size_t> any(0, names.size() - 1);
+    return std::string(names[any(random)]);
+}
+
+void update_behind(sync_state& s, sync_view const& view, steady_time now)
+{
+    s.known = std::max(s.known, view.current);
+    if (s.known == view.current)
+        s.behind_since = steady_time{};
+    else if (s.behind_since == steady_time{})
+        s.behind_since = now;
+}
+
+void start_pull(
+    sync_state& s, sync_view const& view, sync_rules const& rules,
+    random_source& random, steady_time now, sync_step& step)
+{
+    bool const starts_without_store =
+        !s.has_config &&
+        (s.did_store_fail || now - s.started_at >= rules.first_read_retry);
+    if (!s.pulling_from.empty() ||
+        (s.known <= view.current && !starts_without_store))
+        return;
+    s.pulling_from = choose_source(s, view, rules, random, now);
+    s.pulled_at = view.current;
+    step.pull_from = s.pulling_from;
+}
+
+bool should_read_store(
+    sync_state const& s, sync_view const& view, sync_rules const& rules,
+    random_source& random, bool is_digest_due, steady_time now)
+{
+    duration const since = now - s.last_store_read;
+    if (!s.has_config)
+        return since >= rules.first_read_retry;
+    if (view.is_watcher)
+        return false;
+    bool const is_quiet =
+        now - std::max(s.peer_word, s.started_at) >= rules.quiet_limit;
+    if (is_quiet && since >= rules.quiet_limit)
+        return true;
+    bool const is_behind = s.behind_since != steady_time{} &&
+                           now - s.behind_since >= rules.behind_limit;
+    if (is_behind && since >= rules.behind_limit)
+        return true;
+    if (!is_digest_due ||
+        now - std::max(s.fleet_store_word, s.started_at) < rules.probe_after)
+        return false;
+    double const fleet =
+        static_cast<double>(count_reachable(view, rules, now) + 1);
+    double const probability =
+        rules.probes_per_second * to_seconds(rules.digest_period) / fleet;
+    return std::uniform_real_distribution<>(0, 1)(random) < probability;
+}
+
+void forget_old(
+    std::map<std::string, steady_time, std::less<>>& times, duration limit,
+    steady_time now)
+{
+    std::erase_if(
+        times, [&](auto const& it) { return now - it.second >= limit; });
+}
+
+} // namespace
+
+std::vector<std::string> choose_peers(
+    sync_view const& view, std::size_t count, membership_rules const& rules,
+    random_source& random, steady_time now)
+{
+    std::vector<std::string_view> names;
+    for (auto const& [name, p] : view.peers)
+    {
+        if (name != view.self && is_reachable(p, rules, now))
+            names.push_back(name);
+    }
+    std::vector<std::string> out;
+    for (std::size_t i = 0; i < std::min(count, names.size()); ++i)
+    {
+        std::uniform_int_distribution<std::size_t> any(i, names.size() - 1);
+        std::swap(names[i], names[any(random)]);
+        out.emplace_back(names[i]);
+    }
+    return out;
+}
+
+sync_step on_word(
+    sync_state& s, sync_view const& view, sync_word const& word,
+    sync_rules const& rules, steady_time now)
+{
+    sync_step step;
+    s.peer_word = now;
+    if (word.store_age >= duration{0})
+    {
+        s.fleet_store_word = std::max(s.fleet_store_word, now - word.store_age);
+    }
+    s.known = std::max(s.known, word.generation);
+    update_behind(s, view, now);
+    auto const peer = view.peers.find(word.from);
+    bool const has_address =
+        peer != view.peers.end() && !peer->second.address.empty();
+    if (!has_address)
+        return step;
+    if (word.generation > view.current && s.pulling_from.empty())
+    {
+        step.pull_from = s.pulling_from = std::string(word.from);
+        s.pulled_at = view.current;
+    }
+    if (word.generation >= view.current)
+        return step;
+    auto const last = s.told.find(word.from);
+    if (last != s.told.end() && now - last->second < rules.digest_period)
+        return step;
+    s.told.insert_or_assign(std::string(word.from), now);
+    step.tell.emplace_back(word.from);
+    return step;
+}
+
+sync_step on_news(
+    sync_state& s, sync_view const& view, sync_rules const& rules,
+    random_source& random, steady_time now)
+{
+    sync_step step;
+    update_behind(s, view, now);
+    step.tell =
+        choose_peers(view, rules.news_fanout, rules.members, random, now);
+    return step;
+}
+
+sync_step on_pull_done(
+    sync_state& s, sync_view const& view, bool ok, sync_rules const& rules,
+    random_source& random, steady_time now)
+{
+    sync_step step;
+    std::string const from = std::move(s.pulling_from);
+    s.pulling_from.clear();
+    if (ok)
+    {
+        s.peer_word = now;
+        s.answered_at_start.emplace(from, now);
+    }
+    // A peer that answers without giving what it announced is not asked again
+    // at once.
+    auto const peer = view.peers.find(from);
+    bool const is_useless = peer != view.peers.end() &&
+                            peer->second.generation > view.current &&
+                            view.current == s.pulled_at;
+    if (!ok || is_useless)
+        s.failed_pulls.insert_or_assign(from, now);
+    update_behind(s, view, now);
+    std::size_t const needed =
+        std::min(rules.peers_at_start, count_reachable(view, rules, now));
+    bool const has_asked_enough =
+        needed > 0 && s.answered_at_start.size() >= needed;
+    if (!s.has_config && has_asked_enough && s.known == view.current)
+        s.has_config = true;
+    start_pull(s, view, rules, random, now, step);
+    return step;
+}
+
+void on_store_done(sync_state& s, bool ok, steady_time now)
+{
+    s.did_store_fail = !ok;
+    if (!ok)
+        return;
+    s.store_word = now;
+    s.fleet_store_word = now;
+    s.has_config = true;
+}
+
+sync_step on_tick(
+    sync_state& s, sync_view const& view, sync_rules const& rules,
+    random_source& random, steady_time now)
+{
+    sync_step step;
+    update_behind(s, view, now);
+    forget_old(s.failed_pulls, rules.retry_peer_after, now);
+    forget_old(s.told, rules.digest_period, now);
+    bool const is_digest_due = now >= s.next_digest;
+    if (is_digest_due)
+    {
+        s.next_digest = std::max(s.next_digest + rules.digest_period, now);
+        step.tell =
+            choose_peers(view, rules.digest_fanout, rules.members, random, now);
+    }
+    start_pull(s, view, rules, random, now, step);
+    step.read_store =
+        should_read_store(s, view, rules, random, is_digest_due, now);
+    if (step.read_store)
+        s.last_store_read = now;
+    return step;
+}
+
+bool is_isolated(
+    sync_state const& s, sync_view const& view, sync_rules const& rules,
+    steady_time now)
+{
+    steady_time const last =
+        std::max({s.started_at, s.peer_word, s.store_word});
+    return is_isolated(!view.peers.empty(), last, rules.isolation_limit, now);
+}
+
+duration store_age(sync_state const& s, steady_time now)
+{
+    return s.fleet_store_word == steady_time{} ? duration{-1}
+                                               : now - s.fleet_store_word;
+}
+
+} // namespace marjorambeam
--- /dev/null
+++ b/src/config_sync/sync_decisions.hpp
@@ -0,0 +1,141 @@
+// Decides whom a daemon tells of the configuration, whom it asks, and when it
+// reads the store.
+//
+// Example:
+//   sync_view view{self, state.config->number, state.peers, is_watcher};
+//   sync_step step = on_word(sync, view, {d.instance, d.generation, age},
+//                            rules, now);
+//   for (std::string const& it : step.tell)
+//       send_digest_to(it);
+//   if (!step.pull_from.empty())
+//       start_pull(step.pull_from);
+//
+// Pure decisions over plain structs; random numbers come from the caller's
+// generator. Not thread-safe on the same state.
+#pragma once
+
+#include "base/time.hpp"
+#include "cluster/cluster_state.hpp"
+#include "membership/membership.hpp"
+
+#include <cstdint>
+#include <map>
+#include <random>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace marjorambeam
+{
+
+using random_source = std::mt19937_64;
+
+struct sync_rules
+{
+    std::size_t news_fanout = 4;   // peers told at once of a new generation
+    std::size_t digest_fanout = 2; // peers told in each period
+    duration digest_period = std::chrono::seconds(1);
+    // Two failed pulls still leave 5 s of the 7 s for a change.
+    duration pull_timeout = std::chrono::seconds(1);
+    duration retry_peer_after = std::chrono::seconds(5); // after a failed pull
+    duration quiet_limit = std::chrono::seconds(5);  // no word: read the store
+    duration behind_limit = std::chrono::seconds(2); // pulls fail: read it
+    duration isolation_limit = std::chrono::seconds(10);
+    duration first_read_retry = std::chrono::seconds(1);
+    // Peers that must answer before a daemon that starts without the store
+    // takes the largest generation among them as current.
+    std::size_t peers_at_start = 3;
+    // When no daemon that this one heard of has seen the store for
+    // `probe_after`, all watchers may be gone while the list still names them.
+    // Then each daemon reads the store with a probability that makes
+    // `probes_per_second` reads in the whole fleet, whatever its size.
+    duration probe_after = std::chrono::seconds(6);
+    double probes_per_second = 3;
+    membership_rules members;
+};
+
+struct sync_state
+{
+    steady_time started_at{};
+    steady_time peer_word{};        // last word of any peer
+    steady_time store_word{};       // this daemon's last answer of the store
+    steady_time fleet_store_word{}; // the same for any daemon it heard of
+    steady_time next_digest{};
+    steady_time last_store_read{}; // when it was last started
+    bool has_config = false;
+    bool did_store_fail = false; // the last read did
+    std::uint64_t known = 0;     // largest generation heard of
+    steady_time behind_since{};  // known is larger than current since then
+    std::string pulling_from;    // empty when no pull is under way
+    std::uint64_t pulled_at = 0; // generation in force when it started
+    std::map<std::string, steady_time, std::less<>> failed_pulls;
+    std::map<std::string, steady_time, std::less<>> told; // stale peers
+    std::map<std::string, steady_time, std::less<>> answered_at_start;
+};
+
+// What the decisions depend on besides their own state.
+struct sync_view
+{
+    std::string_view self;
+    std::uint64_t current = 0; // generation in force
+    document_map<peer> const& peers;
+    bool is_watcher = false; // watches the store, so need not read it
+};
+
+// What to do next; each part may be empty.
+struct sync_step
+{
+    std::vector<std::string> tell; // send a digest to each
+    std::string pull_from;         // the caller starts a pull
+    bool read_store = false;       // the caller starts a read
+};
+
+// A generation that a peer mentioned in a digest or frame.
+struct sync_word
+{
+    std::string_view from;
+    std::uint64_t generation = 0;
+    duration store_age{-1}; // negative when the word does not carry it
+};
+
+// Returns up to `count` different names of live or leaving peers, at random.
+std::vector<std::string> choose_peers(
+    sync_view const& view, std::size_t count, membership_rules const& rules,
+    random_source& random, steady_time now);
+
+// A peer spoke: pulls from it when it is ahead and tells it when it is
+// behind, at most once in each period. A peer whose address is not known yet
+// is neither asked nor told.
+sync_step on_word(
+    sync_state& s, sync_view const& view, sync_word const& word,
+    sync_rules const& rules, steady_time now);
+
+// The generation in force advanced to `view.current`.
+sync_step on_news(
+    sync_state& s, sync_view const& view, sync_rules const& rules,
+    random_source& random, steady_time now);
+
+// The pull under way ended; `ok` when the peer answered. Call it after
+// applying the answer.
+sync_step on_pull_done(
+    sync_state& s, sync_view const& view, bool ok, sync_rules const& rules,
+    random_source& random, steady_time now);
+
+// The store answered a whole read or a watch, or failed.
+void on_store_done(sync_state& s, bool ok, steady_time now);
+
+// Call at least once in each digest period.
+sync_step on_tick(
+    sync_state& s, sync_view const& view, sync_rules const& rules,
+    random_source& random, steady_time now);
+
+// Whether this daemon knows of peers and hears neither them nor the store.
+bool is_isolated(
+    sync_state const& s, sync_view const& view, sync_rules const& rules,
+    steady_time now);
+
+// Age of the last contact with the store that this daemon knows of, for its
+// digests; negative for none.
+duration store_age(sync_state const& s, steady_time now);
+
+} // namespace marjorambeam
