--- /dev/null
+++ b/src/agent/agent_admin.hpp
@@ -0,0 +1,21 @@
+// The agent's HTTP interface for operators: /healthz, /readyz, /metrics and
+// /admin/status.
+//
+// Example:
+//   http_server admin(loop, {.address = "127.0.0.1:0"},
+//       [&](auto const& ex) { answer_admin(state, *ex); });
+//
+// Not thread-safe.
+#pragma once
+
+#include "agent/agent_state.hpp"
+#include "http_server/http_server.hpp"
+
+namespace marjorambeam
+{
+
+// Answers one request; unknown paths with 404, methods other than GET with
+// 405. Precondition: nothing was sent on `ex`.
+void answer_admin(agent_state const& s, http_exchange& ex);
+
+} // namespace marjorambeam
--- /dev/null
+++ b/src/fair_queue/fair_queue.hpp
@@ -0,0 +1,128 @@
+// Weighted fair queueing by token cost with a bounded queue per customer.
+//
+// Example:
+//   fair_queue queue(1024);
+//   result<void> r = queue.push({.id = 7, .customer = "havbris", .weight = 2,
+//       .cost = 300, .deadline = now + std::chrono::seconds(5)}, limits, now);
+//   if (!r)
+//       refuse(r.error()); // queue_full or deadline_unreachable
+//   while (std::optional<queue_entry> next = queue.pop())
+//       run(next->id);
+//
+// Start-time fair queueing: each customer's entries follow one another in
+// virtual time by cost divided by weight, and the customer whose next entry
+// starts first is served. A customer that was idle starts at the present
+// virtual time, so that it neither saves up a share nor waits behind a backlog
+// of others. Performs no I/O; not thread-safe.
+#pragma once
+
+#include "base/time.hpp"
+#include "error/error.hpp"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace marjorambeam
+{
+
+// A request that waits.
+struct queue_entry
+{
+    std::uint64_t id = 0; // unique among the waiting entries
+    std::string customer;
+    std::uint32_t weight = 1;
+    std::uint64_t cost = 1; // tokens
+    steady_time deadline{};
+};
+
+// What bounds the admission of one entry.
+struct queue_limits
+{
+    std::size_t max_of_customer = 64;
+    // Tokens that the upstream has lately completed per second over all
+    // requests; 0 when unknown, which refuses nothing.
+    double tokens_per_second = 0;
+};
+
+class fair_queue
+{
+public:
+    // `max_entries` bounds the entries of all customers together.
+    explicit fair_queue(std::size_t max_entries);
+
+    // Adds the entry. Errors: queue_full when the customer or the queue has
+    // reached its bound; deadline_unreachable when the estimated wait ends
+    // after the deadline. The error's retry_after is the estimated wait.
+    // Precondition: the id is not waiting, weight and cost are positive.
+    result<void>
+    push(queue_entry entry, queue_limits const& limits, steady_time now);
+
+    // The entry that pop would return, or null. Valid until the next change.
+    queue_entry const* front() const;
+
+    // Removes and returns the next entry. Expired entries are returned too;
+    // call drop_expired before.
+    std::optional<queue_entry> pop();
+
+    // Removes the entry; false when it is not waiting.
+    bool cancel(std::uint64_t id);
+
+    // Removes and returns the entries whose deadline is at or before `now`.
+    std::vector<queue_entry> drop_expired(steady_time now);
+
+    // Estimated wait of a new entry: the work that fair queueing serves
+    // before it, divided by the speed. Zero when the speed is unknown.
+    duration estimated_wait(
+        std::string_view customer, std::uint32_t weight, std::uint64_t cost,
+        double tokens_per_second) const;
+
+    std::size_t size() const
+    {
+        return flow_of_.size();
+    }
+    // Entries of one customer.
+    std::size_t size_of(std::string_view customer) const;
+    // Token cost of all waiting entries.
+    std::uint64_t cost() const
+    {
+        return cost_;
+    }
+
+private:
+    // The waiting entries of one customer.
+    struct flow
+    {
+        std::uint64_t number = 0; // breaks ties in the order of arrival
+        std::uint32_t weight = 1;
+        std::uint64_t cost = 0;
+        double start = 0;  // virtual start of the first entry
+        double finish = 0; // virtual finish of the last served entry
+        std::deque<queue_entry> entries;
+    };
+    using flow_map = std::map<std::string, flow, std::less<>>;
+    using active_key = std::pair<std::pair<double, std::uint64_t>, flow*>;
+
+    static active_key key_of(flow& f);
+    void activate(flow& f);
+    void forget_idle_flows();
+    void remove(flow& f, std::deque<queue_entry>::iterator it);
+
+    std::size_t max_entries_;
+    double virtual_time_ = 0;
+    std::uint64_t cost_ = 0;
+    std::uint64_t flows_seen_ = 0;
+    flow_map flows_;
+    std::set<active_key> active_; // flows with entries, by start of the first
+    std::unordered_map<std::uint64_t, flow*> flow_of_; // by entry id
+    std::multimap<steady_time, std::uint64_t> deadlines_;
+};
+
+} // namespace marjorambeam
