Add the retry budget and the retry decision

Cause: entries need one place that decides what follows a failed attempt, so that retries add at most 10% load and nothing non-idempotent runs twice. Change: src/retry with a token bucket filled by admitted requests and decide_retry(), which answers retry elsewhere, resume the stream or give up now. Each decision carries a named reason for the counters and the run state combined over all attempts. Charging refusals for being out of service: they put no load on an upstream and would use up the budget when a zone is taken out.

--- /dev/null
+++ b/src/retry/retry_test.cpp
@@ -0,0 +1,159 @@
+#include "retry/retry.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace marjorambeam;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace
+{
+
+retry_question question(error_kind kind, run_state run)
+{
+    retry_question q;
+    q.kind = kind;
+    q.run = run;
+    q.remaining = seconds(10);
+    return q;
+}
+
+} // namespace
+
+// Guards against a retry storm that keeps an exhausted pool exhausted.
+TEST_CASE("retries stay within a tenth of the admitted requests")
+{
+    retry_budget b;
+    steady_time now{seconds(100)};
+    int retries = 0;
+    constexpr int requests = 100000;
+    for (int i = 0; i < requests; ++i)
+    {
+        now += milliseconds(1);
+        on_admitted(b, now);
+        retry_question const q =
+            question(error_kind::queue_full, run_state::not_run);
+        if (decide_retry(b, q).action != retry_action::give_up)
+            ++retries;
+    }
+    REQUIRE(retries <= requests * retry_ratio + min_retry_burst);
+    REQUIRE(retries >= requests * retry_ratio * 0.99);
+}
+
+// Guards against losing the requests in flight when a zone of four fails:
+// their retries come at once, not spread over time.
+TEST_CASE("the budget covers a quarter of the requests in flight")
+{
+    retry_budget b;
+    steady_time now{seconds(100)};
+    for (int i = 0; i < 6000; ++i)
+    {
+        now += milliseconds(10);
+        on_admitted(b, now);
+    }
+    // 100 requests/s of 4 s each are 400 in flight, 100 of them in the zone.
+    for (int i = 0; i < 100; ++i)
+    {
+        retry_question const q =
+            question(error_kind::connection_lost, run_state::unknown);
+        REQUIRE(decide_retry(b, q).action == retry_action::retry_elsewhere);
+    }
+}
+
+// Guards against running a charge or an adjustment twice (I9), also when the
+// doubt comes from an attempt before the last.
+TEST_CASE("non-idempotent work that may have run is not retried")
+{
+    retry_budget b;
+    for (run_state run : {run_state::unknown, run_state::ran})
+    {
+        retry_question q = question(error_kind::connection_lost, run);
+        q.is_idempotent = false;
+        retry_decision d = decide_retry(b, q);
+        REQUIRE(d.action == retry_action::give_up);
+        REQUIRE(d.reason == retry_reason::given_up_may_have_run);
+        REQUIRE(d.run == run);
+        q = question(error_kind::queue_full, run_state::not_run);
+        q.is_idempotent = false;
+        q.earlier_run = run;
+        REQUIRE(decide_retry(b, q).action == retry_action::give_up);
+        q.earlier_run = run_state::not_run;
+        REQUIRE(decide_retry(b, q).action == retry_action::retry_elsewhere);
+    }
+}
+
+// Guards against a final refusal that says "not run" although an earlier
+// attempt may have run (I8).
+TEST_CASE("the final answer combines the run states of all attempts")
+{
+    retry_budget b;
+    retry_question q = question(error_kind::queue_full, run_state::not_run);
+    q.earlier_run = run_state::unknown;
+    q.attempts = max_attempts;
+    retry_decision const d = decide_retry(b, q);
+    REQUIRE(d.action == retry_action::give_up);
+    REQUIRE(d.reason == retry_reason::given_up_attempts);
+    REQUIRE(d.run == run_state::unknown);
+}
+
+// Guards against holding a request that can't finish until its deadline.
+TEST_CASE("a request that can't finish in time is answered at once")
+{
+    retry_budget b;
+    retry_question q =
+        question(error_kind::upstream_silent, run_state::unknown);
+    q.remaining = milliseconds(100);
+    q.expected_time = milliseconds(400);
+    q.retry_after = seconds(7);
+    retry_decision const d = decide_retry(b, q);
+    REQUIRE(d.action == retry_action::give_up);
+    REQUIRE(d.reason == retry_reason::given_up_deadline);
+    REQUIRE(d.retry_after == seconds(7));
+    q.expected_time = duration(0);
+    q.has_other = false;
+    REQUIRE(decide_retry(b, q).reason == retry_reason::given_up_no_upstream);
+}
+
+// Guards against sending a caller the start of a second answer after part of
+// the first, or cutting a stream that could have continued.
+TEST_CASE("an interrupted answer is resumed or ends, never started again")
+{
+    retry_budget b;
+    retry_question q = question(error_kind::upstream_crashed, run_state::ran);
+    q.has_delivered = true;
+    REQUIRE(decide_retry(b, q).action == retry_action::resume_stream);
+    q.can_resume = false;
+    REQUIRE(decide_retry(b, q).action == retry_action::give_up);
+}
+
+// Guards against retrying what can never succeed, and against a refusal
+// without advice on when to come back.
+TEST_CASE("final kinds are given up and retryable kinds carry a time")
+{
+    retry_budget b;
+    for (error_answer const& row : all_error_answers())
+    {
+        retry_question q = question(row.kind, row.run);
+        if (row.advice == retry_advice::never)
+        {
+            bool const is_final =
+                decide_retry(b, q).reason == retry_reason::given_up_final;
+            CAPTURE(row.name);
+            REQUIRE(is_final);
+            continue;
+        }
+        q.attempts = max_attempts;
+        REQUIRE(decide_retry(b, q).retry_after > duration(0));
+    }
+}
+
+// Guards against an evacuated zone using up the budget of real failures.
+TEST_CASE("a refusal for being out of service costs no budget")
+{
+    retry_budget b;
+    b.tokens = 0;
+    retry_question q = question(error_kind::upstream_out, run_state::not_run);
+    REQUIRE(decide_retry(b, q).action == retry_action::retry_elsewhere);
+    q = question(error_kind::queue_full, run_state::not_run);
+    REQUIRE(decide_retry(b, q).reason == retry_reason::given_up_budget);
+}
