Add allowances and spending limits shared across entries

Cause: a customer's allowance and daily spending limit hold across all entries, without a question to another process per request. Change: src/admission. The owner of a customer keeps the buckets and hands out batches with a lease of 1 s; entries decide on a batch at hand, ask ahead, cache denials, and use the allowance divided by the live entries while the owner is gone, slow or new. Unused parts and corrections of estimates go back with the next question. Ruled out: returning unused batches at any age (a second burst within one period); a new owner that starts with a full bucket.

--- /dev/null
+++ b/src/admission/admission_test.cpp
@@ -0,0 +1,269 @@
+#include "admission/admission.hpp"
+
+#include <catch2/catch.hpp>
+#include <cereal/archives/portable_binary.hpp>
+#include <random>
+#include <sstream>
+#include <vector>
+
+using namespace marjorambeam;
+using std::chrono::hours;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace
+{
+
+template <class T>
+T through_wire(T const& in)
+{
+    std::stringstream buf;
+    cereal::PortableBinaryOutputArchive{buf}(in);
+    T out;
+    cereal::PortableBinaryInputArchive{buf}(out);
+    return out;
+}
+
+// Entries and an owner; each call to the owner is answered at once.
+struct fleet
+{
+    explicit fleet(std::size_t n)
+        : entries(n)
+    {
+    }
+
+    admission_view view() const
+    {
+        return {now, wall, entries.size()};
+    }
+
+    void answer(entry_allowance& e, allowance_request const& r)
+    {
+        if (!has_owner)
+            return;
+        allowance_grant const g = through_wire(
+            grant(owner, limits, through_wire(r), owner_since, now, wall));
+        accept_grant(e, g, view());
+    }
+
+    admission_decision ask(std::size_t i, request_cost cost)
+    {
+        entry_allowance& e = entries[i];
+        admission_decision d = admit(e, limits, cost, view());
+        if (d.should_ask)
+            answer(e, make_request(e, limits, cost, view()));
+        if (d.outcome != admission_outcome::waits)
+            return d;
+        if (!has_owner)
+            advance(grant_timeout);
+        return admit(e, limits, cost, view());
+    }
+
+    void advance(duration d)
+    {
+        now += d;
+        wall += d;
+    }
+
+    void report_all()
+    {
+        for (entry_allowance& e : entries)
+        {
+            if (auto r = make_report(e, view()))
+                answer(e, *r);
+        }
+    }
+
+    allowance limits;
+    std::vector<entry_allowance> entries;
+    owner_allowance owner;
+    steady_time now{hours(100)};
+    steady_time owner_since{hours(99)};
+    wall_time wall{hours(480000)}; // 00:00 UTC
+    bool has_owner = true;
+};
+
+bool is_admitted(admission_decision const& d)
+{
+    return d.outcome == admission_outcome::admitted;
+}
+
+} // namespace
+
+// Guards against a customer that gets its allowance once per entry.
+TEST_CASE("all entries together admit the allowance and not more")
+{
+    fleet f(8);
+    f.limits = {50, 1e9, 2, 0};
+    std::mt19937_64 random(7);
+    int admitted = 0;
+    constexpr int steps = 20000; // 20 s at 1000 requests/s
+    for (int i = 0; i < steps; ++i)
+    {
+        f.advance(milliseconds(1));
+        if (i % 200 == 0)
+            f.report_all();
+        admitted += is_admitted(f.ask(random() % 8, {10, 0})) ? 1 : 0;
+    }
+    REQUIRE(admitted <= 50 * (20 + 2) + 100);
+    REQUIRE(admitted >= 50 * 20 * 0.95);
+}
+
+// Guards against refusing a small customer within its allowance because its
+// requests arrive at many entries.
+TEST_CASE("a customer below its rate is never refused at any entry")
+{
+    fleet f(20);
+    f.limits = {10, 1000, 2, 0};
+    std::mt19937_64 random(11);
+    for (int i = 0; i < 2000; ++i)
+    {
+        f.advance(milliseconds(125)); // 8 requests/s, 800 tokens/s
+        f.report_all();
+        admission_decision const d = f.ask(random() % 20, {100, 0});
+        REQUIRE(is_admitted(d));
+    }
+}
+
+// Guards against a refusal whose Retry-After leads to a second refusal, or is
+// longer than needed.
+TEST_CASE("a refusal tells the time at which the request passes")
+{
+    fleet f(1);
+    f.limits = {10, 1000, 2, 0};
+    REQUIRE(is_admitted(f.ask(0, {2000, 0})));
+    admission_decision const d = f.ask(0, {500, 0});
+    REQUIRE(d.outcome == admission_outcome::refused);
+    REQUIRE(d.refusal == error_kind::rate_limited);
+    REQUIRE(d.retry_after >= milliseconds(500));
+    REQUIRE(d.retry_after <= milliseconds(501));
+    // A smaller request passes as soon as its own tokens are there.
+    f.advance(milliseconds(60));
+    REQUIRE(is_admitted(f.ask(0, {50, 0})));
+    f.advance(d.retry_after);
+    REQUIRE(is_admitted(f.ask(0, {500, 0})));
+}
+
+// Guards against a request that no bucket can ever cover.
+TEST_CASE("a request larger than the burst passes and leaves a debt")
+{
+    fleet f(1);
+    f.limits = {10, 1000, 2, 0};
+    REQUIRE(is_admitted(f.ask(0, {10000, 0})));
+    admission_decision const d = f.ask(0, {1, 0});
+    REQUIRE(d.outcome == admission_outcome::refused);
+    REQUIRE(d.retry_after > seconds(7));
+}
+
+// Guards against entries that stop admitting, wait without end or admit the
+// whole allowance each when the owner is gone.
+TEST_CASE("without the owner each entry uses its share")
+{
+    fleet f(4);
+    f.limits = {100, 1e9, 1, 0};
+    f.has_owner = false;
+    int admitted = 0;
+    steady_time const start = f.now;
+    for (int i = 0; f.now - start < seconds(10); ++i)
+    {
+        f.advance(milliseconds(1));
+        admission_decision const d =
+            f.ask(static_cast<std::size_t>(i) % 4, {1, 0});
+        REQUIRE(d.outcome != admission_outcome::waits);
+        admitted += is_admitted(d) ? 1 : 0;
+    }
+    REQUIRE(admitted <= 100 * 10 + 100 + 4);
+    REQUIRE(admitted >= 600);
+    // The owner comes back and charges what was used without it.
+    f.has_owner = true;
+    f.advance(owner_pause);
+    f.ask(0, {1, 0});
+    REQUIRE(f.owner.requests.level < 50);
+}
+
+// Guards against a new owner that hands out a full burst again and again
+// while owners change.
+TEST_CASE("a new owner starts with what flowed in since the change")
+{
+    fleet f(2);
+    f.limits = {100, 1e9, 10, 0};
+    f.owner_since = f.now;
+    REQUIRE(is_admitted(f.ask(0, {1, 0})));
+    REQUIRE(f.entries[0].use_own_share_until > f.now);
+    f.advance(seconds(2));
+    f.ask(0, {1, 0});
+    REQUIRE(f.owner.requests.level <= 200);
+    REQUIRE(f.owner.requests.level >= 100);
+}
+
+// Guards against charging for tokens that a short answer did not use, and
+// against estimates that are too low at no cost.
+TEST_CASE("the actual cost replaces the estimate at the owner")
+{
+    fleet f(1);
+    f.limits = {1000, 1000, 2, 0};
+    REQUIRE(is_admitted(f.ask(0, {2000, 0})));
+    REQUIRE(f.ask(0, {100, 0}).outcome == admission_outcome::refused);
+    settle(f.entries[0], {2000, 0}, {100, 0});
+    f.advance(seconds(3)); // after the lease
+    f.report_all();
+    REQUIRE(f.owner.tokens.level == Approx(2000));
+    settle(f.entries[0], {100, 0}, {3000, 0});
+    f.report_all();
+    REQUIRE(f.owner.tokens.level == Approx(-900));
+}
+
+// Guards against spending above the limit, also across a change of owner, and
+// against a limit that outlasts its day.
+TEST_CASE("the spending limit holds over entries and owners for a day")
+{
+    fleet f(5);
+    f.limits = {1e6, 1e9, 2, 1000};
+    micro_credits spent = 0;
+    admission_decision last;
+    auto const spend_for = [&](int n)
+    {
+        for (int i = 0; i < n; ++i)
+        {
+            f.advance(milliseconds(20));
+            f.report_all();
+            last = f.ask(static_cast<std::size_t>(i) % 5, {1, 7});
+            spent += is_admitted(last) ? 7 : 0;
+        }
+    };
+    spend_for(80);
+    f.owner = owner_allowance{};
+    f.owner_since = f.now;
+    spend_for(400);
+    REQUIRE(spent <= 1000);
+    REQUIRE(spent >= 900);
+    REQUIRE(last.outcome == admission_outcome::refused);
+    REQUIRE(last.refusal == error_kind::spend_limit_reached);
+    REQUIRE(f.wall + last.retry_after == wall_time{hours(480024)});
+    f.advance(last.retry_after);
+    REQUIRE(is_admitted(f.ask(0, {1, 7})));
+}
+
+// Guards against an estimate that forgets the prompt or the generated part.
+TEST_CASE("the estimate counts prompt bytes and max_tokens at their prices")
+{
+    version v;
+    v.price_in = 2;
+    v.price_out = 10;
+    request_cost const c = estimate_cost(401, 50, v);
+    REQUIRE(c.tokens == 151);
+    REQUIRE(c.spend == 702);
+}
+
+// Guards against two entries that disagree on the owner of a customer.
+TEST_CASE("the owner does not depend on the order of the live entries")
+{
+    std::vector<std::string> const a{"e1", "e2", "e3"};
+    std::vector<std::string> const b{"e3", "e1", "e2"};
+    for (int i = 0; i < 100; ++i)
+    {
+        std::string const customer = "c" + std::to_string(i);
+        REQUIRE(
+            a[allowance_owner(customer, a)] == b[allowance_owner(customer, b)]);
+    }
+}
