--- a/src/cluster/cluster_settings.cpp
+++ b/src/cluster/cluster_settings.cpp
@@ -6,9 +6,9 @@
 std::vector<setting> cluster_setting_rows(cluster_settings& s)
 {
     return {
-        url_setting("store-url", "", "Base URL of the object API", s.store_url),
+        url_setting("store", "", "Base URL of the object API", s.store_url),
         url_setting(
-            "instance-list-url", "",
+            "instance-list", "",
             "Base URL of the platform's instance list; empty for none",
             s.instance_list_url, true),
         duration_setting(
--- /dev/null
+++ b/src/entry/agent_links.hpp
@@ -0,0 +1,125 @@
+// Connections from an entry to agents: hello, heartbeats, silence.
+//
+// Example:
+//   agent_links links(loop, cluster, settings, handlers);
+//   links.send("agent-3", work);      // connects when needed
+//   links.tick(steady_now());         // every 250 ms
+//
+// Everything here runs on the loop's thread; nothing is thread-safe.
+#pragma once
+
+#include "base/time.hpp"
+#include "cluster/cluster_state.hpp"
+#include "transport/transport.hpp"
+#include "wire/message.hpp"
+
+#include <ev++.h>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace marjorambeam
+{
+
+// Request id and attempt number.
+using attempt_id = std::pair<std::string, std::uint32_t>;
+
+struct agent_link_settings
+{
+    duration heartbeat_interval = std::chrono::seconds(1);
+    duration silence_limit = std::chrono::seconds(3);
+    // An idle connection may have been lost by something between the ends.
+    duration acceptance_limit = std::chrono::seconds(1);
+    duration connect_limit = std::chrono::seconds(1);
+    duration idle_limit = std::chrono::seconds(60);
+};
+
+class agent_links
+{
+public:
+    struct handlers
+    {
+        // A message of an agent about a request.
+        std::function<void(std::string_view instance, message&&)> on_message;
+        // The attempts that were under way when a connection ended. `e.run`
+        // is `not_run` for those that were never sent.
+        std::function<void(
+            std::string_view instance, attempt_id const&, error const&)>
+            on_attempt_lost;
+        // A frame from another daemon shows its generation.
+        std::function<void(std::string_view instance, std::uint64_t)>
+            on_generation;
+        // Messages that are not about requests.
+        std::function<void(
+            std::shared_ptr<frame_connection> const&, message const&)>
+            on_other;
+    };
+
+    agent_links(
+        ev::loop_ref loop, cluster_state& cluster, agent_link_settings settings,
+        handlers on);
+
+    // Sends the attempt to the agent; connects first when needed. Work that
+    // is not idempotent waits for the answer to a heartbeat on a connection
+    // that has been idle. Precondition: the peer is known.
+    void send(std::string_view instance, work_request work, steady_time now);
+
+    // Tells the agent that the answer is no longer wanted.
+    void send_cancel(std::string_view instance, attempt_id const& attempt);
+
+    // Sends any message if the agent is connected; returns whether it was.
+    bool send_other(std::string_view instance, message const& m);
+
+    // The attempt is over; its connection may become idle.
+    void finish(std::string_view instance, attempt_id const& attempt);
+
+    // Sends heartbeats and closes silent and idle connections. Call every
+    // 250 ms or so.
+    void tick(steady_time now);
+
+    std::size_t connections() const
+    {
+        return links_.size();
+    }
+    // Bytes sent and received on connections that are open.
+    std::pair<std::uint64_t, std::uint64_t> bytes() const;
+
+private:
+    struct outstanding
+    {
+        steady_time sent_at{};
+        bool is_acknowledged = false;
+    };
+    struct link
+    {
+        std::shared_ptr<frame_connection> connection;
+        std::string address;
+        bool has_hello = false;
+        steady_time opened_at{};
+        steady_time heartbeat_at{};
+        steady_time used_at{};
+        std::vector<work_request> waiting; // for hello or a heartbeat's reply
+        std::map<attempt_id, outstanding> attempts;
+    };
+
+    link& open(std::string_view instance, steady_time now);
+    void on_message(std::string const& instance, message&& m);
+    void note_answer(std::string const& instance, message const& m);
+    void send_waiting(link& l, steady_time now);
+    void lose(std::string const& instance, error const& why);
+    heartbeat make_heartbeat(bool wants_reply) const;
+    bool is_silent(link const& l, steady_time now) const;
+
+    ev::loop_ref loop_;
+    cluster_state& cluster_;
+    agent_link_settings settings_;
+    handlers on_;
+    std::map<std::string, link, std::less<>> links_;
+};
+
+} // namespace marjorambeam
--- /dev/null
+++ b/src/entry/caller_api.cpp
@@ -0,0 +1,269 @@
+#include "entry/caller_api.hpp"
+
+#include "base/hash.hpp"
+#include "entry/chat_request.hpp"
+#include "entry/decisions.hpp"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <random>
+
+namespace marjorambeam
+{
+namespace
+{
+
+constexpr std::string_view chat_path = "/v1/chat/completions";
+constexpr std::size_t max_key_bytes = 255;
+
+// Returns the request's deadline or the error of its header.
+result<duration> read_timeout(contract const& c, http_request const& in)
+{
+    auto const fallback =
+        std::chrono::duration_cast<std::chrono::milliseconds>(c.default_timeout)
+            .count();
+    result<std::int64_t> const ms =
+        parse_timeout_ms(in.header("x-request-timeout-ms"), fallback);
+    if (!ms)
+        return tl::unexpected<error>(ms.error());
+    return duration(std::chrono::milliseconds(*ms));
+}
+
+} // namespace
+
+caller_api::caller_api(entry_state& state, request_controller& requests)
+    : state_(state)
+    , requests_(requests)
+    , ids_(state.cluster.identity.self)
+{
+}
+
+void caller_api::count_refusal(error_kind kind)
+{
+    state_.cluster.counters.count("refusals_total", to_string(kind));
+}
+
+void caller_api::refuse(
+    http_exchange& exchange, error const& why, std::string_view request_id)
+{
+    count_refusal(why.kind);
+    respond_error(exchange, why, request_id);
+}
+
+void caller_api::respond_ready(http_exchange& exchange)
+{
+    cluster_state const& cluster = state_.cluster;
+    if (cluster.is_ready())
+    {
+        exchange.respond(200, {}, "ready\n");
+        return;
+    }
+    error_kind const kind = cluster.is_shutting_down ? error_kind::shutting_down
+                            : cluster.is_isolated    ? error_kind::isolated
+                                                     : error_kind::not_ready;
+    respond_error(
+        exchange, make_error(kind, "this entry admits no new work"), "");
+}
+
+bool caller_api::respond_probe(http_exchange& exchange)
+{
+    std::string const& path = exchange.request().path;
+    if (path == "/healthz")
+        exchange.respond(200, {}, "ok\n");
+    else if (path == "/readyz")
+        respond_ready(exchange);
+    else if (path == "/metrics")
+    {
+        exchange.respond(
+            200, {{"Content-Type", "text/plain; version=0.0.4"}},
+            state_.cluster.counters.render());
+    }
+    else
+        return false;
+    return true;
+}
+
+void caller_api::handle_probe(std::shared_ptr<http_exchange> const& exchange)
+{
+    if (!respond_probe(*exchange))
+    {
+        respond_error(
+            *exchange,
+            make_error(error_kind::not_found, "there is nothing at this path"),
+            "");
+    }
+}
+
+void caller_api::handle(std::shared_ptr<http_exchange> const& exchange)
+{
+    http_request const& in = exchange->request();
+    if (respond_probe(*exchange))
+        return;
+    if (!state_.cluster.is_ready())
+    {
+        count_refusal(
+            state_.cluster.is_shutting_down ? error_kind::shutting_down
+            : state_.cluster.is_isolated    ? error_kind::isolated
+                                            : error_kind::not_ready);
+        respond_ready(*exchange);
+        return;
+    }
+    contract const* c = find_contract(
+        *state_.cluster.config, bearer_key(in.header("authorization")));
+    if (c == nullptr)
+    {
+        refuse(
+            *exchange,
+            make_error(
+                error_kind::unauthorized,
+                "the header Authorization holds no known key"),
+            "");
+        return;
+    }
+    handle_customer(exchange, *c);
+}
+
+void caller_api::list_models(http_exchange& exchange, contract const& c)
+{
+    nlohmann::json data = nlohmann::json::array();
+    auto add = [&](std::string const& id)
+    {
+        data.push_back(
+            {{"id", id}, {"object", "model"}, {"owned_by", "marjorambeam"}});
+    };
+    std::string last;
+    for (auto const& [id, v] : state_.cluster.config->versions)
+    {
+        if (v.state == version_state::withdrawn || !is_permitted(c, v))
+            continue;
+        if (v.model != last)
+            add(v.model);
+        last = v.model;
+        add(id);
+    }
+    exchange.respond(
+        200, {{"Content-Type", "application/json"}},
+        nlohmann::json{{"object", "list"}, {"data", std::move(data)}}.dump());
+}
+
+void caller_api::handle_customer(
+    std::shared_ptr<http_exchange> const& exchange, contract const& c)
+{
+    http_request const& in = exchange->request();
+    if (in.path == "/v1/models")
+    {
+        if (in.method == "GET")
+            list_models(*exchange, c);
+        else
+            refuse(
+                *exchange,
+                make_error(error_kind::method_not_allowed, "use GET"), "");
+        return;
+    }
+    auto r = std::make_unique<entry_request>();
+    r->id = ids_.next();
+    r->exchange = exchange;
+    r->customer = c.customer;
+    r->config = state_.cluster.config;
+    r->admitted_at = steady_now();
+    r->work.request_id = r->id;
+    r->work.customer = c.customer;
+    r->work.weight = c.weight;
+    r->work.method = in.method;
+    r->work.content_type = in.header("content-type");
+    r->work.fingerprint = hash64(in.body, hash64(in.path));
+    result<duration> const timeout = read_timeout(c, in);
+    result<void> accepted;
+    if (!timeout)
+        accepted = tl::unexpected<error>(timeout.error());
+    else if (in.path == chat_path)
+        accepted = read_model_request(c, *r);
+    else
+        accepted = read_service_request(c, *r);
+    if (!accepted)
+    {
+        state_.traces.add(
+            r->id, wall_now(),
+            "Refused: " + std::string(to_string(accepted.error().kind)) + ", " +
+                accepted.error().message + ".");
+        refuse(*exchange, accepted.error(), r->id);
+        return;
+    }
+    r->deadline = r->admitted_at + *timeout;
+    state_.cluster.counters.count("requests_admitted_total");
+    state_.traces.add(
+        r->id, wall_now(),
+        "Admitted for customer " + r->customer + " in generation " +
+            std::to_string(r->config->number) + ", target " + r->work.target +
+            ".");
+    requests_.begin(std::move(r), steady_now());
+}
+
+result<void> caller_api::read_model_request(contract const& c, entry_request& r)
+{
+    http_request const& in = r.exchange->request();
+    if (in.method != "POST")
+        return fail(error_kind::method_not_allowed, "use POST");
+    result<chat_request> chat = parse_chat_request(in.body);
+    if (!chat)
+        return tl::unexpected<error>(chat.error());
+    r.chat = std::move(*chat);
+    r.work.kind = work_kind::model;
+    r.work.path = chat_path;
+    r.work.is_stream = r.chat.is_stream;
+    r.work.token_cost = estimate_tokens(r.chat);
+    if (result<void> ok = choose_version(c, r); !ok)
+        return ok;
+    r.work.body = with_model(in.body, r.version_id);
+    return {};
+}
+
+result<void>
+caller_api::read_service_request(contract const& c, entry_request& r)
+{
+    http_request const& in = r.exchange->request();
+    service_path const path = parse_service_path(in.path);
+    if (path.name.empty())
+        return fail(error_kind::not_found, "there is nothing at this path");
+    auto const it = r.config->services.find(path.name);
+    bool const is_allowed =
+        it != r.config->services.end() &&
+        std::find(c.services.begin(), c.services.end(), path.name) !=
+            c.services.end();
+    if (!is_allowed)
+    {
+        return fail(
+            error_kind::service_not_allowed,
+            "the contract does not allow the service \"" + path.name + "\"");
+    }
+    std::vector<std::string> const& methods = it->second.idempotent_methods;
+    r.work.kind = work_kind::service;
+    r.work.target = path.name;
+    r.work.path = path.rest;
+    r.work.body = in.body;
+    r.work.token_cost = 1;
+    r.work.is_idempotent =
+        std::find(methods.begin(), methods.end(), in.method) != methods.end();
+    if (r.work.is_idempotent)
+        return {};
+    r.work.key = in.header("idempotency-key");
+    if (r.work.key.size() > max_key_bytes)
+    {
+        return fail(
+            error_kind::bad_request,
+            "header Idempotency-Key is longer than 255 bytes");
+    }
+    if (!r.work.key.empty())
+        return {};
+    if (it->second.requires_key)
+    {
+        return fail(
+            error_kind::idempotency_key_required,
+            "the service \"" + path.name +
+                "\" needs the header Idempotency-Key");
+    }
+    r.work.key = make_uuid7(to_unix_ms(wall_now()), random_incarnation());
+    return {};
+}
+
+} // namespace marjorambeam
--- /dev/null
+++ b/src/entry/entry_daemon.cpp
@@ -0,0 +1,202 @@
+#include "entry/entry_daemon.hpp"
+
+#include <csignal>
+
+namespace marjorambeam
+{
+namespace
+{
+
+constexpr duration tick_interval = std::chrono::milliseconds(10);
+constexpr duration link_tick_interval = std::chrono::milliseconds(250);
+
+daemon_identity
+make_identity(entry_settings const& s, std::string const& address)
+{
+    daemon_identity id;
+    id.instance = s.instance;
+    id.role = process_role::entry;
+    id.availability_zone = s.availability_zone;
+    id.address = address;
+    id.self = random_incarnation();
+    return id;
+}
+
+http_server_settings caller_limits(entry_settings const& s)
+{
+    http_server_settings limits;
+    limits.address = s.listen;
+    limits.max_body_bytes = static_cast<std::size_t>(s.max_body_bytes);
+    limits.max_header_bytes = static_cast<std::size_t>(s.max_header_bytes);
+    limits.max_connections = static_cast<unsigned>(s.max_connections);
+    limits.body_timeout = s.body_timeout;
+    limits.idle_timeout = s.idle_timeout;
+    return limits;
+}
+
+agent_link_settings link_settings(entry_settings const& s)
+{
+    agent_link_settings out;
+    out.heartbeat_interval = s.heartbeat_interval;
+    out.silence_limit = s.silence_limit;
+    return out;
+}
+
+} // namespace
+
+entry_daemon::entry_daemon(ev::loop_ref loop, entry_settings settings)
+    : loop_(loop)
+    , settings_(std::move(settings))
+    , state_(static_cast<std::size_t>(settings_.traced_requests))
+    , client_(loop)
+    , store_(client_, settings_.cluster.store_url)
+    , listener_(
+          loop, settings_.peer_listen,
+          [this](std::shared_ptr<frame_connection> const& c) { on_peer(c); })
+    , cluster_(loop, identify(), client_, store_, settings_.cluster)
+    , links_(loop, state_.cluster, link_settings(settings_), link_handlers())
+    , requests_(state_, links_, [](entry_request const&, error const*) {})
+    , api_(state_, requests_)
+    , caller_server_(
+          loop, caller_limits(settings_),
+          [this](std::shared_ptr<http_exchange> const& ex) { api_.handle(ex); },
+          [this](error_kind kind) { api_.count_refusal(kind); })
+    , admin_server_(
+          loop, {.address = settings_.admin_listen},
+          [this](std::shared_ptr<http_exchange> const& ex)
+          { handle_admin(ex); })
+    , ticker_(loop, [this] { tick(); })
+    , link_ticker_(loop, [this] { links_.tick(steady_now()); })
+    , terminate_(loop, SIGTERM, [this] { begin_shutdown(); })
+    , interrupt_(loop, SIGINT, [this] { begin_shutdown(); })
+{
+    ticker_.start_every(tick_interval);
+    link_ticker_.start_every(link_tick_interval);
+}
+
+cluster_state& entry_daemon::identify()
+{
+    state_.cluster.identity = make_identity(settings_, listener_.address());
+    return state_.cluster;
+}
+
+std::string entry_daemon::caller_url() const
+{
+    return "http://127.0.0.1:" + std::to_string(caller_server_.port());
+}
+
+std::string entry_daemon::admin_url() const
+{
+    return "http://127.0.0.1:" + std::to_string(admin_server_.port());
+}
+
+agent_links::handlers entry_daemon::link_handlers()
+{
+    return {
+        [this](std::string_view instance, message&& m)
+        { requests_.on_message(instance, std::move(m), steady_now()); },
+        [this](
+            std::string_view instance, attempt_id const& attempt,
+            error const& why)
+        { requests_.on_attempt_lost(instance, attempt, why, steady_now()); },
+        [this](std::string_view instance, std::uint64_t generation)
+        { cluster_.note_frame(instance, generation); },
+        [this](std::shared_ptr<frame_connection> const& c, message const& m)
+        { on_peer_message(c, m); }};
+}
+
+void entry_daemon::on_peer(std::shared_ptr<frame_connection> const& connection)
+{
+    peers_.insert(connection);
+    std::weak_ptr<frame_connection> const weak = connection;
+    connection->on_message(
+        [this, weak](message&& m)
+        {
+            if (auto const c = weak.lock())
+                on_peer_message(c, m);
+        });
+    connection->on_close(
+        [this, weak](error const& why)
+        {
+            state_.cluster.counters.count(
+                "peer_connections_ended_total", to_string(why.kind));
+            if (auto const c = weak.lock())
+                peers_.erase(c);
+        });
+}
+
+void entry_daemon::on_peer_message(
+    std::shared_ptr<frame_connection> const& connection, message const& m)
+{
+    cluster_.handle(connection, m);
+}
+
+void entry_daemon::handle_admin(std::shared_ptr<http_exchange> const& exchange)
+{
+    constexpr std::string_view explain_path = "/admin/explain/";
+    http_headers const json{{"Content-Type", "application/json"}};
+    std::string const& path = exchange->request().path;
+    if (path == "/admin/status")
+    {
+        exchange->respond(200, json, cluster_.status_json(steady_now()));
+        return;
+    }
+    if (path.starts_with(explain_path))
+    {
+        std::string const id = path.substr(explain_path.size());
+        std::string const trace = state_.traces.to_json(id);
+        if (trace.empty())
+        {
+            respond_error(
+                *exchange,
+                make_error(
+                    error_kind::not_found, "this entry knows no request " + id),
+                id);
+            return;
+        }
+        exchange->respond(200, json, trace);
+        return;
+    }
+    api_.handle_probe(exchange);
+}
+
+void entry_daemon::tick()
+{
+    steady_time const now = steady_now();
+    requests_.tick(now);
+    if (state_.cluster.is_shutting_down)
+        continue_shutdown(now);
+}
+
+void entry_daemon::begin_shutdown()
+{
+    if (state_.cluster.is_shutting_down)
+        return;
+    state_.cluster.is_shutting_down = true;
+    shutdown_at_ = steady_now();
+    log_.info(
+        "Shutdown began; no new work is admitted.",
+        {{"requests", std::to_string(state_.requests.size())}});
+}
+
+void entry_daemon::continue_shutdown(steady_time now)
+{
+    bool const is_done =
+        state_.requests.empty() && caller_server_.open_exchanges() == 0;
+    bool const is_late = now - shutdown_at_ >= settings_.drain_limit;
+    if (!is_done && !is_late)
+        return;
+    if (!is_done)
+    {
+        exit_code_ = 1;
+        log_.error(
+            "The shutdown took too long; requests are cut.",
+            {{"requests", std::to_string(state_.requests.size())}});
+        requests_.cut_all(now);
+    }
+    log_.info("Shutdown is complete.");
+    ticker_.stop();
+    loop_.break_loop(ev::ALL);
+}
+
+} // namespace marjorambeam
--- /dev/null
+++ b/src/entry/entry_daemon.hpp
@@ -0,0 +1,95 @@
+// One entry: its blackboard, controllers, servers and shutdown.
+//
+// Example:
+//   ev::default_loop loop;
+//   entry_daemon daemon(loop, settings);
+//   loop.run();
+//   return daemon.exit_code();
+//
+// Used on the loop's thread only; not thread-safe.
+#pragma once
+
+#include "cluster/cluster_controller.hpp"
+#include "entry/agent_links.hpp"
+#include "entry/caller_api.hpp"
+#include "entry/entry_settings.hpp"
+#include "entry/entry_state.hpp"
+#include "entry/request_controller.hpp"
+#include "event_loop/event_loop.hpp"
+#include "http_client/http_client.hpp"
+#include "http_server/http_server.hpp"
+#include "log/log.hpp"
+#include "object_store/object_store.hpp"
+#include "transport/transport.hpp"
+
+#include <ev++.h>
+#include <set>
+
+namespace marjorambeam
+{
+
+class entry_daemon
+{
+public:
+    // Binds all addresses; throws std::runtime_error when one is taken.
+    entry_daemon(ev::loop_ref loop, entry_settings settings);
+    entry_daemon(entry_daemon const&) = delete;
+    entry_daemon& operator=(entry_daemon const&) = delete;
+    ~entry_daemon() = default;
+
+    // Stops admitting, finishes what was admitted, then ends the loop. A
+    // second call changes nothing.
+    void begin_shutdown();
+
+    // 0 after a graceful shutdown, 1 when requests were cut.
+    int exit_code() const
+    {
+        return exit_code_;
+    }
+
+    entry_state& state()
+    {
+        return state_;
+    }
+    // URL for callers and URL for operators.
+    std::string caller_url() const;
+    std::string admin_url() const;
+    std::string const& peer_address() const
+    {
+        return listener_.address();
+    }
+
+private:
+    void on_peer(std::shared_ptr<frame_connection> const& connection);
+    void on_peer_message(
+        std::shared_ptr<frame_connection> const& connection, message const& m);
+    void handle_admin(std::shared_ptr<http_exchange> const& exchange);
+    void tick();
+    void continue_shutdown(steady_time now);
+    // Fills in who this daemon is; the listener is already bound.
+    cluster_state& identify();
+    agent_links::handlers link_handlers();
+
+    ev::loop_ref loop_;
+    entry_settings settings_;
+    entry_state state_;
+    http_client client_;
+    object_store store_;
+    std::set<std::shared_ptr<frame_connection>> peers_;
+    frame_listener listener_;
+    cluster_controller cluster_;
+    agent_links links_;
+    request_controller requests_;
+    caller_api api_;
+    http_server caller_server_;
+    http_server admin_server_;
+    loop_timer ticker_;
+    loop_timer link_ticker_;
+    loop_signal terminate_;
+    loop_signal interrupt_;
+    logger log_{"entry"};
+    steady_time shutdown_at_{};
+    int exit_code_ = 0;
+};
+
+} // namespace marjorambeam
--- /dev/null
+++ b/src/entry/entry_state.hpp
@@ -0,0 +1,73 @@
+// The blackboard of an entry: what its controllers read and write.
+//
+// Example:
+//   entry_state state(10000);
+//   state.requests.emplace(id, request);
+//   state.traces.add(id, wall_now(), "Admitted.");
+//
+// Used on the loop's thread only; not thread-safe.
+#pragma once
+
+#include "answer/answer.hpp"
+#include "base/id.hpp"
+#include "base/time.hpp"
+#include "cluster/cluster_state.hpp"
+#include "entry/chat_request.hpp"
+#include "entry/trace_log.hpp"
+#include "http_server/http_server.hpp"
+#include "wire/message.hpp"
+
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace marjorambeam
+{
+
+// One request of a caller, from admission to the last byte of its response.
+struct entry_request
+{
+    std::string id;
+    std::shared_ptr<http_exchange> exchange;
+    std::string customer;
+    // The configuration at admission; prices come from it.
+    std::shared_ptr<config_snapshot const> config;
+    steady_time admitted_at{};
+    steady_time deadline{};
+    work_request work;      // of the present attempt
+    std::string model;      // without the version; empty for services
+    std::string version_id; // "model@version"
+    std::string original_body;
+    chat_request chat;
+    std::string session_token; // returned to the caller when not empty
+
+    // The present attempt.
+    std::string instance;           // of the agent; empty between attempts
+    std::vector<std::string> tried; // instances of earlier attempts
+    incarnation answering = 0;      // process that answers, 0 until it does
+    std::unique_ptr<answer_assembly> answer;
+
+    // Over all attempts.
+    std::uint64_t tokens_in = 0;
+    std::uint64_t tokens_out = 0;
+    bool has_first_token = false;
+};
+
+struct entry_state
+{
+    explicit entry_state(std::size_t traced_requests)
+        : traces(traced_requests)
+    {
+    }
+
+    cluster_state cluster;
+    std::unordered_map<std::string, std::unique_ptr<entry_request>> requests;
+    // Last load that each agent reported, by instance.
+    std::map<std::string, std::pair<upstream_load, steady_time>, std::less<>>
+        loads;
+    trace_log traces;
+};
+
+} // namespace marjorambeam
--- /dev/null
+++ b/src/entry/request_controller.cpp
@@ -0,0 +1,325 @@
+#include "entry/request_controller.hpp"
+
+#include <nlohmann/json.hpp>
+#include <vector>
+
+namespace marjorambeam
+{
+
+request_controller::request_controller(
+    entry_state& state, agent_links& links, end_handler on_end)
+    : state_(state)
+    , links_(links)
+    , on_end_(std::move(on_end))
+{
+}
+
+void request_controller::explain(entry_request const& r, std::string sentence)
+{
+    state_.traces.add(r.id, wall_now(), std::move(sentence));
+}
+
+http_headers request_controller::response_headers(entry_request const& r) const
+{
+    http_headers headers{
+        {"X-Request-Id", r.id}, {"X-Attempts", std::to_string(r.work.attempt)}};
+    if (!r.version_id.empty())
+        headers.emplace_back("X-Model-Version", r.version_id);
+    if (!r.session_token.empty())
+        headers.emplace_back("X-Session-Id", r.session_token);
+    return headers;
+}
+
+entry_request*
+request_controller::find(std::string_view id, std::uint32_t attempt)
+{
+    auto const it = state_.requests.find(std::string(id));
+    if (it == state_.requests.end() || it->second->work.attempt != attempt ||
+        it->second->instance.empty())
+    {
+        state_.cluster.counters.count("frames_dropped_total", "frame_stale");
+        return nullptr;
+    }
+    return it->second.get();
+}
+
+void request_controller::begin(
+    std::unique_ptr<entry_request> request, steady_time now)
+{
+    entry_request& r = *request;
+    state_.requests[r.id] = std::move(request);
+    r.answer = std::make_unique<answer_assembly>(
+        r.id, r.work.is_stream ? delivery::stream : delivery::whole);
+    r.exchange->on_close(
+        [this, id = r.id]
+        {
+            auto const it = state_.requests.find(id);
+            if (it == state_.requests.end() || !it->second->work.is_idempotent)
+                return;
+            error const why =
+                make_error(error_kind::cancelled, "the caller disconnected");
+            finish(*it->second, &why, steady_now());
+        });
+    start_attempt(r, now);
+}
+
+void request_controller::start_attempt(entry_request& r, steady_time now)
+{
+    ++r.work.attempt;
+    result<std::string> const agent = choose_agent(state_, r);
+    if (!agent)
+    {
+        --r.work.attempt;
+        give_up(r, agent.error(), now);
+        return;
+    }
+    r.instance = *agent;
+    r.answering = 0;
+    r.work.sender = state_.cluster.identity.self;
+    r.work.generation = state_.cluster.config->number;
+    r.work.tokens_delivered = r.answer->delivered().tokens;
+    r.work.deadline_ms =
+        std::chrono::duration_cast<std::chrono::milliseconds>(r.deadline - now)
+            .count();
+    explain(
+        r, "Attempt " + std::to_string(r.work.attempt) + " for " +
+               r.work.target + " goes to " + r.instance + ".");
+    links_.send(r.instance, r.work, now);
+}
+
+void request_controller::on_message(
+    std::string_view instance, message&& m, steady_time now)
+{
+    auto note_load = [&](upstream_load const& load) {
+        state_.loads.insert_or_assign(
+            std::string(instance), std::pair(load, now));
+    };
+    auto dispatch = [&](auto const& value, auto handler)
+    {
+        if (entry_request* r = find(value.request_id, value.attempt))
+            (this->*handler)(*r, value, now);
+    };
+    if (auto const* v = std::get_if<work_accepted>(&m))
+        note_load(v->load);
+    else if (auto const* v = std::get_if<work_refused>(&m))
+    {
+        note_load(v->load);
+        dispatch(*v, &request_controller::on_refused);
+    }
+    else if (auto const* v = std::get_if<answer_chunk>(&m))
+        dispatch(*v, &request_controller::on_chunk);
+    else if (auto const* v = std::get_if<answer_end>(&m))
+    {
+        note_load(v->load);
+        dispatch(*v, &request_controller::on_end);
+    }
+    else if (auto const* v = std::get_if<answer_failed>(&m))
+    {
+        note_load(v->load);
+        dispatch(*v, &request_controller::on_failed);
+    }
+    else if (auto const* v = std::get_if<heartbeat>(&m))
+        note_load(v->load);
+}
+
+void request_controller::on_refused(
+    entry_request& r, work_refused const& m, steady_time now)
+{
+    error why = make_error(m.kind, m.text);
+    why.run = m.run;
+    why.retry_after = std::chrono::milliseconds(m.retry_after_ms);
+    fail_attempt(r, why, now);
+}
+
+bool request_controller::check(
+    entry_request& r, frame_verdict verdict, steady_time now)
+{
+    if (verdict == frame_verdict::stale)
+        state_.cluster.counters.count("frames_dropped_total", "frame_stale");
+    if (verdict == frame_verdict::corrupt)
+    {
+        fail_attempt(
+            r,
+            make_error(
+                error_kind::answer_corrupt,
+                "a part of the answer is missing or changed"),
+            now);
+    }
+    return verdict == frame_verdict::accepted;
+}
+
+void request_controller::begin_answer(entry_request& r, incarnation sender)
+{
+    if (r.answering != 0)
+        return;
+    r.answering = sender;
+    r.answer->begin_attempt(r.work.attempt, sender);
+}
+
+void request_controller::on_chunk(
+    entry_request& r, answer_chunk const& m, steady_time now)
+{
+    begin_answer(r, m.sender);
+    if (!check(r, r.answer->accept(m), now))
+        return;
+    if (!r.has_first_token)
+    {
+        r.has_first_token = true;
+        state_.cluster.counters.observe(
+            "first_token_seconds", "", to_seconds(now - r.admitted_at));
+    }
+    if (!r.work.is_stream)
+        return;
+    if (!r.exchange->is_started())
+    {
+        http_headers headers = response_headers(r);
+        headers.emplace_back("Content-Type", "text/event-stream");
+        headers.emplace_back("Cache-Control", "no-cache");
+        r.exchange->start_stream(200, headers);
+    }
+    r.exchange->write(m.bytes);
+}
+
+void request_controller::on_end(
+    entry_request& r, answer_end const& m, steady_time now)
+{
+    begin_answer(r, m.sender);
+    if (!check(r, r.answer->accept(m), now))
+        return;
+    r.tokens_in = m.tokens_in;
+    r.tokens_out =
+        r.work.is_stream ? r.answer->delivered().tokens : m.tokens_out;
+    if (r.exchange->is_started())
+        r.exchange->end_stream();
+    else
+    {
+        http_headers headers = response_headers(r);
+        if (!m.content_type.empty())
+            headers.emplace_back("Content-Type", m.content_type);
+        r.exchange->respond(
+            m.status, headers, r.work.is_stream ? "" : r.answer->body());
+    }
+    explain(
+        r, "Answered with status " + std::to_string(m.status) + " and " +
+               std::to_string(r.tokens_out) + " tokens.");
+    finish(r, nullptr, now);
+}
+
+void request_controller::on_failed(
+    entry_request& r, answer_failed const& m, steady_time now)
+{
+    error why = make_error(m.kind, m.text);
+    why.run = m.run;
+    fail_attempt(r, why, now);
+}
+
+void request_controller::on_attempt_lost(
+    std::string_view /*instance*/, attempt_id const& attempt, error const& why,
+    steady_time now)
+{
+    if (entry_request* r = find(attempt.first, attempt.second))
+        fail_attempt(*r, why, now);
+}
+
+void request_controller::leave_attempt(entry_request& r)
+{
+    if (r.instance.empty())
+        return;
+    links_.finish(r.instance, {r.id, r.work.attempt});
+    r.answer->end_attempt();
+    r.tried.push_back(r.instance);
+    r.instance.clear();
+}
+
+void request_controller::fail_attempt(
+    entry_request& r, error const& why, steady_time now)
+{
+    explain(
+        r, "Attempt " + std::to_string(r.work.attempt) + " failed: " +
+               std::string(to_string(why.kind)) + ", " + why.message + ".");
+    leave_attempt(r);
+    if (after_failure(r, why, now) == next_step::give_up)
+    {
+        give_up(r, why, now);
+        return;
+    }
+    state_.cluster.counters.count("retries_total", to_string(why.kind));
+    start_attempt(r, now);
+}
+
+void request_controller::give_up(
+    entry_request& r, error const& why, steady_time now)
+{
+    state_.cluster.counters.count("refusals_total", to_string(why.kind));
+    explain(r, "Gave up: " + std::string(to_string(why.kind)) + ".");
+    if (r.exchange->is_started())
+    {
+        std::string event = error_body(why, r.id);
+        event.pop_back();
+        r.exchange->write("data: " + event + "\n\n");
+        r.exchange->end_stream();
+    }
+    else
+    {
+        respond_error(*r.exchange, why, r.id, response_headers(r));
+    }
+    finish(r, &why, now);
+}
+
+void request_controller::finish(
+    entry_request& r, error const* why, steady_time now)
+{
+    if (!r.instance.empty() && why != nullptr)
+        links_.send_cancel(r.instance, {r.id, r.work.attempt});
+    leave_attempt(r);
+    state_.cluster.counters.observe(
+        "request_seconds",
+        to_string(why == nullptr ? error_kind::internal : why->kind),
+        to_seconds(now - r.admitted_at));
+    log_.info(
+        why == nullptr ? "Answered a request." : "Ended a request early.",
+        {{"request_id", r.id},
+         {"customer", r.customer},
+         {"target", r.work.target},
+         {"attempts", std::to_string(r.work.attempt)},
+         {"outcome",
+          why == nullptr ? "ok" : std::string(to_string(why->kind))}});
+    auto const it = state_.requests.find(r.id);
+    std::unique_ptr<entry_request> const owner = std::move(it->second);
+    state_.requests.erase(it);
+    on_end_(*owner, why);
+}
+
+void request_controller::tick(steady_time now)
+{
+    std::vector<entry_request*> expired;
+    for (auto const& [id, r] : state_.requests)
+    {
+        if (now >= r->deadline)
+            expired.push_back(r.get());
+    }
+    for (entry_request* it : expired)
+    {
+        error why = make_error(
+            error_kind::deadline_exceeded, "the request's deadline passed");
+        if (it->instance.empty())
+            why.run = run_state::not_run;
+        give_up(*it, why, now);
+    }
+}
+
+void request_controller::cut_all(steady_time now)
+{
+    std::vector<entry_request*> all;
+    for (auto const& [id, r] : state_.requests)
+        all.push_back(r.get());
+    for (entry_request* it : all)
+    {
+        error why = make_error(
+            error_kind::shutting_down, "the entry stops and can't wait longer");
+        why.run = run_state::unknown;
+        give_up(*it, why, now);
+    }
+}
+
+} // namespace marjorambeam
--- /dev/null
+++ b/src/entry/request_controller.hpp
@@ -0,0 +1,75 @@
+// Runs requests: attempts at agents, responses to callers, the end.
+//
+// Example:
+//   request_controller requests(loop, state, links, on_usage);
+//   requests.begin(std::move(request));
+//   requests.on_message(instance, std::move(m));
+//
+// Used on the loop's thread only; not thread-safe.
+#pragma once
+
+#include "entry/agent_links.hpp"
+#include "entry/decisions.hpp"
+#include "entry/entry_state.hpp"
+#include "log/log.hpp"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace marjorambeam
+{
+
+class request_controller
+{
+public:
+    // Called once for each request that ended: `why` is null when its whole
+    // response was handed to the caller's connection.
+    using end_handler =
+        std::function<void(entry_request const&, error const* why)>;
+
+    request_controller(
+        entry_state& state, agent_links& links, end_handler on_end);
+
+    // Starts an admitted request. Precondition: nothing was sent on its
+    // exchange, and its target is set.
+    void begin(std::unique_ptr<entry_request> request, steady_time now);
+
+    // A message of an agent.
+    void on_message(std::string_view instance, message&& m, steady_time now);
+
+    // The connection with an attempt under way ended.
+    void on_attempt_lost(
+        std::string_view instance, attempt_id const& attempt, error const& why,
+        steady_time now);
+
+    // Ends requests past their deadline. Call every 10 ms or so.
+    void tick(steady_time now);
+
+    // Ends every request with an error, because the process is about to exit.
+    void cut_all(steady_time now);
+
+private:
+    entry_request* find(std::string_view id, std::uint32_t attempt);
+    bool check(entry_request& r, frame_verdict verdict, steady_time now);
+    void begin_answer(entry_request& r, incarnation sender);
+    void start_attempt(entry_request& r, steady_time now);
+    void on_refused(entry_request& r, work_refused const& m, steady_time now);
+    void on_chunk(entry_request& r, answer_chunk const& m, steady_time now);
+    void on_end(entry_request& r, answer_end const& m, steady_time now);
+    void on_failed(entry_request& r, answer_failed const& m, steady_time now);
+    void fail_attempt(entry_request& r, error const& why, steady_time now);
+    void give_up(entry_request& r, error const& why, steady_time now);
+    void leave_attempt(entry_request& r);
+    void finish(entry_request& r, error const* why, steady_time now);
+    void explain(entry_request const& r, std::string sentence);
+    http_headers response_headers(entry_request const& r) const;
+
+    entry_state& state_;
+    agent_links& links_;
+    end_handler on_end_;
+    logger log_{"request"};
+};
+
+} // namespace marjorambeam
