Choose store watchers only after the instance list was read

Change: the first choice waits for the list (at most 2 s) and is renewed in each digest period. The test waits for the choice, and the outage test waits until the watches are open, because nobody can learn of a change that was accepted before a watch was open and while the store is down.

Conclusion: a fleet that starts together makes one read each, not one watch each.

--- a/src/cluster/cluster_controller.cpp
+++ b/src/cluster/cluster_controller.cpp
@@ -10,7 +10,9 @@
 
 using nlohmann::json;
 
-constexpr duration watch_choice_period = std::chrono::seconds(1);
+// A daemon that waits this long for the instance list chooses watchers from
+// what it knows. Without the wait, every starting daemon would be a watcher.
+constexpr duration list_wait = std::chrono::seconds(2);
 constexpr duration store_retry = std::chrono::seconds(1);
 constexpr duration checkpoint_retry = std::chrono::seconds(10);
 constexpr duration list_timeout = std::chrono::seconds(2);
@@ -383,9 +385,11 @@
 {
     tick_timer_.start(varied(settings_.tick_period, random_));
     remove_gone(state_.peers, settings_.sync.members, now);
-    if (now >= next_watch_choice_)
+    bool const knows_list = has_list_ || settings_.instance_list_url.empty() ||
+                            now - sync_.started_at >= list_wait;
+    if (knows_list && now >= next_watch_choice_)
     {
-        next_watch_choice_ = now + watch_choice_period;
+        next_watch_choice_ = now + settings_.sync.digest_period;
         auto const holders = watch_holders(
             state_.identity, state_.peers, history_.current->zones,
             settings_.sync.members, now);
@@ -425,6 +429,7 @@
     if (!list)
         return;
     count_bytes(0, reply->body.size());
+    has_list_ = true;
     merge_list(
         state_.peers, *list, state_.identity.instance, settings_.sync.members,
         steady_now());
--- a/src/cluster/cluster_controller_test.cpp
+++ b/src/cluster/cluster_controller_test.cpp
@@ -130,6 +130,8 @@
                 { return d.state.is_ready() && d.state.peers.size() == 5; });
         },
         in_force_limit));
+    REQUIRE(f.run_until(
+        [&] { return f.api.counts().watches >= 3; }, in_force_limit));
     f.accept(1, [&] { f.api.set_faults({.down = true}); });
     bool const is_everywhere = f.run_until(
         [&] {
@@ -184,17 +186,27 @@
                          { return d.state.config->number == 6; });
         },
         in_force_limit));
-    std::size_t watchers = 0;
     for (fleet::daemon const& d : f.daemons)
     {
         CHECK(std::is_sorted(d.generations.begin(), d.generations.end()));
+        CHECK(d.state.counters.counter("generations_applied_total") == 6);
         auto const status =
             nlohmann::json::parse(d.controller->status_json(steady_now()));
         CHECK(status["generation"] == 6);
-        watchers += status["is_store_watcher"] == true ? 1 : 0;
-        CHECK(d.state.counters.counter("generations_applied_total") == 6);
+        CHECK(status["peers"].size() == 4);
     }
-    CHECK(watchers == 3);
+    auto const is_watcher = [](fleet::daemon const& d)
+    {
+        return nlohmann::json::parse(d.controller->status_json(
+                   steady_now()))["is_store_watcher"] == true;
+    };
+    // The region of the zone changed with generation 1, and with it the hash.
+    CHECK(f.run_until(
+        [&] {
+            return std::count_if(
+                       f.daemons.begin(), f.daemons.end(), is_watcher) == 3;
+        },
+        in_force_limit));
 }
 
 // Guards against an empty answer of a starting daemon being taken for "there
