--- a/src/agent/agent_controller.cpp
+++ b/src/agent/agent_controller.cpp
@@ -35,7 +35,6 @@
 
 void agent_controller::tick(steady_time now)
 {
-    refresh_bounds(state_);
     check_parked(now);
     drop_expired(now);
     check_running(now);
--- a/src/agent/agent_run.cpp
+++ b/src/agent/agent_run.cpp
@@ -38,6 +38,7 @@
 
 void agent_controller::dispatch(steady_time now)
 {
+    refresh_bounds(state_);
     while (may_start_next(now))
     {
         std::uint64_t const id = state_.queue.pop()->id;
--- a/src/agent/agent_test_support.hpp
+++ b/src/agent/agent_test_support.hpp
@@ -181,7 +181,7 @@
         steady_time const end = steady_now() + std::chrono::seconds(20);
         while (!condition() && steady_now() < end)
             loop.run(ev::ONCE);
-        return condition();
+        return static_cast<bool>(condition());
     }
 
     void send(work_request r)
--- /dev/null
+++ b/src/warm_up/warm_up_test.cpp
@@ -0,0 +1,118 @@
+#include "warm_up/warm_up.hpp"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+using namespace marjorambeam;
+
+namespace
+{
+
+constexpr duration fast = std::chrono::milliseconds(10);
+constexpr duration slow = std::chrono::milliseconds(50);
+
+warm_up_state warmed_up()
+{
+    warm_up_state s;
+    set_bounds(s, {.cold = 2, .warm = 16, .has_reports = true});
+    note_report(s, {.sender = 1, .is_cold = false});
+    for (int i = 0; i < 500; ++i)
+        note_success(s, fast);
+    return s;
+}
+
+} // namespace
+
+// Guards against a cold upstream that is loaded before it says it is warm, and
+// against one that never reaches its warm limit.
+TEST_CASE("the limit grows with successes once the upstream is warm")
+{
+    warm_up_state s;
+    set_bounds(s, {.cold = 2, .warm = 16, .has_reports = true});
+    for (int i = 0; i < 100; ++i)
+        note_success(s, fast);
+    CHECK(current_limit(s) == 2);
+    note_report(s, {.sender = 1, .is_cold = true});
+    note_success(s, fast);
+    CHECK(current_limit(s) == 2);
+    note_report(s, {.sender = 1, .is_cold = false});
+    for (int i = 0; i < 130; ++i)
+        note_success(s, fast);
+    CHECK(current_limit(s) == 16);
+    CHECK_FALSE(is_cold(s));
+    set_bounds(s, {.cold = 1, .warm = 4, .has_reports = true});
+    CHECK(current_limit(s) == 4);
+}
+
+// Guards against an engine that restarted or turned cold without notice and
+// receives the load of a warm one.
+TEST_CASE("a restart, a cold report and a crash return the limit to cold")
+{
+    warm_up_state s = warmed_up();
+    CHECK(current_limit(s) == 16);
+    CHECK(note_report(s, {.sender = 2, .is_cold = false}));
+    CHECK(current_limit(s) == 2);
+    note_success(s, fast); // the report may lag behind the restart
+    CHECK(current_limit(s) == 2);
+    s = warmed_up();
+    CHECK_FALSE(note_report(s, {.sender = 1, .is_cold = true}));
+    CHECK(current_limit(s) == 2);
+    s = warmed_up();
+    reset_to_cold(s);
+    CHECK(current_limit(s) == 2);
+}
+
+// Guards against one slow response that halves a fleet's capacity, and against
+// a cold start that is not noticed.
+TEST_CASE("three slow first tokens in a row mean a cold upstream")
+{
+    warm_up_state s = warmed_up();
+    CHECK_FALSE(note_success(s, slow));
+    CHECK_FALSE(note_success(s, slow));
+    CHECK_FALSE(note_success(s, fast));
+    CHECK(current_limit(s) == 16);
+    note_success(s, slow);
+    note_success(s, slow);
+    CHECK(note_success(s, slow));
+    CHECK(current_limit(s) == 2);
+}
+
+// Guards against a limit that stays at the cold bound for ever when an
+// upstream becomes slower for good.
+TEST_CASE("a lasting change of speed is learnt")
+{
+    warm_up_state s = warmed_up();
+    for (int i = 0; i < 200; ++i)
+    {
+        note_success(s, slow);
+        note_report(s, {.sender = 1, .is_cold = false});
+    }
+    CHECK(current_limit(s) > 10);
+    CHECK(warm_median(s) == slow);
+}
+
+// Guards against a limit outside the declared bounds after any history.
+TEST_CASE("the limit stays within its bounds")
+{
+    CHECK(rc::check(
+        "any sequence of events",
+        []
+        {
+            warm_up_state s;
+            set_bounds(s, {.cold = 2, .warm = 9, .has_reports = true});
+            for (int i = *rc::gen::inRange(0, 300); i > 0; --i)
+            {
+                int const what = *rc::gen::inRange(0, 12);
+                if (what == 0)
+                    reset_to_cold(s);
+                else if (what == 1)
+                    note_report(
+                        s, {.sender = *rc::gen::inRange<incarnation>(1, 3),
+                            .is_cold = *rc::gen::arbitrary<bool>()});
+                else
+                    note_success(s, duration(*rc::gen::inRange(1, 100)));
+                RC_ASSERT(current_limit(s) >= 2U);
+                RC_ASSERT(current_limit(s) <= 9U);
+            }
+        }));
+}
