--- a/src/config_edit/config_edit_test.cpp
+++ b/src/config_edit/config_edit_test.cpp
@@ -21,10 +21,10 @@
         R"({"region":"trondelag","state":")" + state + R"("})"};
 }
 
-generation
-make_edit(std::string const& id, std::string const& zone, std::string state)
+generation make_edit(
+    std::string const& id, std::string const& zone, std::string const& state)
 {
-    return {0, id, "ops", 1, {zone_edit(zone, std::move(state))}};
+    return {0, id, "ops", 1, {zone_edit(zone, state)}};
 }
 
 steady_time at_ms(int ms)
--- a/src/ctl/config_client.hpp
+++ b/src/ctl/config_client.hpp
@@ -13,6 +13,7 @@
 #include "event_loop/event_loop.hpp"
 #include "object_store/object_store.hpp"
 
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -25,18 +26,16 @@
 template <class T, class Start>
 result<T> wait_for(ev::loop_ref loop, Start start)
 {
-    result<T> out = fail(error_kind::internal, "the call has no answer");
-    bool is_done = false;
+    std::optional<result<T>> out;
     start(
         [&](result<T> r)
         {
             out = std::move(r);
-            is_done = true;
             loop.break_loop(ev::ALL);
         });
-    while (!is_done)
+    while (!out)
         loop.run();
-    return out;
+    return std::move(*out);
 }
 
 class config_client
