Wire the cluster controller into the agent

Cause: the agent's configuration came from its caller only. Change: main.cpp builds the cluster controller with its settings, passes it config_pull, config_generations and digest messages and the generation of each hello, heartbeat and work request, and shows its status at /admin/status. The hook on_newer_generation becomes on_generation, since the controller wants every frame's generation. Conclusion: the agent serves by the configuration of the object API.

--- a/src/agent/agent_admin.cpp
+++ b/src/agent/agent_admin.cpp
@@ -22,12 +22,9 @@
         {"is_cold", load.is_cold}};
 }
 
-json status_json(agent_state const& s)
+json status_json(agent_state const& s, std::string_view cluster_status)
 {
     cluster_state const& c = s.cluster;
-    json refused = json::object();
-    for (auto const& [number, reason] : c.config->refused)
-        refused[std::to_string(number)] = reason;
     return {
         {"instance", c.identity.instance},
         {"role", "agent"},
@@ -36,8 +33,7 @@
         {"address", c.identity.address},
         {"incarnation", to_hex(c.identity.self)},
         {"generation", c.config->number},
-        {"refused_generations", refused},
-        {"peers", c.peers.size()},
+        {"cluster", json::parse(cluster_status, nullptr, false)},
         {"is_ready", c.is_ready()},
         {"is_isolated", c.is_isolated},
         {"is_shutting_down", c.is_shutting_down},
@@ -57,7 +53,8 @@
 
 } // namespace
 
-void answer_admin(agent_state const& s, http_exchange& ex)
+void answer_admin(
+    agent_state const& s, std::string_view cluster_status, http_exchange& ex)
 {
     http_request const& r = ex.request();
     if (r.method != "GET")
@@ -83,7 +80,7 @@
     {
         return ex.respond(
             200, {{"Content-Type", "application/json"}},
-            status_json(s).dump() + "\n");
+            status_json(s, cluster_status).dump() + "\n");
     }
     respond_error(ex, make_error(error_kind::not_found, "no such path"), "");
 }
--- a/src/agent/agent_admit.cpp
+++ b/src/agent/agent_admit.cpp
@@ -35,12 +35,6 @@
         connection, a.request.request_id, a.request.attempt}] = a.id;
     state_.attempts[a.id] = std::move(owned);
     ++attempts_of_[connection];
-    std::uint64_t const own = state_.cluster.config->number;
-    if (a.request.generation > own && hooks_.on_newer_generation)
-    {
-        hooks_.on_newer_generation(
-            a.request.generation, connections_.instance_of(connection));
-    }
     consider(a, now);
     dispatch(now);
 }
--- a/src/agent/agent_controller.cpp
+++ b/src/agent/agent_controller.cpp
@@ -26,8 +26,14 @@
            .on_cancel = [this](std::uint64_t c, cancel const& m)
            { on_cancel(c, m); },
            .on_closed = [this](std::uint64_t c) { on_connection_closed(c); },
-           .on_other = [this](std::uint64_t c, message&& m)
-           { on_other(c, std::move(m)); },
+           .on_other = [this](auto const& c, message const& m)
+           { on_other(c, m); },
+           .on_generation =
+               [this](std::string_view instance, std::uint64_t generation)
+           {
+               if (hooks_.on_generation)
+                   hooks_.on_generation(instance, generation);
+           },
            .has_work = [this](std::uint64_t c) { return has_work(c); }})
 {
     refresh_bounds(state_);
@@ -137,7 +143,8 @@
     dispatch(steady_now());
 }
 
-void agent_controller::on_other(std::uint64_t connection, message&& m)
+void agent_controller::on_other(
+    std::shared_ptr<frame_connection> const& connection, message const& m)
 {
     if (auto const* settled = std::get_if<usage_settled>(&m))
     {
@@ -145,14 +152,8 @@
             hooks_.on_usage_settled(settled->request_ids);
         return;
     }
-    if (!hooks_.on_message)
-    {
+    if (!hooks_.on_message || !hooks_.on_message(connection, m))
         state_.cluster.counters.count("messages_ignored_total");
-        return;
-    }
-    hooks_.on_message(
-        std::move(m), [this, connection](message const& reply)
-        { connections_.send(connection, reply); });
 }
 
 bool agent_controller::has_work(std::uint64_t connection) const
--- a/src/agent/agent_controller.hpp
+++ b/src/agent/agent_controller.hpp
@@ -94,7 +94,8 @@
 
     void on_cancel(std::uint64_t connection, cancel const& c);
     void on_connection_closed(std::uint64_t connection);
-    void on_other(std::uint64_t connection, message&& m);
+    void on_other(
+        std::shared_ptr<frame_connection> const& connection, message const& m);
     bool has_work(std::uint64_t connection) const;
     attempt* find(
         std::uint64_t connection, std::string const& request_id,
--- a/src/agent/agent_hooks.hpp
+++ b/src/agent/agent_hooks.hpp
@@ -11,11 +11,14 @@
 #pragma once
 
 #include "error/error.hpp"
+#include "transport/transport.hpp"
 #include "wire/message.hpp"
 
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace marjorambeam
@@ -80,13 +83,12 @@
     std::function<void(work_request const&, once_outcome const&)> complete;
     std::function<void(usage_report const&)> on_usage;
     std::function<void(std::vector<std::string> const&)> on_usage_settled;
-    // An entry knows of a newer generation than this agent.
-    std::function<void(std::uint64_t generation, std::string const& instance)>
-        on_newer_generation;
-    // Any message that is not about work; `reply` sends to the same
-    // connection.
-    std::function<void(
-        message&&, std::function<void(message const&)> const& reply)>
+    // A frame of `instance` told the generation that it has in force.
+    std::function<void(std::string_view instance, std::uint64_t generation)>
+        on_generation;
+    // Takes a message that is not about work; false when nobody knows it.
+    std::function<bool(
+        std::shared_ptr<frame_connection> const&, message const&)>
         on_message;
 };
 
--- a/src/agent/agent_refusal_test.cpp
+++ b/src/agent/agent_refusal_test.cpp
@@ -119,7 +119,7 @@
 {
     std::uint64_t wanted = 0;
     agent_hooks hooks;
-    hooks.on_newer_generation = [&](std::uint64_t g, std::string const&)
+    hooks.on_generation = [&](std::string_view, std::uint64_t g)
     { wanted = g; };
     agent_fixture f(
         {}, false, {.park_time = std::chrono::milliseconds(100)},
--- a/src/agent/entry_connections.cpp
+++ b/src/agent/entry_connections.cpp
@@ -24,12 +24,6 @@
         it->second.connection->send(m);
 }
 
-std::string entry_connections::instance_of(std::uint64_t connection) const
-{
-    auto const it = links_.find(connection);
-    return it == links_.end() ? std::string() : it->second.peer.instance;
-}
-
 std::size_t entry_connections::unsent_bytes() const
 {
     std::size_t n = 0;
@@ -96,12 +90,15 @@
             make_error(error_kind::protocol_mismatch, "no hello was received"));
     }
     if (auto* r = std::get_if<work_request>(&m))
+    {
+        events_.on_generation(l.peer.instance, r->generation);
         return events_.on_work(id, std::move(*r));
+    }
     if (auto const* c = std::get_if<cancel>(&m))
         return events_.on_cancel(id, *c);
     if (auto const* h = std::get_if<heartbeat>(&m))
         return on_heartbeat(l, *h);
-    events_.on_other(id, std::move(m));
+    events_.on_other(l.connection, m);
 }
 
 void entry_connections::on_hello(std::uint64_t id, link& l, hello&& h)
@@ -116,10 +113,12 @@
     l.has_hello = true;
     l.peer = std::move(h);
     l.connection->send(own_hello());
+    events_.on_generation(l.peer.instance, l.peer.generation);
 }
 
 void entry_connections::on_heartbeat(link& l, heartbeat const& h)
 {
+    events_.on_generation(l.peer.instance, h.generation);
     if (!h.wants_reply)
         return;
     l.connection->send(heartbeat{
--- a/src/agent/entry_connections.hpp
+++ b/src/agent/entry_connections.hpp
@@ -5,7 +5,8 @@
 //   entry_connections connections(loop, state, {
 //       .on_work = [&](std::uint64_t c, work_request&& r) { admit(c, r); },
 //       .on_closed = [&](std::uint64_t c) { abandon(c); },
-//       .has_work = [&](std::uint64_t c) { return in_flight(c) > 0; }});
+//       .has_work = [&](std::uint64_t c) { return in_flight(c) > 0; },
+//       ...});
 //   connections.send(c, work_accepted{...});
 //   connections.tick(now);
 //
@@ -21,6 +22,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 
 namespace marjorambeam
 {
@@ -32,7 +34,11 @@
     std::function<void(std::uint64_t connection, work_request&&)> on_work;
     std::function<void(std::uint64_t connection, cancel const&)> on_cancel;
     std::function<void(std::uint64_t connection)> on_closed;
-    std::function<void(std::uint64_t connection, message&&)> on_other;
+    std::function<void(
+        std::shared_ptr<frame_connection> const&, message const&)>
+        on_other;
+    std::function<void(std::string_view instance, std::uint64_t generation)>
+        on_generation;
     std::function<bool(std::uint64_t connection)> has_work;
 };
 
@@ -55,9 +61,6 @@
     // Sends to the connection; ignored when it is closed.
     void send(std::uint64_t connection, message const& m);
 
-    // The instance at the other end, empty when it is closed.
-    std::string instance_of(std::uint64_t connection) const;
-
     // Sends heartbeats on connections with work in flight and closes those
     // that have been silent.
     void tick(steady_time now);
--- a/src/agent/main.cpp
+++ b/src/agent/main.cpp
@@ -1,7 +1,9 @@
 // marjorambeam-agent: the process beside one upstream.
 #include "agent/agent_admin.hpp"
 #include "agent/agent_controller.hpp"
+#include "cluster/cluster_controller.hpp"
 #include "event_loop/event_loop.hpp"
+#include "object_store/object_store.hpp"
 #include "settings/settings.hpp"
 
 #include <csignal>
@@ -21,8 +23,7 @@
     std::string upstream;
     std::string zone;
     std::string instance;
-    std::string store;
-    std::string instance_list;
+    cluster_settings cluster;
     std::string log_level;
     std::int64_t max_queued = 0;
     duration drain{};
@@ -31,7 +32,7 @@
 std::vector<setting> settings_table(agent_flags& f)
 {
     agent_settings& a = f.agent;
-    return {
+    std::vector<setting> rows{
         address_setting(
             "listen", "127.0.0.1:0",
             "Address for frames; datagrams use the same port.", a.listen),
@@ -47,10 +48,6 @@
             "zone", "", "Availability zone of this instance.", f.zone, false),
         text_setting(
             "instance", "", "Name of this instance.", f.instance, false),
-        url_setting("store", "", "Base URL of the object API.", f.store, true),
-        url_setting(
-            "instance-list", "", "URL of the platform's instance list.",
-            f.instance_list, true),
         choice_setting(
             "log-level", "info", {"debug", "info", "warning", "error", "off"},
             "Lowest level of lines that are logged.", f.log_level),
@@ -81,6 +78,21 @@
         duration_setting(
             "drain-ms", 30000, 0, 3600000,
             "Time that admitted requests have at a shutdown.", f.drain)};
+    for (setting& it : cluster_setting_rows(f.cluster))
+        rows.push_back(std::move(it));
+    return rows;
+}
+
+// Passes on what concerns the cluster. No frame arrives before `sync` is set.
+agent_hooks cluster_hooks(std::unique_ptr<cluster_controller>& sync)
+{
+    agent_hooks hooks;
+    hooks.on_generation = [&sync](std::string_view instance, std::uint64_t n)
+    { sync->note_frame(instance, n); };
+    hooks.on_message =
+        [&sync](std::shared_ptr<frame_connection> const& c, message const& m)
+    { return sync->handle(c, m); };
+    return hooks;
 }
 
 int run(agent_flags& flags)
@@ -94,12 +106,18 @@
         .upstream = flags.upstream,
         .self = random_incarnation()};
     agent_state state(cluster, flags.agent);
-    agent_controller agent(loop, state, {});
+    http_client http(loop);
+    object_store store(http, flags.cluster.store_url);
+    std::unique_ptr<cluster_controller> sync;
+    agent_controller agent(loop, state, cluster_hooks(sync));
     cluster.identity.address = agent.address();
+    sync = std::make_unique<cluster_controller>(
+        loop, cluster, http, store, flags.cluster);
+    sync->on_config_change([&] { agent.tick(steady_now()); });
     http_server const admin(
         loop, {.address = flags.admin_listen},
         [&](std::shared_ptr<http_exchange> const& ex)
-        { answer_admin(state, *ex); });
+        { answer_admin(state, sync->status_json(steady_now()), *ex); });
     std::string const host =
         flags.admin_listen.substr(0, flags.admin_listen.find(':') + 1);
 
@@ -127,6 +145,7 @@
                 return;
             drain_end = steady_now() + flags.drain;
             agent.begin_shutdown(steady_now());
+            sync->tick(steady_now()); // tells the others at once
         });
     std::cout << "marjorambeam-agent: listening frames=" << agent.address()
               << " admin=http://" << host << admin.port() << std::endl;
