--- a/src/cluster/cluster_controller.cpp
+++ b/src/cluster/cluster_controller.cpp
@@ -90,7 +90,7 @@
            .on_done = [this](bool ok) { end_store_call(ok); },
            .on_bytes = [this](std::uint64_t sent, std::uint64_t received)
            { count_bytes(sent, received); }})
-    , puller_(loop, settings_.sync.pull_timeout)
+    , puller_(loop)
     , tick_timer_(loop, [this] { tick(steady_now()); })
     , list_timer_(loop, [this] { read_instance_list(); })
 {
@@ -264,6 +264,7 @@
         .generation = history_.current->number};
     puller_.start(
         it->second.address, own, history_.current->number,
+        pull_timeout(sync_, settings_.sync),
         {.on_answer =
              [this](config_generations g) -> std::optional<std::uint64_t>
          {
--- a/src/cluster/config_puller.cpp
+++ b/src/cluster/config_puller.cpp
@@ -3,9 +3,8 @@
 namespace marjorambeam
 {
 
-config_puller::config_puller(ev::loop_ref loop, duration timeout)
+config_puller::config_puller(ev::loop_ref loop)
     : loop_(loop)
-    , timeout_(timeout)
     , timer_(loop, [this] { finish(pull_end::failed); })
 {
 }
@@ -17,8 +16,10 @@
 }
 
 void config_puller::start(
-    std::string_view address, hello const& own, std::uint64_t after, handlers h)
+    std::string_view address, hello const& own, std::uint64_t after,
+    duration timeout, handlers h)
 {
+    timeout_ = timeout;
     handlers_ = std::move(h);
     connection_ = frame_connection::connect(loop_, address);
     connection_->on_message([this](message&& m) { on_message(std::move(m)); });
--- a/src/cluster/config_puller.hpp
+++ b/src/cluster/config_puller.hpp
@@ -1,8 +1,8 @@
 // Asks one daemon for generations over a connection of its own.
 //
 // Example:
-//   config_puller puller(loop, timeout);
-//   puller.start(address, own_hello, current,
+//   config_puller puller(loop);
+//   puller.start(address, own_hello, current, timeout,
 //       {.on_answer = [&](config_generations g) { return apply(g); },
 //        .on_done = [&](pull_end end) { ... }});
 //
@@ -44,16 +44,16 @@
             on_bytes;
     };
 
-    // `timeout` bounds the wait for each answer.
-    config_puller(ev::loop_ref loop, duration timeout);
+    explicit config_puller(ev::loop_ref loop);
     ~config_puller();
     config_puller(config_puller const&) = delete;
     config_puller& operator=(config_puller const&) = delete;
 
-    // Precondition: no pull is under way.
+    // `timeout` bounds the wait for each answer. Precondition: no pull is
+    // under way.
     void start(
         std::string_view address, hello const& own, std::uint64_t after,
-        handlers h);
+        duration timeout, handlers h);
 
     bool is_busy() const
     {
@@ -65,7 +65,7 @@
     void finish(pull_end end);
 
     ev::loop_ref loop_;
-    duration timeout_;
+    duration timeout_{0};
     loop_timer timer_;
     std::shared_ptr<frame_connection> connection_;
     handlers handlers_;
--- a/src/config_sync/sync_decisions.cpp
+++ b/src/config_sync/sync_decisions.cpp
@@ -184,6 +184,7 @@
     sync_step step;
     std::string const from = std::move(s.pulling_from);
     s.pulling_from.clear();
+    s.failed_in_row = ok ? 0 : s.failed_in_row + 1;
     if (ok)
     {
         s.peer_word = now;
@@ -208,6 +209,13 @@
     return step;
 }
 
+duration pull_timeout(sync_state const& s, sync_rules const& rules)
+{
+    constexpr unsigned max_doublings = 10;
+    auto const factor = 1U << std::min(s.failed_in_row, max_doublings);
+    return std::min(rules.pull_timeout * factor, rules.max_pull_timeout);
+}
+
 void on_store_done(sync_state& s, bool ok, steady_time now)
 {
     s.did_store_fail = !ok;
--- a/src/config_sync/sync_decisions.hpp
+++ b/src/config_sync/sync_decisions.hpp
@@ -35,8 +35,12 @@
     std::size_t news_fanout = 4;   // peers told at once of a new generation
     std::size_t digest_fanout = 2; // peers told in each period
     duration digest_period = std::chrono::seconds(1);
-    // Two failed pulls still leave 5 s of the 7 s for a change.
-    duration pull_timeout = std::chrono::seconds(1);
+    // Wait for each answer of the first pull; doubled after each failure in a
+    // row up to the second value. Shorter than the 1 s after which TCP repeats
+    // a lost first packet: with 1 s, 350 daemons with 5% loss needed up to
+    // 3.0 s, the whole bound for a zone taken out of service.
+    duration pull_timeout = std::chrono::milliseconds(300);
+    duration max_pull_timeout = std::chrono::seconds(2);
     duration retry_peer_after = std::chrono::seconds(5); // after a failed pull
     duration quiet_limit = std::chrono::seconds(5);  // no word: read the store
     duration behind_limit = std::chrono::seconds(2); // pulls fail: read it
@@ -68,6 +72,7 @@
     steady_time behind_since{};  // known is larger than current since then
     std::string pulling_from;    // empty when no pull is under way
     std::uint64_t pulled_at = 0; // generation in force when it started
+    unsigned failed_in_row = 0;  // pulls
     std::map<std::string, steady_time, std::less<>> failed_pulls;
     std::map<std::string, steady_time, std::less<>> told; // stale peers
     std::map<std::string, steady_time, std::less<>> answered_at_start;
@@ -121,6 +126,9 @@
     sync_state& s, sync_view const& view, bool ok, sync_rules const& rules,
     random_source& random, steady_time now);
 
+// How long the pull under way waits for each answer.
+duration pull_timeout(sync_state const& s, sync_rules const& rules);
+
 // The store answered a whole read or a watch, or failed.
 void on_store_done(sync_state& s, bool ok, steady_time now);
 
