Add usage records, the ledger poster and the bill

Change: src/billing holds usage records with the prices in force at admission, ledger segments of at most 900 KB named by poster incarnation and sequence, the poster's and the agent's holding rules, and the merge into a bill. ledger_poster drives them through the object store. src/state_search enumerates the states of a model breadth first; the model check of the protocol runs the real poster and holder.

Ruled out: taking any conflict for one's own earlier post. Without an earlier post of unknown outcome the name belongs to another process, and settling would lose the records; the next sequence number is used.

--- /dev/null
+++ b/src/billing/ledger_poster.hpp
@@ -0,0 +1,58 @@
+// Posts usage records to the ledger through the object API.
+//
+// Example:
+//   ledger_poster poster(store, self, [&](auto const& request_ids)
+//   {
+//       tell_agents(usage_settled{request_ids});
+//   });
+//   poster.decisions().add(record);
+//   poster.tick(steady_now()); // a few times a second
+//
+// Everything runs on the loop's thread; nothing is thread-safe.
+#pragma once
+
+#include "billing/usage_poster.hpp"
+#include "object_store/object_store.hpp"
+
+#include <functional>
+#include <memory>
+
+namespace marjorambeam
+{
+
+class ledger_poster
+{
+public:
+    using settled_handler =
+        std::function<void(std::vector<std::string> const& request_ids)>;
+
+    // `store` outlives the poster. `on_settled` is called from the loop for
+    // each segment that is in the ledger; it must not destroy the poster.
+    ledger_poster(
+        object_store& store, incarnation self, settled_handler on_settled,
+        posting_times times = {});
+    ledger_poster(ledger_poster const&) = delete;
+    ledger_poster& operator=(ledger_poster const&) = delete;
+    // A post under way may still take effect; its answer is ignored.
+    ~ledger_poster() = default;
+
+    // Starts a post when one is due. Failed posts are repeated by later ticks.
+    void tick(steady_time now);
+
+    // The records and the decisions about them.
+    usage_poster& decisions()
+    {
+        return decisions_;
+    }
+
+private:
+    void on_answer(result<stored_object> const& answer);
+
+    object_store& store_;
+    settled_handler on_settled_;
+    usage_poster decisions_;
+    steady_time now_{}; // of the latest tick
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+} // namespace marjorambeam
--- /dev/null
+++ b/src/state_search/state_search.hpp
@@ -0,0 +1,81 @@
+// Breadth-first enumeration of all states of a small model, for tests of
+// protocols.
+//
+// Example:
+//   search_result r = search_states(
+//       start, [](state const& s) { return key_of(s); },
+//       [](state const& s, auto&& emit) { emit("crash", crashed(s)); },
+//       [](state const& s) { return s.runs > 1 ? "ran twice" : ""; },
+//       1000000);
+//   REQUIRE(r.fault.empty());
+//
+// Thread-safe: there is no shared state.
+#pragma once
+
+#include <cstddef>
+#include <deque>
+#include <string>
+#include <unordered_set>
+#include <utility>
+#include <vector>
+
+namespace marjorambeam
+{
+
+// What a search has found.
+struct search_result
+{
+    std::size_t states = 0;        // that differ
+    std::size_t transitions = 0;   // tried
+    bool is_complete = false;      // all reachable states were visited
+    std::string fault;             // of the first state that failed, or empty
+    std::vector<std::string> path; // steps that lead to the fault
+};
+
+// Visits every state that can be reached from `start`, the nearest first,
+// until one fails or `limit` states were seen. `key` returns a text that
+// differs for states that differ; `next` calls emit(label, state) for each
+// step; `check` returns what is wrong with a state, or an empty text.
+template <class State, class Key, class Next, class Check>
+search_result
+search_states(State start, Key key, Next next, Check check, std::size_t limit)
+{
+    struct origin
+    {
+        std::size_t parent;
+        std::string label;
+    };
+    search_result result;
+    std::unordered_set<std::string> seen{key(start)};
+    std::vector<origin> origins{{0, ""}};
+    std::deque<std::pair<std::size_t, State>> open;
+    open.emplace_back(0, std::move(start));
+    while (!open.empty())
+    {
+        auto const [index, state] = std::move(open.front());
+        open.pop_front();
+        result.fault = check(state);
+        if (!result.fault.empty())
+        {
+            for (std::size_t i = index; i != 0; i = origins[i].parent)
+                result.path.insert(result.path.begin(), origins[i].label);
+            break;
+        }
+        next(
+            state,
+            [&, parent = index](char const* label, State s)
+            {
+                ++result.transitions;
+                if (seen.size() >= limit || !seen.insert(key(s)).second)
+                    return;
+                origins.push_back({parent, label});
+                open.emplace_back(origins.size() - 1, std::move(s));
+            });
+    }
+    result.states = seen.size();
+    result.is_complete =
+        open.empty() && result.fault.empty() && seen.size() < limit;
+    return result;
+}
+
+} // namespace marjorambeam
