Add the prompt features shared by routing and cascades

Cause: routing needs a hash of the prompt's first bytes and the cascade a bounded kind of request, both without parsing in their decisions. Change: src/prompt_features computes prefix hash, length bucket and hint class once per request.

--- /dev/null
+++ b/src/prompt_features/prompt_features_test.cpp
@@ -0,0 +1,36 @@
+#include "prompt_features/prompt_features.hpp"
+
+#include <catch2/catch.hpp>
+#include <string>
+
+using namespace marjorambeam;
+
+// Guards against an affinity that follows the question in place of the shared
+// prefix, or that mixes customers.
+TEST_CASE("prompts with the same start share their prefix hash")
+{
+    std::string const start(prefix_bytes, 's');
+    auto const a = features_of("c1", start + "first question");
+    auto const b = features_of("c1", start + "second");
+    REQUIRE(a.prefix_hash == b.prefix_hash);
+    REQUIRE(a.prefix_hash != 0);
+    REQUIRE(a.prefix_hash != features_of("c2", start).prefix_hash);
+    REQUIRE(features_of("c1", "short").prefix_hash == 0);
+}
+
+// Guards against kinds without bound, which would let a caller grow the state
+// of the cascade by its hints.
+TEST_CASE("kinds are bounded and follow length and hint")
+{
+    REQUIRE(
+        kind_of(features_of("c", "x")) !=
+        kind_of(features_of("c", std::string(300, 'x'))));
+    REQUIRE(
+        kind_of(features_of("c", "x")) != kind_of(features_of("c", "x", "t")));
+    for (int i = 0; i < 1000; ++i)
+    {
+        auto const n = static_cast<std::size_t>(i) * 1000;
+        auto const f = features_of("c", std::string(n, 'x'), std::to_string(i));
+        REQUIRE(kind_of(f) < request_kind_count);
+    }
+}
