--- /dev/null
+++ b/src/routing/routing_table.hpp
@@ -0,0 +1,163 @@
+// What an entry knows of the upstreams, prepared for fast decisions.
+//
+// Example:
+//   routing_table t = build_routing_table(inputs, &previous);
+//   note_load(t, find_upstream(t, "w3"), answer.load, now);
+//
+// The table is built anew when the configuration or the live set changes, and
+// takes over what the previous table knew of each upstream. Decisions are in
+// routing.hpp. Not thread-safe.
+//
+// Subsets. A pool (the upstreams of one version or service) with at most
+// `whole_pool` members is used whole by each entry. In a larger pool each
+// upstream is taken by the entries that score highest for it by rendezvous
+// hash, separately among the entries of its own availability zone (near) and
+// the others (far). The choice from the upstream's side makes sure that each
+// upstream is taken by some entry, and by about the same number of entries.
+#pragma once
+
+#include "base/time.hpp"
+#include "config/generation.hpp"
+#include "wire/message.hpp"
+
+#include <cstdint>
+#include <memory>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace marjorambeam
+{
+
+using upstream_index = std::uint32_t;
+using pool_index = std::uint32_t;
+constexpr std::uint32_t no_index = UINT32_MAX;
+
+// Pools of this size are not divided. 2,300 upstreams over 12 versions are
+// about 190 per pool, 24 of them in each of 8 zones.
+constexpr std::size_t whole_pool = 32;
+// Members that an entry takes on average of a divided pool.
+constexpr double near_subset = 24;
+constexpr double far_subset = 12;
+// A failed upstream is passed over for this long while others can be had.
+constexpr duration failure_pause = std::chrono::seconds(2);
+// A load report counts as unknown after this time.
+constexpr duration load_age_limit = std::chrono::seconds(5);
+
+// A live agent, as membership knows it.
+struct agent_view
+{
+    std::string upstream;
+    std::string instance;
+    bool is_leaving = false;
+};
+
+// A live entry, this one included.
+struct entry_view
+{
+    std::string instance;
+    std::string availability_zone;
+};
+
+struct routing_inputs
+{
+    std::shared_ptr<config_snapshot const> config;
+    std::span<agent_view const> agents;
+    std::span<entry_view const> entries;
+    std::string self; // instance of this entry
+    std::string availability_zone;
+};
+
+// What decisions read of an upstream. `tokens_per_second` of a load report is
+// the speed of one response, so that it compares upstreams at any load.
+struct upstream_status
+{
+    double first_token = 0;       // seconds
+    double seconds_per_token = 0; // 0: unknown
+    double queued_tokens = 0;
+    std::uint32_t reported = 0;    // running and queued in the last report
+    std::uint32_t sent_since = 0;  // by this entry since the last report
+    std::uint32_t outstanding = 0; // of this entry
+    std::uint32_t limit = 0;       // 0: unknown
+    bool is_cold = false;
+    bool is_routable = false; // in service, zone in service, live, not leaving
+    steady_time load_seen{};
+    steady_time failed_until{};
+};
+
+// The rest of what is known of an upstream.
+struct upstream_slot
+{
+    std::string name;
+    std::string instance; // of its agent; empty when none is live
+    std::string availability_zone;
+    std::uint64_t hash = 0;
+    std::vector<pool_index> pools;
+    std::uint32_t rank = no_index; // of this entry among those of its group
+};
+
+struct pool_member
+{
+    std::uint64_t hash = 0;
+    upstream_index upstream = no_index;
+};
+
+// Means over the reports in a pool; stand in for an unknown load.
+struct pool_average
+{
+    double first_token = 0.1;
+    double seconds_per_token = 0.02;
+    double utilization = 0.5;
+    double limit = 8;
+};
+
+struct route_pool
+{
+    std::string target;            // "model@version" or the name of a service
+    std::vector<pool_member> near; // own availability zone
+    std::vector<pool_member> far;
+    pool_average average;
+};
+
+struct version_entry
+{
+    version const* document = nullptr;
+    pool_index pool = no_index;
+};
+
+struct routing_table
+{
+    std::shared_ptr<config_snapshot const> config;
+    std::uint64_t entries_hash = 0;   // of the entries that `rank` counts
+    std::vector<upstream_slot> slots; // ascending by name
+    std::vector<upstream_status> status;
+    std::vector<route_pool> pools; // ascending by target
+    // Versions of each model, those that are withdrawn included.
+    document_map<std::vector<version_entry>> models;
+};
+
+// Builds the table. `previous` may be null.
+routing_table
+build_routing_table(routing_inputs const& in, routing_table const* previous);
+
+// The index of an upstream or pool, or `no_index`. Indexes are valid for one
+// table.
+upstream_index find_upstream(routing_table const& t, std::string_view name);
+pool_index find_pool(routing_table const& t, std::string_view target);
+
+// Takes in a load report. Preconditions here and below: `u` is an index of
+// this table.
+void note_load(
+    routing_table& t, upstream_index u, upstream_load const& load,
+    steady_time now);
+
+// An attempt was sent to the upstream; note_done() follows when it ends in any
+// way.
+void note_sent(routing_table& t, upstream_index u);
+void note_done(routing_table& t, upstream_index u);
+
+// The upstream or its connection failed.
+void note_failed(routing_table& t, upstream_index u, steady_time now);
+
+} // namespace marjorambeam
