Add the choice of the cheapest sufficient model

Cause: cheap models suffice for many requests, but which kinds is known only from ratings, which are late, partly missing and limited by the contract. Change: src/cascade keeps ratings per customer, kind and stage, chooses the cheapest stage whose lower confidence bound reaches the contract's floor, explores the next cheaper uncertain one at the contract's rate and spends ratings within its budget. A stage known to be below the floor is not chosen. Ruled out: exploring only stages that declare the floor, which would never learn the kinds for which a cheaper model suffices.

--- /dev/null
+++ b/src/cascade/cascade.cpp
@@ -0,0 +1,262 @@
+#include "cascade/cascade.hpp"
+
+#include "base/hash.hpp"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <cstdio>
+#include <optional>
+
+namespace marjorambeam
+{
+namespace
+{
+
+constexpr double seconds_per_hour = 3600;
+// Generated tokens per token of the prompt, for comparing prices.
+constexpr double output_share = 0.5;
+// Least variance of ratings; a few equal ratings prove little.
+constexpr double min_variance = 0.01;
+// The part of the budget that only explorations may use.
+constexpr double explore_reserve = 0.5;
+
+struct estimate
+{
+    double quality = 0;
+    double error = 0; // standard error
+};
+
+estimate estimate_of(cascade_cell const& cell, cascade_stage const& stage)
+{
+    double const n = cell.ratings + prior_weight;
+    double const m =
+        (cell.rating_sum + prior_weight * stage.declared_quality) / n;
+    double variance = min_variance;
+    if (cell.ratings > 0)
+    {
+        double const raw = cell.rating_sum / cell.ratings;
+        variance =
+            std::max(variance, cell.rating_squares / cell.ratings - raw * raw);
+    }
+    return {m, std::sqrt(variance / n)};
+}
+
+double budget_limit(cascade_limits const& limits)
+{
+    return std::max(1.0, limits.ratings_per_hour * budget_hours);
+}
+
+void refill(cascade_state& s, cascade_limits const& limits, steady_time now)
+{
+    if (!s.is_started)
+    {
+        s.is_started = true;
+        s.updated = now;
+        s.budget = limits.ratings_per_hour > 0 ? 1 : 0;
+        return;
+    }
+    double const dt = std::max(0.0, to_seconds(now - s.updated));
+    s.budget = std::min(
+        budget_limit(limits),
+        s.budget + dt * limits.ratings_per_hour / seconds_per_hour);
+    s.updated = std::max(s.updated, now);
+}
+
+// The cells of a kind, prepared for the present versions.
+std::span<cascade_cell> cells_of(
+    cascade_state& s, std::span<cascade_stage const> stages, request_kind kind)
+{
+    if (s.stage_count != stages.size())
+    {
+        s.stage_count = stages.size();
+        s.cells.assign(stages.size() * request_kind_count, {});
+    }
+    std::span<cascade_cell> const cells =
+        std::span(s.cells).subspan(kind * stages.size(), stages.size());
+    for (std::size_t i = 0; i < stages.size(); ++i)
+    {
+        if (cells[i].version_hash != stages[i].version_hash)
+            cells[i] = {.version_hash = stages[i].version_hash};
+    }
+    return cells;
+}
+
+// The next cheaper stage that may suffice.
+std::optional<std::size_t> find_exploration(
+    std::span<cascade_cell> cells, std::span<cascade_stage const> stages,
+    double floor, std::size_t chosen, steady_time now)
+{
+    for (std::size_t i = chosen; i-- > 0;)
+    {
+        cascade_cell& cell = cells[i];
+        if (state_of(cell, stages[i], floor) != stage_state::uncertain)
+            continue;
+        if (now - cell.last_asked > pending_timeout)
+            cell.pending = 0;
+        if (cell.pending < max_pending)
+            return i;
+    }
+    return std::nullopt;
+}
+
+void ask_rating(cascade_state& s, cascade_cell& cell, steady_time now)
+{
+    s.budget -= 1;
+    ++cell.pending;
+    cell.last_asked = now;
+}
+
+double price_of(version const& v)
+{
+    return static_cast<double>(v.price_in) +
+           output_share * static_cast<double>(v.price_out);
+}
+
+version const* active_version(
+    config_snapshot const& config, contract const& c, std::string_view model)
+{
+    version const* found = nullptr;
+    for (auto const& [id, v] : config.versions)
+    {
+        if (v.model == model && v.state == version_state::active &&
+            is_permitted(c, v))
+            found = &v;
+    }
+    return found;
+}
+
+} // namespace
+
+std::vector<cascade_stage>
+stages_of(config_snapshot const& config, contract const& c)
+{
+    std::vector<std::string> models = c.cascade;
+    if (models.empty())
+    {
+        for (model_permission const& it : c.models)
+            models.push_back(it.model);
+    }
+    std::vector<cascade_stage> stages;
+    for (std::string const& model : models)
+    {
+        version const* v = active_version(config, c, model);
+        if (v != nullptr)
+            stages.push_back(
+                {model, hash64(v->id()), price_of(*v), v->quality});
+    }
+    if (c.cascade.empty())
+        std::stable_sort(
+            stages.begin(), stages.end(),
+            [](cascade_stage const& a, cascade_stage const& b)
+            { return a.price < b.price; });
+    return stages;
+}
+
+cascade_limits limits_of(contract const& c, std::size_t live_entries)
+{
+    auto const n = static_cast<double>(std::max<std::size_t>(1, live_entries));
+    return {
+        c.quality_floor, c.explore_rate,
+        static_cast<double>(c.ratings_per_hour) / n};
+}
+
+stage_state state_of(
+    cascade_cell const& cell, cascade_stage const& stage, double quality_floor)
+{
+    if (cell.ratings < min_ratings)
+        return stage.declared_quality >= quality_floor ? stage_state::sufficient
+                                                       : stage_state::uncertain;
+    estimate const e = estimate_of(cell, stage);
+    if (e.quality - bound_width * e.error >= quality_floor)
+        return stage_state::sufficient;
+    if (e.quality + bound_width * e.error < quality_floor)
+        return stage_state::insufficient;
+    return stage_state::uncertain;
+}
+
+cascade_choice choose_stage(
+    cascade_state& s, std::span<cascade_stage const> stages,
+    cascade_limits const& limits, request_kind kind, steady_time now,
+    std::mt19937_64& random)
+{
+    refill(s, limits, now);
+    std::span<cascade_cell> const cells = cells_of(s, stages, kind);
+    std::uniform_real_distribution<double> uniform(0, 1);
+    cascade_choice c;
+    c.stage = stages.size();
+    for (std::size_t i = 0; i < stages.size() && c.stage == stages.size(); ++i)
+    {
+        if (state_of(cells[i], stages[i], limits.quality_floor) !=
+            stage_state::sufficient)
+            continue;
+        c.stage = i;
+        c.reason = cells[i].ratings < min_ratings ? cascade_reason::declared
+                                                  : cascade_reason::learnt;
+    }
+    if (c.stage == stages.size())
+    {
+        c.reason = cascade_reason::best_known;
+        c.is_below_floor = true;
+        c.stage = 0;
+        for (std::size_t i = 1; i < stages.size(); ++i)
+        {
+            if (estimate_of(cells[i], stages[i]).quality >=
+                estimate_of(cells[c.stage], stages[c.stage]).quality)
+                c.stage = i;
+        }
+    }
+    if (s.budget >= 1 && uniform(random) < limits.explore_rate)
+    {
+        std::optional<std::size_t> const other =
+            find_exploration(cells, stages, limits.quality_floor, c.stage, now);
+        if (other)
+        {
+            c.stage = *other;
+            c.reason = cascade_reason::exploring;
+            c.is_below_floor = false;
+            c.should_rate = true;
+        }
+    }
+    if (!c.should_rate &&
+        s.budget >= 1 + explore_reserve * budget_limit(limits))
+        c.should_rate = true;
+    if (c.should_rate)
+        ask_rating(s, cells[c.stage], now);
+    c.estimate = estimate_of(cells[c.stage], stages[c.stage]).quality;
+    return c;
+}
+
+void note_rating(
+    cascade_state& s, request_kind kind, std::size_t stage,
+    std::uint64_t version_hash, double rating)
+{
+    if (stage >= s.stage_count || kind >= request_kind_count)
+        return;
+    cascade_cell& cell = s.cells[kind * s.stage_count + stage];
+    if (cell.version_hash != version_hash)
+        return;
+    if (cell.pending > 0)
+        --cell.pending;
+    double const r = std::clamp(rating, 0.0, 1.0);
+    double const keep = 1 - 1 / rating_memory;
+    cell.ratings = cell.ratings * keep + 1;
+    cell.rating_sum = cell.rating_sum * keep + r;
+    cell.rating_squares = cell.rating_squares * keep + r * r;
+}
+
+std::string
+explain(cascade_choice const& c, std::span<cascade_stage const> stages)
+{
+    constexpr std::array<std::string_view, 4> reasons{
+        "by declared quality", "sufficient by ratings",
+        "tried, cheaper and may suffice", "no model is known to suffice"};
+    std::array<char, 48> quality{};
+    std::snprintf(
+        quality.data(), quality.size(), " (quality about %.2f)", c.estimate);
+    return "cascade: " + stages[c.stage].model + ", " +
+           std::string(reasons.at(static_cast<std::size_t>(c.reason))) +
+           quality.data();
+}
+
+} // namespace marjorambeam
--- /dev/null
+++ b/src/cascade/cascade.hpp
@@ -0,0 +1,154 @@
+// Choice of the cheapest model that suffices, learnt from ratings.
+//
+// Example:
+//   auto stages = stages_of(config, contract);      // once per generation
+//   cascade_choice c = choose_stage(
+//       state, stages, limits, kind_of(features), now, random);
+//   run(stages[c.stage].model);
+//   if (c.should_rate)
+//       rate_later(...);
+//   // when the rating arrives, late or never:
+//   note_rating(state, kind, c.stage, stages[c.stage].version_hash, 0.9);
+//
+// Per customer and kind of request, each stage of the contract's cascade is
+// sufficient, insufficient or uncertain:
+// - With `min_ratings` ratings, it is sufficient when the lower confidence
+//   bound of its quality reaches the contract's floor and insufficient when
+//   the upper bound is below it.
+// - With fewer, it is sufficient when its declared quality reaches the floor.
+// A request goes to the cheapest sufficient stage. At the contract's rate it
+// tries the next cheaper stage that is uncertain, provided that the answer can
+// be rated within the budget. An insufficient stage is not chosen. When no
+// stage is sufficient, the best one is chosen, and the choice says so.
+//
+// Ratings are spent within the contract's budget per hour, half of it kept for
+// exploration. Missing ratings cost their part of the budget and change no
+// estimate. While many ratings of a stage are outstanding, as in an outage of
+// the rating service, it is not explored.
+//
+// Plain data and free functions, not thread-safe.
+#pragma once
+
+#include "base/time.hpp"
+#include "config/generation.hpp"
+#include "prompt_features/prompt_features.hpp"
+
+#include <cstdint>
+#include <random>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace marjorambeam
+{
+
+// Ratings of a kind and stage before they replace the declared quality.
+constexpr double min_ratings = 8;
+// The declared quality counts as this many ratings in the estimate.
+constexpr double prior_weight = 2;
+// Standard errors between the estimate and its bounds.
+constexpr double bound_width = 1.0;
+// Ratings are forgotten as if only about this many counted, so that a model
+// that changes is noticed.
+constexpr double rating_memory = 200;
+// Outstanding ratings of a kind and stage above which it is not explored.
+constexpr std::uint32_t max_pending = 10;
+// A rating that has not arrived after this time does not count as outstanding.
+constexpr duration pending_timeout = std::chrono::minutes(5);
+// The budget saves up at most this much of an hour.
+constexpr double budget_hours = 0.25;
+
+// One model of a cascade with its active version.
+struct cascade_stage
+{
+    std::string model;
+    std::uint64_t version_hash = 0; // of "model@version"
+    double price = 0;               // comparable between stages
+    double declared_quality = 0;
+};
+
+// What the contract sets, as far as it concerns this entry.
+struct cascade_limits
+{
+    double quality_floor = 0;
+    double explore_rate = 0;
+    double ratings_per_hour = 0; // this entry's part of the contract's budget
+};
+
+enum class stage_state : std::uint8_t
+{
+    uncertain,
+    sufficient,
+    insufficient
+};
+
+// What is known of one stage for one kind.
+struct cascade_cell
+{
+    std::uint64_t version_hash = 0;
+    double ratings = 0;
+    double rating_sum = 0;
+    double rating_squares = 0;
+    std::uint32_t pending = 0;
+    steady_time last_asked{};
+};
+
+// What an entry keeps for one customer. Bounded by the kinds and stages.
+struct cascade_state
+{
+    std::vector<cascade_cell> cells; // stages of kind 0, of kind 1, ...
+    std::size_t stage_count = 0;
+    double budget = 0; // ratings
+    bool is_started = false;
+    steady_time updated{};
+};
+
+enum class cascade_reason : std::uint8_t
+{
+    declared,  // no ratings yet, by declared quality
+    learnt,    // by ratings
+    exploring, // a cheaper stage that may suffice
+    best_known // no stage is known to reach the floor
+};
+
+struct cascade_choice
+{
+    std::size_t stage = 0;
+    cascade_reason reason = cascade_reason::declared;
+    bool should_rate = false;
+    bool is_below_floor = false; // not known to reach the floor
+    double estimate = 0;         // of the quality
+};
+
+// The stages of a contract from cheap to costly: its `cascade`, or else all
+// permitted models by price. Models without an active permitted version are
+// left out. Thread-safe.
+std::vector<cascade_stage>
+stages_of(config_snapshot const& config, contract const& c);
+
+// The contract's limits; the budget is divided by the live entries.
+cascade_limits limits_of(contract const& c, std::size_t live_entries);
+
+// Chooses the stage for one request. Preconditions: `stages` is not empty and
+// `kind` is below `request_kind_count`.
+cascade_choice choose_stage(
+    cascade_state& s, std::span<cascade_stage const> stages,
+    cascade_limits const& limits, request_kind kind, steady_time now,
+    std::mt19937_64& random);
+
+// Takes in a rating from 0 to 1 of an answer by that version; one of another
+// version than the cell holds is dropped.
+void note_rating(
+    cascade_state& s, request_kind kind, std::size_t stage,
+    std::uint64_t version_hash, double rating);
+
+// The state of a stage by its cell.
+stage_state state_of(
+    cascade_cell const& cell, cascade_stage const& stage, double quality_floor);
+
+// The choice in words.
+std::string
+explain(cascade_choice const& c, std::span<cascade_stage const> stages);
+
+} // namespace marjorambeam
