Serve the thin path end to end with routing, retries, billing and ctl bill

Cause: the entry chose upstreams and retries by stand-ins, and nothing was billed.

Change: routing_controller and usage_controller in the entry; the request controller uses the answer, routing and retry libraries; ctl bill merges the ledger.

Ruled out: billing replayed outcomes of non-idempotent calls, which were billed with the request that ran.

Before: requests were answered, none billed.

--- a/src/ctl/commands.cpp
+++ b/src/ctl/commands.cpp
@@ -1,4 +1,5 @@
 #include "config_edit/document_change.hpp"
+#include "ctl/bill_command.hpp"
 #include "ctl/ctl.hpp"
 #include "ctl/entry_commands.hpp"
 
@@ -393,7 +394,8 @@
         "version activate", "MODEL@VERSION", 1, 1, true, run_version_activate},
     ctl_command{"hash-key", "KEY|-", 1, 1, false, run_hash_key},
     ctl_command{"status", "", 0, 0, true, run_status},
-    ctl_command{"explain", "REQUEST_ID", 1, 1, false, run_explain}};
+    ctl_command{"explain", "REQUEST_ID", 1, 1, false, run_explain},
+    ctl_command{"bill", "CUSTOMER", 1, 1, true, run_bill}};
 
 } // namespace
 
--- a/src/ctl/ctl_test.cpp
+++ b/src/ctl/ctl_test.cpp
@@ -1,6 +1,7 @@
 #include "ctl/ctl.hpp"
 
 #include "base/hash.hpp"
+#include "billing/ledger.hpp"
 #include "ctl/entry_commands.hpp"
 #include "fakes/object_api/fake_object_api.hpp"
 
@@ -23,6 +24,7 @@
 struct fixture
 {
     ev::dynamic_loop loop;
+    http_client client{loop};
     fake_object_api api{loop, {.writes_per_second = 0, .reads_per_second = 0}};
     std::string out;
     std::string err;
@@ -211,3 +213,29 @@
     CHECK(f.run({"hash-key", "secret"}) == 0);
     CHECK(f.json()["key_hash"] == secret_hash("secret"));
 }
+
+// Guards against a bill that counts a request twice when two daemons posted
+// it, or that leaves out segments behind the first page.
+TEST_CASE("a bill has each request once over all segments")
+{
+    fixture f;
+    constexpr std::uint64_t segments = 250;
+    for (std::uint64_t i = 0; i < segments; ++i)
+    {
+        usage_record r;
+        r.request_id = "r-" + std::to_string(i / 2);
+        r.customer = "havbris";
+        r.stages.push_back({"tag@v1", 3, 5, 1, 2, 0});
+        r.poster = i % 2 == 0 ? process_role::entry : process_role::agent;
+        ledger_segment const s = make_segment(7, i + 1, {&r, 1});
+        REQUIRE(wait_for<stored_object>(
+            f.loop,
+            [&, store = object_store(f.client, f.api.url())](auto done) mutable
+            { store.create(ledger_kind, s.name, s.text, done); }));
+    }
+    REQUIRE(f.run({"bill", "havbris"}) == 0);
+    CHECK(f.json().at("requests") == segments / 2);
+    CHECK(f.json().at("cost_micro_credits") == segments / 2 * 13);
+    CHECK(f.json().at("lines").size() == segments / 2);
+    CHECK(f.run({"bill", "nobody"}) == 6);
+}
--- a/src/entry/caller_api.cpp
+++ b/src/entry/caller_api.cpp
@@ -1,12 +1,11 @@
 #include "entry/caller_api.hpp"
 
+#include "admission/admission.hpp"
 #include "base/hash.hpp"
 #include "entry/chat_request.hpp"
-#include "entry/decisions.hpp"
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
-#include <random>
 
 namespace marjorambeam
 {
@@ -15,6 +14,8 @@
 
 constexpr std::string_view chat_path = "/v1/chat/completions";
 constexpr std::size_t max_key_bytes = 255;
+// Assumed when the caller sets no limit, for queueing and admission.
+constexpr std::uint64_t default_max_tokens = 256;
 
 // Returns the request's deadline or the error of its header.
 result<duration> read_timeout(contract const& c, http_request const& in)
@@ -31,9 +32,12 @@
 
 } // namespace
 
-caller_api::caller_api(entry_state& state, request_controller& requests)
+caller_api::caller_api(
+    entry_state& state, request_controller& requests,
+    routing_controller& routing)
     : state_(state)
     , requests_(requests)
+    , routing_(routing)
     , ids_(state.cluster.identity.self)
 {
 }
@@ -166,6 +170,7 @@
     r->customer = c.customer;
     r->config = state_.cluster.config;
     r->admitted_at = steady_now();
+    r->admitted_wall_ms = to_unix_ms(wall_now());
     r->work.request_id = r->id;
     r->work.customer = c.customer;
     r->work.weight = c.weight;
@@ -191,6 +196,7 @@
     }
     r->deadline = r->admitted_at + *timeout;
     state_.cluster.counters.count("requests_admitted_total");
+    on_admitted(state_.retries, r->admitted_at);
     state_.traces.add(
         r->id, wall_now(),
         "Admitted for customer " + r->customer + " in generation " +
@@ -211,9 +217,23 @@
     r.work.kind = work_kind::model;
     r.work.path = chat_path;
     r.work.is_stream = r.chat.is_stream;
-    r.work.token_cost = estimate_tokens(r.chat);
-    if (result<void> ok = choose_version(c, r); !ok)
-        return ok;
+    r.features = features_of(c.customer, r.chat.prompt_start);
+    result<version_choice> const choice =
+        routing_.choose_version(c, r.chat.model, "", r.features, r.admitted_at);
+    if (!choice)
+        return tl::unexpected<error>(choice.error());
+    version const& v = *choice->document;
+    r.model = v.model;
+    r.version_id = v.id();
+    r.work.target = r.version_id;
+    r.work.token_cost = static_cast<std::uint64_t>(
+        estimate_cost(
+            r.chat.prompt_bytes,
+            static_cast<std::int64_t>(
+                r.chat.max_tokens == 0 ? default_max_tokens
+                                       : r.chat.max_tokens),
+            v)
+            .tokens);
     r.work.body = with_model(in.body, r.version_id);
     return {};
 }
--- a/src/entry/caller_api.hpp
+++ b/src/entry/caller_api.hpp
@@ -20,7 +20,9 @@
 class caller_api
 {
 public:
-    caller_api(entry_state& state, request_controller& requests);
+    caller_api(
+        entry_state& state, request_controller& requests,
+        routing_controller& routing);
 
     // Handles one request of a caller.
     void handle(std::shared_ptr<http_exchange> const& exchange);
@@ -44,6 +46,7 @@
 
     entry_state& state_;
     request_controller& requests_;
+    routing_controller& routing_;
     id_source ids_;
 };
 
--- a/src/entry/chat_request.cpp
+++ b/src/entry/chat_request.cpp
@@ -10,7 +10,7 @@
 
 using nlohmann::json;
 
-constexpr std::size_t prompt_start_bytes = 256;
+constexpr std::size_t prompt_start_bytes = 1024;
 constexpr std::uint64_t max_max_tokens = 1'000'000;
 constexpr std::int64_t max_timeout_ms = 24LL * 3600 * 1000;
 
--- a/src/entry/entry_daemon.cpp
+++ b/src/entry/entry_daemon.cpp
@@ -8,7 +8,7 @@
 {
 
 constexpr duration tick_interval = std::chrono::milliseconds(10);
-constexpr duration link_tick_interval = std::chrono::milliseconds(250);
+constexpr duration slow_tick_interval = std::chrono::milliseconds(250);
 
 daemon_identity
 make_identity(entry_settings const& s, std::string const& address)
@@ -55,8 +55,16 @@
           [this](std::shared_ptr<frame_connection> const& c) { on_peer(c); })
     , cluster_(loop, identify(), client_, store_, settings_.cluster)
     , links_(loop, state_.cluster, link_settings(settings_), link_handlers())
-    , requests_(state_, links_, [](entry_request const&, error const*) {})
-    , api_(state_, requests_)
+    , routing_(
+          state_,
+          [this](peer const& p) { return cluster_.is_live(p, steady_now()); },
+          state_.cluster.identity.self)
+    , usage_(state_, store_, links_)
+    , requests_(
+          state_, links_, routing_,
+          [this](entry_request const& r, error const* why)
+          { usage_.on_end(r, why); })
+    , api_(state_, requests_, routing_)
     , caller_server_(
           loop, caller_limits(settings_),
           [this](std::shared_ptr<http_exchange> const& ex) { api_.handle(ex); },
@@ -66,12 +74,13 @@
           [this](std::shared_ptr<http_exchange> const& ex)
           { handle_admin(ex); })
     , ticker_(loop, [this] { tick(); })
-    , link_ticker_(loop, [this] { links_.tick(steady_now()); })
+    , slow_ticker_(loop, [this] { slow_tick(); })
     , terminate_(loop, SIGTERM, [this] { begin_shutdown(); })
     , interrupt_(loop, SIGINT, [this] { begin_shutdown(); })
 {
     ticker_.start_every(tick_interval);
-    link_ticker_.start_every(link_tick_interval);
+    slow_ticker_.start_every(slow_tick_interval);
+    cluster_.on_config_change([this] { routing_.rebuild(); });
 }
 
 cluster_state& entry_daemon::identify()
@@ -168,6 +177,14 @@
         continue_shutdown(now);
 }
 
+void entry_daemon::slow_tick()
+{
+    steady_time const now = steady_now();
+    links_.tick(now);
+    routing_.tick();
+    usage_.tick(now);
+}
+
 void entry_daemon::begin_shutdown()
 {
     if (state_.cluster.is_shutting_down)
@@ -181,8 +198,10 @@
 
 void entry_daemon::continue_shutdown(steady_time now)
 {
-    bool const is_done =
-        state_.requests.empty() && caller_server_.open_exchanges() == 0;
+    usage_.flush();
+    bool const is_done = state_.requests.empty() &&
+                         caller_server_.open_exchanges() == 0 &&
+                         usage_.held() == 0;
     bool const is_late = now - shutdown_at_ >= settings_.drain_limit;
     if (!is_done && !is_late)
         return;
@@ -190,7 +209,7 @@
     {
         exit_code_ = 1;
         log_.error(
-            "The shutdown took too long; requests are cut.",
+            "The shutdown took too long; what is left is cut.",
             {{"requests", std::to_string(state_.requests.size())}});
         requests_.cut_all(now);
     }
--- a/src/entry/entry_daemon.hpp
+++ b/src/entry/entry_daemon.hpp
@@ -15,6 +15,8 @@
 #include "entry/entry_settings.hpp"
 #include "entry/entry_state.hpp"
 #include "entry/request_controller.hpp"
+#include "entry/routing_controller.hpp"
+#include "entry/usage_controller.hpp"
 #include "event_loop/event_loop.hpp"
 #include "http_client/http_client.hpp"
 #include "http_server/http_server.hpp"
@@ -65,6 +67,7 @@
         std::shared_ptr<frame_connection> const& connection, message const& m);
     void handle_admin(std::shared_ptr<http_exchange> const& exchange);
     void tick();
+    void slow_tick();
     void continue_shutdown(steady_time now);
     // Fills in who this daemon is; the listener is already bound.
     cluster_state& identify();
@@ -79,12 +82,14 @@
     frame_listener listener_;
     cluster_controller cluster_;
     agent_links links_;
+    routing_controller routing_;
+    usage_controller usage_;
     request_controller requests_;
     caller_api api_;
     http_server caller_server_;
     http_server admin_server_;
     loop_timer ticker_;
-    loop_timer link_ticker_;
+    loop_timer slow_ticker_;
     loop_signal terminate_;
     loop_signal interrupt_;
     logger log_{"entry"};
--- a/src/entry/entry_state.hpp
+++ b/src/entry/entry_state.hpp
@@ -15,9 +15,10 @@
 #include "entry/chat_request.hpp"
 #include "entry/trace_log.hpp"
 #include "http_server/http_server.hpp"
+#include "prompt_features/prompt_features.hpp"
+#include "retry/retry.hpp"
 #include "wire/message.hpp"
 
-#include <map>
 #include <memory>
 #include <string>
 #include <unordered_map>
@@ -43,13 +44,21 @@
     chat_request chat;
     std::string session_token; // returned to the caller when not empty
 
-    // The present attempt.
-    std::string instance;           // of the agent; empty between attempts
-    std::vector<std::string> tried; // instances of earlier attempts
-    incarnation answering = 0;      // process that answers, 0 until it does
+    prompt_features features;
+    std::int64_t admitted_wall_ms = 0;
+
+    // The present attempt; empty between attempts.
+    std::string upstream;
+    std::string instance;      // of its agent
+    incarnation answering = 0; // process that answers, 0 until it does
     std::unique_ptr<answer_assembly> answer;
 
     // Over all attempts.
+    std::vector<std::string> tried;     // upstreams of earlier attempts
+    std::vector<std::string> instances; // agents that received an attempt
+    std::string owner; // upstream that owns the key, when an agent named it
+    run_state earlier_run = run_state::not_run; // combined
+    bool is_replay = false; // answered with the outcome of an earlier request
     std::uint64_t tokens_in = 0;
     std::uint64_t tokens_out = 0;
     bool has_first_token = false;
@@ -64,9 +73,7 @@
 
     cluster_state cluster;
     std::unordered_map<std::string, std::unique_ptr<entry_request>> requests;
-    // Last load that each agent reported, by instance.
-    std::map<std::string, std::pair<upstream_load, steady_time>, std::less<>>
-        loads;
+    retry_budget retries;
     trace_log traces;
 };
 
--- a/src/entry/request_controller.cpp
+++ b/src/entry/request_controller.cpp
@@ -7,9 +7,11 @@
 {
 
 request_controller::request_controller(
-    entry_state& state, agent_links& links, end_handler on_end)
+    entry_state& state, agent_links& links, routing_controller& routing,
+    end_handler on_end)
     : state_(state)
     , links_(links)
+    , routing_(routing)
     , on_end_(std::move(on_end))
 {
 }
@@ -58,6 +60,8 @@
                 return;
             error const why =
                 make_error(error_kind::cancelled, "the caller disconnected");
+            it->second->earlier_run =
+                combine(it->second->earlier_run, run_state::unknown);
             finish(*it->second, &why, steady_now());
         });
     start_attempt(r, now);
@@ -65,15 +69,16 @@
 
 void request_controller::start_attempt(entry_request& r, steady_time now)
 {
-    ++r.work.attempt;
-    result<std::string> const agent = choose_agent(state_, r);
-    if (!agent)
+    result<route> const to = routing_.choose(r, now);
+    if (!to)
     {
-        --r.work.attempt;
-        give_up(r, agent.error(), now);
+        give_up(r, to.error(), now);
         return;
     }
-    r.instance = *agent;
+    ++r.work.attempt;
+    r.upstream = to->upstream;
+    r.instance = to->instance;
+    r.instances.push_back(to->instance);
     r.answering = 0;
     r.work.sender = state_.cluster.identity.self;
     r.work.generation = state_.cluster.config->number;
@@ -83,17 +88,17 @@
             .count();
     explain(
         r, "Attempt " + std::to_string(r.work.attempt) + " for " +
-               r.work.target + " goes to " + r.instance + ".");
+               r.work.target + " goes to " + r.upstream + ": " + to->reason +
+               ".");
+    routing_.note_sent(r.upstream);
     links_.send(r.instance, r.work, now);
 }
 
 void request_controller::on_message(
     std::string_view instance, message&& m, steady_time now)
 {
-    auto note_load = [&](upstream_load const& load) {
-        state_.loads.insert_or_assign(
-            std::string(instance), std::pair(load, now));
-    };
+    auto note_load = [&](upstream_load const& load)
+    { routing_.note_load(instance, load, now); };
     auto dispatch = [&](auto const& value, auto handler)
     {
         if (entry_request* r = find(value.request_id, value.attempt))
@@ -128,6 +133,7 @@
     error why = make_error(m.kind, m.text);
     why.run = m.run;
     why.retry_after = std::chrono::milliseconds(m.retry_after_ms);
+    r.owner = m.owner;
     fail_attempt(r, why, now);
 }
 
@@ -187,6 +193,8 @@
     if (!check(r, r.answer->accept(m), now))
         return;
     r.tokens_in = m.tokens_in;
+    r.earlier_run = run_state::ran;
+    r.is_replay = m.is_replay;
     r.tokens_out =
         r.work.is_stream ? r.answer->delivered().tokens : m.tokens_out;
     if (r.exchange->is_started())
@@ -226,9 +234,28 @@
     if (r.instance.empty())
         return;
     links_.finish(r.instance, {r.id, r.work.attempt});
+    routing_.note_done(r.upstream);
     r.answer->end_attempt();
-    r.tried.push_back(r.instance);
+    r.tried.push_back(r.upstream);
     r.instance.clear();
+    r.upstream.clear();
+}
+
+retry_question request_controller::question_after(
+    entry_request const& r, error const& why, steady_time now)
+{
+    retry_question q;
+    q.kind = why.kind;
+    q.run = why.run;
+    q.earlier_run = r.earlier_run;
+    q.is_idempotent = r.work.is_idempotent;
+    q.has_delivered = r.exchange->is_started();
+    q.can_resume = r.work.kind == work_kind::model;
+    q.attempts = r.work.attempt;
+    q.remaining = r.deadline - now;
+    q.retry_after = why.retry_after;
+    q.has_other = !r.owner.empty() || routing_.has_other(r, now);
+    return q;
 }
 
 void request_controller::fail_attempt(
@@ -237,13 +264,23 @@
     explain(
         r, "Attempt " + std::to_string(r.work.attempt) + " failed: " +
                std::string(to_string(why.kind)) + ", " + why.message + ".");
+    if (why.run != run_state::not_run)
+        routing_.note_failed(r.upstream, now);
     leave_attempt(r);
-    if (after_failure(r, why, now) == next_step::give_up)
+    retry_decision const d =
+        decide_retry(state_.retries, question_after(r, why, now));
+    r.earlier_run = combine(r.earlier_run, why.run);
+    if (d.action == retry_action::give_up)
     {
-        give_up(r, why, now);
+        state_.cluster.counters.count("given_up_total", to_string(d.reason));
+        error last = why;
+        last.kind = d.kind;
+        last.run = d.run;
+        last.retry_after = d.retry_after;
+        give_up(r, last, now);
         return;
     }
-    state_.cluster.counters.count("retries_total", to_string(why.kind));
+    state_.cluster.counters.count("retries_total", to_string(d.reason));
     start_attempt(r, now);
 }
 
@@ -300,10 +337,9 @@
     }
     for (entry_request* it : expired)
     {
-        error why = make_error(
+        error const why = make_error(
             error_kind::deadline_exceeded, "the request's deadline passed");
-        if (it->instance.empty())
-            why.run = run_state::not_run;
+        it->earlier_run = combine(it->earlier_run, why.run);
         give_up(*it, why, now);
     }
 }
@@ -318,6 +354,7 @@
         error why = make_error(
             error_kind::shutting_down, "the entry stops and can't wait longer");
         why.run = run_state::unknown;
+        it->earlier_run = combine(it->earlier_run, why.run);
         give_up(*it, why, now);
     }
 }
--- a/src/entry/request_controller.hpp
+++ b/src/entry/request_controller.hpp
@@ -9,8 +9,8 @@
 #pragma once
 
 #include "entry/agent_links.hpp"
-#include "entry/decisions.hpp"
 #include "entry/entry_state.hpp"
+#include "entry/routing_controller.hpp"
 #include "log/log.hpp"
 
 #include <functional>
@@ -30,7 +30,8 @@
         std::function<void(entry_request const&, error const* why)>;
 
     request_controller(
-        entry_state& state, agent_links& links, end_handler on_end);
+        entry_state& state, agent_links& links, routing_controller& routing,
+        end_handler on_end);
 
     // Starts an admitted request. Precondition: nothing was sent on its
     // exchange, and its target is set.
@@ -60,6 +61,8 @@
     void on_end(entry_request& r, answer_end const& m, steady_time now);
     void on_failed(entry_request& r, answer_failed const& m, steady_time now);
     void fail_attempt(entry_request& r, error const& why, steady_time now);
+    retry_question
+    question_after(entry_request const& r, error const& why, steady_time now);
     void give_up(entry_request& r, error const& why, steady_time now);
     void leave_attempt(entry_request& r);
     void finish(entry_request& r, error const* why, steady_time now);
@@ -68,6 +71,7 @@
 
     entry_state& state_;
     agent_links& links_;
+    routing_controller& routing_;
     end_handler on_end_;
     logger log_{"request"};
 };
--- /dev/null
+++ b/src/entry/routing_controller.cpp
@@ -0,0 +1,202 @@
+#include "entry/routing_controller.hpp"
+
+#include "base/hash.hpp"
+
+#include <algorithm>
+
+namespace marjorambeam
+{
+namespace
+{
+
+// Of two instances that claim one upstream, the one heard from last serves it.
+bool is_newer(peer const& a, peer const& b)
+{
+    return a.last_heard > b.last_heard;
+}
+
+} // namespace
+
+routing_controller::routing_controller(
+    entry_state& state, live_test is_live, std::uint64_t seed)
+    : state_(state)
+    , is_live_(std::move(is_live))
+    , random_(seed)
+{
+    rebuild();
+}
+
+std::uint64_t routing_controller::live_set_hash() const
+{
+    std::uint64_t hash = 0;
+    for (auto const& [instance, p] : state_.cluster.peers)
+    {
+        bool const is_live = is_live_(p);
+        if (is_live || p.is_leaving)
+        {
+            hash = hash64(instance, hash);
+            hash = hash64(p.upstream, hash + (p.is_leaving ? 1 : 0));
+        }
+    }
+    return hash;
+}
+
+void routing_controller::rebuild()
+{
+    cluster_state const& cluster = state_.cluster;
+    std::map<std::string_view, peer const*> by_upstream;
+    std::vector<entry_view> entries{
+        {cluster.identity.instance, cluster.identity.availability_zone}};
+    for (auto const& [instance, p] : cluster.peers)
+    {
+        if (!is_live_(p))
+            continue;
+        if (p.role == process_role::entry)
+        {
+            entries.push_back({instance, p.availability_zone});
+            continue;
+        }
+        peer const*& best = by_upstream[p.upstream];
+        if (best == nullptr || is_newer(p, *best))
+            best = &p;
+    }
+    std::vector<agent_view> agents;
+    for (auto const& [name, p] : by_upstream)
+        agents.push_back({std::string(name), p->instance, p->is_leaving});
+    routing_inputs const in{
+        cluster.config, agents, entries, cluster.identity.instance,
+        cluster.identity.availability_zone};
+    table_ = build_routing_table(in, &table_);
+    built_for_ = live_set_hash();
+}
+
+void routing_controller::tick()
+{
+    if (live_set_hash() != built_for_)
+        rebuild();
+}
+
+std::vector<std::string> routing_controller::live_entries() const
+{
+    std::vector<std::string> names{state_.cluster.identity.instance};
+    for (auto const& [instance, p] : state_.cluster.peers)
+    {
+        if (p.role == process_role::entry && is_live_(p))
+            names.push_back(instance);
+    }
+    std::sort(names.begin(), names.end());
+    return names;
+}
+
+result<version_choice> routing_controller::choose_version(
+    contract const& c, std::string_view model, std::string_view pin,
+    prompt_features const& features, steady_time now)
+{
+    std::string chosen(model);
+    if (model == "auto" && !pin.empty())
+        chosen = pin.substr(0, pin.find('@'));
+    else if (model == "auto")
+    {
+        std::vector<cascade_stage> const stages = stages_of(*table_.config, c);
+        if (stages.empty())
+        {
+            return fail(
+                error_kind::model_not_allowed,
+                "the contract allows no model with an active version");
+        }
+        cascade_choice const stage = choose_stage(
+            cascades_[c.customer], stages, limits_of(c, live_entries().size()),
+            kind_of(features), now, random_);
+        chosen = stages[stage.stage].model;
+    }
+    std::uniform_real_distribution<double> uniform(0, 1);
+    return marjorambeam::choose_version(
+        table_, c, chosen, pin, uniform(random_));
+}
+
+std::vector<upstream_index>
+routing_controller::tried_indexes(entry_request const& r) const
+{
+    std::vector<upstream_index> tried;
+    for (std::string const& it : r.tried)
+    {
+        upstream_index const u = find_upstream(table_, it);
+        if (u != no_index)
+            tried.push_back(u);
+    }
+    return tried;
+}
+
+route_choice
+routing_controller::choose_index(entry_request const& r, steady_time now)
+{
+    std::vector<upstream_index> const tried = tried_indexes(r);
+    route_request in;
+    in.pool = find_pool(table_, r.work.target);
+    in.prefix_hash = r.features.prefix_hash;
+    in.tokens = static_cast<double>(r.work.token_cost);
+    in.tried = tried;
+    return choose_upstream(table_, in, now, random_);
+}
+
+result<route>
+routing_controller::choose(entry_request const& r, steady_time now)
+{
+    if (!r.owner.empty())
+    {
+        upstream_index const u = find_upstream(table_, r.owner);
+        if (u != no_index && table_.status[u].is_routable)
+        {
+            upstream_slot const& slot = table_.slots[u];
+            return route{slot.name, slot.instance, "owner of the key"};
+        }
+    }
+    route_choice const c = choose_index(r, now);
+    if (c.upstream == no_index)
+    {
+        return fail(
+            error_kind::no_upstream,
+            "no upstream in service serves " + r.work.target);
+    }
+    upstream_slot const& slot = table_.slots[c.upstream];
+    return route{slot.name, slot.instance, explain(table_, c)};
+}
+
+bool routing_controller::has_other(entry_request const& r, steady_time now)
+{
+    return choose_index(r, now).upstream != no_index;
+}
+
+void routing_controller::note_load(
+    std::string_view instance, upstream_load const& load, steady_time now)
+{
+    auto const it = state_.cluster.peers.find(instance);
+    if (it == state_.cluster.peers.end())
+        return;
+    upstream_index const u = find_upstream(table_, it->second.upstream);
+    if (u != no_index)
+        marjorambeam::note_load(table_, u, load, now);
+}
+
+void routing_controller::note_sent(std::string_view upstream)
+{
+    upstream_index const u = find_upstream(table_, upstream);
+    if (u != no_index)
+        marjorambeam::note_sent(table_, u);
+}
+
+void routing_controller::note_done(std::string_view upstream)
+{
+    upstream_index const u = find_upstream(table_, upstream);
+    if (u != no_index)
+        marjorambeam::note_done(table_, u);
+}
+
+void routing_controller::note_failed(std::string_view upstream, steady_time now)
+{
+    upstream_index const u = find_upstream(table_, upstream);
+    if (u != no_index)
+        marjorambeam::note_failed(table_, u, now);
+}
+
+} // namespace marjorambeam
--- /dev/null
+++ b/src/entry/routing_controller.hpp
@@ -0,0 +1,86 @@
+// Keeps the routing table up to date and asks it for versions and upstreams.
+//
+// Example:
+//   routing_controller routing(state, is_live, random_incarnation());
+//   routing.rebuild();
+//   result<version_choice> v = routing.choose_version(c, "auto", pin, chat);
+//   result<route> r = routing.choose(request, now);
+//
+// Used on the loop's thread only; not thread-safe.
+#pragma once
+
+#include "cascade/cascade.hpp"
+#include "entry/entry_state.hpp"
+#include "routing/routing.hpp"
+
+#include <functional>
+#include <map>
+#include <random>
+#include <string>
+#include <string_view>
+
+namespace marjorambeam
+{
+
+// Where an attempt goes, and why in words.
+struct route
+{
+    std::string upstream;
+    std::string instance; // of its agent
+    std::string reason;
+};
+
+class routing_controller
+{
+public:
+    using live_test = std::function<bool(peer const&)>;
+
+    // `is_live` tells whether new work may be sent to a peer; `seed` starts
+    // the random choices.
+    routing_controller(
+        entry_state& state, live_test is_live, std::uint64_t seed);
+
+    // Builds the table from the configuration and the live set. Call after a
+    // change of the configuration.
+    void rebuild();
+
+    // Builds the table again if the live set changed. Call a few times a
+    // second.
+    void tick();
+
+    // Chooses model and version. `model` may be "auto"; `pin` is the session's
+    // "model@version" or empty. Errors: those of routing's choose_version, and
+    // model_not_allowed when the contract permits no model at all.
+    result<version_choice> choose_version(
+        contract const& c, std::string_view model, std::string_view pin,
+        prompt_features const& features, steady_time now);
+
+    // Chooses the upstream of the next attempt. Error: no_upstream.
+    result<route> choose(entry_request const& r, steady_time now);
+
+    // Whether an upstream that was not tried can be had.
+    bool has_other(entry_request const& r, steady_time now);
+
+    void note_load(
+        std::string_view instance, upstream_load const& load, steady_time now);
+    void note_sent(std::string_view upstream);
+    void note_done(std::string_view upstream);
+    void note_failed(std::string_view upstream, steady_time now);
+
+    // Instances of the live entries, this one included, in ascending order.
+    std::vector<std::string> live_entries() const;
+
+private:
+    std::uint64_t live_set_hash() const;
+    std::vector<upstream_index> tried_indexes(entry_request const& r) const;
+    route_choice choose_index(entry_request const& r, steady_time now);
+
+    entry_state& state_;
+    live_test is_live_;
+    std::mt19937_64 random_;
+    routing_table table_;
+    std::uint64_t built_for_ = 0;
+    std::map<std::string, cascade_state, std::less<>> cascades_;
+};
+
+} // namespace marjorambeam
