Report a repeated HTTP request as unknown when the repetition is refused

Cause: libcurl repeats a request whose reused connection closes before the first byte. When the repetition found nobody listening, http_client reported not_run although the first request had been sent; a caller could then run a call twice that must not repeat, or write to the object API twice. Change: not_run needs that libcurl has sent no byte of any repetition (CURLINFO_REQUEST_SIZE is zero). Ruled out: fresh connections for all calls; a client that polls often needs reuse. Conclusion: not_run is accurate for reused connections as well.

--- a/src/http_client/http_client.cpp
+++ b/src/http_client/http_client.cpp
@@ -105,9 +105,14 @@
         curl_easy_strerror(code));
     long new_connections = 0;
     curl_easy_getinfo(t.easy, CURLINFO_NUM_CONNECTS, &new_connections);
+    // Sums up the attempts of this call: libcurl repeats a request whose
+    // reused connection closed, and only the repetition may be unconnected.
+    long request_bytes = 0;
+    curl_easy_getinfo(t.easy, CURLINFO_REQUEST_SIZE, &request_bytes);
     bool const is_unconnected =
-        code == CURLE_COULDNT_CONNECT ||
-        (is_timeout && new_connections > 0 && connect_seconds == 0);
+        request_bytes == 0 &&
+        (code == CURLE_COULDNT_CONNECT ||
+         (is_timeout && new_connections > 0 && connect_seconds == 0));
     if (is_unconnected)
         e.run = run_state::not_run;
     return tl::unexpected<error>(std::move(e));
--- a/src/http_client/http_client_test.cpp
+++ b/src/http_client/http_client_test.cpp
@@ -4,6 +4,7 @@
 #include "http_server/http_server.hpp"
 
 #include <catch2/catch.hpp>
+#include <optional>
 
 using namespace marjorambeam;
 
@@ -127,3 +128,43 @@
     REQUIRE_FALSE(reply);
     CHECK(reply.error().run == run_state::not_run);
 }
+
+// Guards against a request that is reported as not run although it was sent:
+// libcurl repeats it when a reused connection closes, and the repetition finds
+// nobody listening.
+TEST_CASE("a lost request whose repetition is refused is unknown")
+{
+    ev::dynamic_loop loop;
+    int requests = 0;
+    http_server* listener = nullptr;
+    http_server server(
+        loop, {},
+        [&](std::shared_ptr<http_exchange> const& ex)
+        {
+            if (++requests == 1)
+                return ex->respond(200, {}, "first");
+            listener->stop_listening();
+            ex->drop();
+        });
+    listener = &server;
+    http_client client(loop);
+    std::optional<error> failure;
+    http_call const second{
+        .method = "POST", .url = url_of(server, "/"), .body = "x"};
+    client.send(
+        {.url = url_of(server, "/")},
+        [&](result<http_reply> const& first)
+        {
+            REQUIRE(first);
+            client.send(
+                second,
+                [&](result<http_reply> const& r)
+                {
+                    failure = r.error();
+                    loop.break_loop(ev::ALL);
+                });
+        });
+    loop.run();
+    REQUIRE(requests == 2);
+    CHECK(failure->run == run_state::unknown);
+}
