Remove an entry's deadline from the fair queue without a search

Cause: the benchmark showed 10 us for a push and a pop with 1024 waiting: the deadlines were a multimap, and entries with equal deadlines were searched one by one. Change: a set of deadline and id.

--- a/src/fair_queue/fair_queue.cpp
+++ b/src/fair_queue/fair_queue.cpp
@@ -107,9 +107,7 @@
     f.cost -= it->cost;
     cost_ -= it->cost;
     flow_of_.erase(it->id);
-    auto [from, to] = deadlines_.equal_range(it->deadline);
-    deadlines_.erase(std::find_if(
-        from, to, [&](auto const& d) { return d.second == it->id; }));
+    deadlines_.erase({it->deadline, it->id});
     if (is_first)
         active_.erase(key_of(f));
     f.entries.erase(it);
--- a/src/fair_queue/fair_queue.hpp
+++ b/src/fair_queue/fair_queue.hpp
@@ -122,7 +122,7 @@
     flow_map flows_;
     std::set<active_key> active_; // flows with entries, by start of the first
     std::unordered_map<std::uint64_t, flow*> flow_of_; // by entry id
-    std::multimap<steady_time, std::uint64_t> deadlines_;
+    std::set<std::pair<steady_time, std::uint64_t>> deadlines_;
 };
 
 } // namespace marjorambeam
