--- a/src/cluster/cluster_controller.cpp
+++ b/src/cluster/cluster_controller.cpp
@@ -10,7 +10,9 @@
 
 using nlohmann::json;
 
-constexpr duration watch_choice_period = std::chrono::seconds(1);
+// A daemon that waits this long for the instance list chooses watchers from
+// what it knows. Without the wait, every starting daemon would be a watcher.
+constexpr duration list_wait = std::chrono::seconds(2);
 constexpr duration store_retry = std::chrono::seconds(1);
 constexpr duration checkpoint_retry = std::chrono::seconds(10);
 constexpr duration list_timeout = std::chrono::seconds(2);
@@ -88,7 +90,7 @@
            .on_done = [this](bool ok) { end_store_call(ok); },
            .on_bytes = [this](std::uint64_t sent, std::uint64_t received)
            { count_bytes(sent, received); }})
-    , puller_(loop, settings_.sync.pull_timeout)
+    , puller_(loop)
     , tick_timer_(loop, [this] { tick(steady_now()); })
     , list_timer_(loop, [this] { read_instance_list(); })
 {
@@ -262,6 +264,7 @@
         .generation = history_.current->number};
     puller_.start(
         it->second.address, own, history_.current->number,
+        pull_timeout(sync_, settings_.sync),
         {.on_answer =
              [this](config_generations g) -> std::optional<std::uint64_t>
          {
@@ -383,9 +386,11 @@
 {
     tick_timer_.start(varied(settings_.tick_period, random_));
     remove_gone(state_.peers, settings_.sync.members, now);
-    if (now >= next_watch_choice_)
+    bool const knows_list = has_list_ || settings_.instance_list_url.empty() ||
+                            now - sync_.started_at >= list_wait;
+    if (knows_list && now >= next_watch_choice_)
     {
-        next_watch_choice_ = now + watch_choice_period;
+        next_watch_choice_ = now + settings_.sync.digest_period;
         auto const holders = watch_holders(
             state_.identity, state_.peers, history_.current->zones,
             settings_.sync.members, now);
@@ -425,6 +430,7 @@
     if (!list)
         return;
     count_bytes(0, reply->body.size());
+    has_list_ = true;
     merge_list(
         state_.peers, *list, state_.identity.instance, settings_.sync.members,
         steady_now());
--- a/src/ctl/commands.cpp
+++ b/src/ctl/commands.cpp
@@ -1,4 +1,5 @@
 #include "config_edit/document_change.hpp"
+#include "ctl/bill_command.hpp"
 #include "ctl/ctl.hpp"
 #include "ctl/entry_commands.hpp"
 
@@ -101,8 +102,9 @@
     print_change(c, true, end);
     if (!c.configs.checkpoint_failure().empty())
     {
-        c.err << "marjorambeam-ctl: the change is accepted, but the checkpoint "
-                 "was not written: "
+        c.err << "marjorambeam-ctl: the change is accepted, but its checkpoint "
+                 "is not confirmed; a later change writes one if it is "
+                 "missing: "
               << c.configs.checkpoint_failure() << "\n";
     }
     return exit_code::done;
@@ -392,7 +394,8 @@
         "version activate", "MODEL@VERSION", 1, 1, true, run_version_activate},
     ctl_command{"hash-key", "KEY|-", 1, 1, false, run_hash_key},
     ctl_command{"status", "", 0, 0, true, run_status},
-    ctl_command{"explain", "REQUEST_ID", 1, 1, false, run_explain}};
+    ctl_command{"explain", "REQUEST_ID", 1, 1, false, run_explain},
+    ctl_command{"bill", "CUSTOMER", 1, 1, true, run_bill}};
 
 } // namespace
 
