--- /dev/null
+++ b/src/at_most_once/key_window.cpp
@@ -0,0 +1,334 @@
+#include "at_most_once/key_window.hpp"
+
+#include "base/hash.hpp"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace marjorambeam
+{
+namespace
+{
+
+using json = nlohmann::json;
+
+std::string id_of(key_request const& r)
+{
+    std::string id;
+    id.reserve(r.customer.size() + r.service.size() + r.key.size() + 2);
+    id += r.customer;
+    id += '\0';
+    id += r.service;
+    id += '\0';
+    id += r.key;
+    return id;
+}
+
+key_verdict refuse(error_kind kind)
+{
+    return {key_step::refuse, kind};
+}
+
+key_verdict judge_known(key_phase phase, bool is_same_request)
+{
+    if (!is_same_request)
+        return refuse(error_kind::key_reused);
+    switch (phase)
+    {
+    case key_phase::done:
+        return {key_step::replay};
+    case key_phase::reserving:
+    case key_phase::running:
+        return refuse(error_kind::key_in_progress);
+    case key_phase::done_only:
+    case key_phase::unknown:
+    case key_phase::unreserved:
+        break;
+    }
+    return refuse(error_kind::key_outcome_unknown);
+}
+
+char const* message_of(error_kind kind)
+{
+    switch (kind)
+    {
+    case error_kind::key_reused:
+        return "the key was used for another request";
+    case error_kind::key_in_progress:
+        return "a request with this key is running";
+    case error_kind::key_outcome_unknown:
+        return "a request with this key may have run; its outcome is not known";
+    case error_kind::key_expired:
+        return "the key is older than the keys that are remembered";
+    case error_kind::key_time_invalid:
+        return "the key's time is in the future";
+    case error_kind::not_keyspace_owner:
+        return "another agent owns the key";
+    default:
+        return "the key can't be checked now";
+    }
+}
+
+key_admission refusal(error_kind kind)
+{
+    key_admission a;
+    a.refusal = make_error(kind, message_of(kind));
+    return a;
+}
+
+} // namespace
+
+key_verdict judge_key(
+    partition_state const& s, key_question const& q, clock_reading now,
+    once_limits const& limits)
+{
+    // What this process remembers stays true without the lease.
+    bool const is_retry = q.known == key_phase::unreserved && q.is_same_request;
+    if (q.known && !is_retry)
+        return judge_known(*q.known, q.is_same_request);
+    if (!may_admit(s, now, limits))
+        return refuse(error_kind::not_keyspace_owner);
+    if (q.key_time_ms < 0)
+    {
+        if (!q.is_store_up)
+            return refuse(error_kind::keyspace_unavailable);
+        return {key_step::reserve_first};
+    }
+    if (q.key_time_ms > now.wall_ms + limits.future_ms)
+        return refuse(error_kind::key_time_invalid);
+    std::int64_t const oldest =
+        std::max({s.bound_ms, q.floor_ms, now.wall_ms - limits.window_ms});
+    if (q.key_time_ms < oldest)
+        return refuse(error_kind::key_expired);
+    return {key_step::run};
+}
+
+key_window::key_window(incarnation self, key_window_limits limits)
+    : self_(self)
+    , limits_(limits)
+{
+}
+
+key_window::entry* key_window::find(key_request const& r)
+{
+    auto const found = keys_.find(id_of(r));
+    return found == keys_.end() ? nullptr : &found->second;
+}
+
+void key_window::prune(std::int64_t wall_ms)
+{
+    std::int64_t const oldest = wall_ms - limits_.times.window_ms;
+    while (!order_.empty())
+    {
+        auto const found = keys_.find(order_.front().id);
+        bool const is_kept = found != keys_.end() &&
+                             found->second.serial == order_.front().serial;
+        if (is_kept)
+        {
+            if (found->second.time_ms >= oldest)
+                return;
+            floor_ms_ = std::max(floor_ms_, found->second.time_ms + 1);
+            if (found->second.outcome)
+                recorded_bytes_ -= found->second.outcome->body.size();
+            keys_.erase(found);
+        }
+        order_.pop_front();
+    }
+}
+
+std::string key_window::token_of(entry const& e) const
+{
+    return to_hex(self_) + "-" + std::to_string(e.serial);
+}
+
+void key_window::name_reservation(
+    key_admission& a, key_request const& r, entry const& e) const
+{
+    // The token tells this reservation from an earlier one by this process
+    // that has left the window since.
+    json const value = {
+        {"token", token_of(e)},
+        {"fingerprint", to_hex(e.fingerprint)},
+        {"first_seen_ms", e.time_ms}};
+    a.reservation_name = secret_hash(id_of(r));
+    a.reservation_value = value.dump();
+}
+
+key_admission key_window::start(
+    partition_state& s, key_request const& r, key_verdict v,
+    std::int64_t key_time_ms, clock_reading now)
+{
+    key_admission a;
+    a.step = v.step;
+    std::string id = id_of(r);
+    auto [it, is_new] = keys_.try_emplace(id);
+    entry& e = it->second;
+    if (is_new)
+    {
+        e.fingerprint = r.fingerprint;
+        e.serial = ++last_serial_;
+        e.time_ms = key_time_ms < 0 ? now.wall_ms : key_time_ms;
+        order_.push_back({std::move(id), e.serial});
+    }
+    if (v.step == key_step::run)
+    {
+        e.phase = key_phase::running;
+        s.max_admitted_ms = std::max(s.max_admitted_ms, key_time_ms);
+        return a;
+    }
+    e.phase = key_phase::reserving;
+    name_reservation(a, r, e);
+    return a;
+}
+
+key_admission key_window::admit(
+    partition_state& s, key_request const& r, bool is_store_up,
+    clock_reading now)
+{
+    // Only a clock that the lease vouches for may shorten the memory.
+    if (may_admit(s, now, limits_.times))
+        prune(now.wall_ms);
+    entry const* e = find(r);
+    // The time decides only about keys that have not run.
+    bool const is_settled = e != nullptr && e->phase != key_phase::unreserved;
+    std::int64_t const key_time_ms = is_settled ? -1 : uuid7_unix_ms(r.key);
+    key_question q;
+    if (e != nullptr)
+    {
+        q.known = e->phase;
+        q.is_same_request = e->fingerprint == r.fingerprint;
+    }
+    q.key_time_ms = key_time_ms;
+    q.floor_ms = floor_ms_;
+    q.is_store_up = is_store_up;
+    key_verdict const v = judge_key(s, q, now, limits_.times);
+    if (v.step == key_step::replay)
+    {
+        key_admission a;
+        a.step = v.step;
+        a.outcome = e->outcome;
+        return a;
+    }
+    if (v.step == key_step::refuse)
+    {
+        key_admission a = refusal(v.kind);
+        if (e != nullptr && e->phase == key_phase::done_only &&
+            v.kind == error_kind::key_outcome_unknown)
+            a.refusal.run = run_state::ran;
+        return a;
+    }
+    // Forgetting a key early would let it run again.
+    if (e == nullptr && keys_.size() >= limits_.keys)
+    {
+        key_admission a = refusal(error_kind::keyspace_unavailable);
+        a.refusal.message = "too many keys are remembered";
+        return a;
+    }
+    return start(s, r, v, key_time_ms, now);
+}
+
+key_admission
+key_window::on_reservation(key_request const& r, result<void> const& created)
+{
+    entry* e = find(r);
+    if (e == nullptr || e->phase != key_phase::reserving)
+        return refusal(error_kind::keyspace_unavailable);
+    key_admission a;
+    if (created)
+    {
+        e->phase = key_phase::running;
+        a.step = key_step::run;
+        return a;
+    }
+    if (created.error().kind == error_kind::conflict)
+    {
+        a.step = key_step::read_back;
+        name_reservation(a, r, *e);
+        return a;
+    }
+    // The reservation may be in the store, but nothing has run for it.
+    e->phase = key_phase::unreserved;
+    return refusal(error_kind::keyspace_unavailable);
+}
+
+key_admission
+key_window::on_read_back(key_request const& r, result<std::string> const& value)
+{
+    entry* e = find(r);
+    if (e == nullptr || e->phase != key_phase::reserving)
+        return refusal(error_kind::keyspace_unavailable);
+    if (!value)
+    {
+        e->phase = key_phase::unreserved;
+        return refusal(error_kind::keyspace_unavailable);
+    }
+    json const j = json::parse(*value, nullptr, false);
+    auto const field = [&](char const* name)
+    { return j.is_object() ? j.value(name, std::string()) : std::string(); };
+    if (field("token") == token_of(*e))
+    {
+        e->phase = key_phase::running;
+        key_admission a;
+        a.step = key_step::run;
+        return a;
+    }
+    bool const is_same = field("fingerprint") == to_hex(e->fingerprint);
+    keys_.erase(id_of(r));
+    return refusal(
+        is_same ? error_kind::key_outcome_unknown : error_kind::key_reused);
+}
+
+void key_window::trim_outcomes()
+{
+    while (recorded_bytes_ > limits_.total_bytes && !recorded_.empty())
+    {
+        auto const found = keys_.find(recorded_.front().id);
+        bool const is_kept = found != keys_.end() &&
+                             found->second.serial == recorded_.front().serial;
+        if (is_kept && found->second.outcome)
+        {
+            recorded_bytes_ -= found->second.outcome->body.size();
+            found->second.outcome.reset();
+            found->second.phase = key_phase::done_only;
+        }
+        recorded_.pop_front();
+    }
+}
+
+void key_window::complete(key_request const& r, recorded_outcome outcome)
+{
+    entry* e = find(r);
+    if (e == nullptr || e->phase != key_phase::running)
+        return;
+    if (outcome.body.size() > limits_.body_bytes)
+    {
+        e->phase = key_phase::done_only;
+        return;
+    }
+    e->phase = key_phase::done;
+    recorded_bytes_ += outcome.body.size();
+    e->outcome = std::make_shared<recorded_outcome const>(std::move(outcome));
+    recorded_.push_back({id_of(r), e->serial});
+    trim_outcomes();
+}
+
+void key_window::complete_unknown(key_request const& r)
+{
+    entry* e = find(r);
+    if (e != nullptr && e->phase == key_phase::running)
+        e->phase = key_phase::unknown;
+}
+
+void key_window::withdraw(key_request const& r)
+{
+    entry* e = find(r);
+    if (e == nullptr || e->phase != key_phase::running)
+        return;
+    // A reserved key keeps its token, so that it can still run once.
+    if (uuid7_unix_ms(r.key) < 0)
+        e->phase = key_phase::unreserved;
+    else
+        keys_.erase(id_of(r));
+}
+
+} // namespace marjorambeam
--- /dev/null
+++ b/src/at_most_once/keyspace_keeper.cpp
@@ -0,0 +1,207 @@
+#include "at_most_once/keyspace_keeper.hpp"
+
+#include "base/hash.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace marjorambeam
+{
+namespace
+{
+
+// One read for all partitions of a service: half a read a second per agent.
+constexpr std::int64_t read_period_ms = 2000;
+
+} // namespace
+
+keyspace_keeper::keyspace_keeper(
+    object_store& store, std::string service, keyspace_candidate self,
+    once_limits limits)
+    : store_(store)
+    , service_(std::move(service))
+    , self_(std::move(self))
+    , limits_(limits)
+{
+}
+
+void keyspace_keeper::tick(
+    clock_reading now, std::span<std::string const> live_upstreams)
+{
+    live_.assign(live_upstreams.begin(), live_upstreams.end());
+    if (!is_reading_ && now.steady_ms >= next_read_ms_)
+        read_all(now);
+    for (std::uint32_t p = 0; p < keyspace_partitions; ++p)
+        step(p, now);
+}
+
+void keyspace_keeper::begin_stop()
+{
+    is_stopping_ = true;
+    for (slot& it : slots_)
+    {
+        it.reserved_for.clear();
+        begin_release(it.state);
+    }
+}
+
+std::string const& keyspace_keeper::owner(std::uint32_t partition) const
+{
+    static std::string const none;
+    slot const& it = slots_[partition];
+    return it.stored ? it.stored->owner : none;
+}
+
+std::size_t keyspace_keeper::owned() const
+{
+    return static_cast<std::size_t>(std::count_if(
+        slots_.begin(), slots_.end(),
+        [](slot const& it) { return it.state.is_owner; }));
+}
+
+void keyspace_keeper::read_all(clock_reading now)
+{
+    is_reading_ = true;
+    next_read_ms_ = now.steady_ms + read_period_ms;
+    store_.list(
+        keyspace_kind, service_ + ".", keyspace_partitions,
+        [this, alive = std::weak_ptr<bool>(alive_)](
+            result<std::vector<stored_object>> const& objects)
+        {
+            if (!alive.expired())
+                on_list(objects);
+        });
+}
+
+void keyspace_keeper::on_list(result<std::vector<stored_object>> const& objects)
+{
+    is_reading_ = false;
+    is_store_up_ = objects.has_value();
+    if (!objects)
+        return;
+    for (std::uint32_t p = 0; p < keyspace_partitions; ++p)
+    {
+        slot& it = slots_[p];
+        // The reading may be older than the write under way.
+        if (std::exchange(it.skips_reading, false) || it.is_busy)
+            continue;
+        std::string const name = keyspace_name(service_, p);
+        auto const found = std::find_if(
+            objects->begin(), objects->end(),
+            [&](stored_object const& o) { return o.name == name; });
+        if (found == objects->end())
+        {
+            it.stored.reset();
+            it.revision = 0;
+            it.is_read = true;
+            continue;
+        }
+        result<keyspace_record> record = parse_keyspace_record(found->value);
+        it.is_read = record.has_value();
+        if (!record)
+            continue;
+        it.stored = *std::move(record);
+        it.revision = found->revision;
+    }
+}
+
+void keyspace_keeper::consider_handover(slot& it, clock_reading now)
+{
+    bool const is_preferred = self_.rank == 0 || !it.state.is_owner;
+    if (is_preferred)
+    {
+        it.not_preferred_since_ms = -1;
+        return;
+    }
+    if (it.not_preferred_since_ms < 0)
+        it.not_preferred_since_ms = now.steady_ms;
+    if (now.steady_ms - it.not_preferred_since_ms >= limits_.handover_ms)
+        begin_release(it.state);
+}
+
+void keyspace_keeper::step(std::uint32_t p, clock_reading now)
+{
+    slot& it = slots_[p];
+    // Ownership ends by the clock even while a write is under way.
+    if (it.state.is_owner && has_clock_step(it.state, now, limits_))
+        drop_ownership(it.state);
+    if (it.is_busy || !it.is_read)
+        return;
+    auto const order = rendezvous_order(keyspace_name(service_, p), live_);
+    auto const place = std::find_if(
+        order.begin(), order.end(),
+        [&](std::size_t i) { return live_[i] == self_.upstream; });
+    if (place == order.end() && !it.state.is_owner)
+        return;
+    self_.rank = static_cast<std::size_t>(place - order.begin());
+    if (!it.state.is_releasing && !is_stopping_ && !order.empty())
+    {
+        it.reserved_for = live_[order[0]];
+        consider_handover(it, now);
+    }
+    observe_keyspace(it.state, it.stored, now);
+    keyspace_plan const plan = plan_keyspace(
+        it.state, it.stored, self_, now, limits_, it.reserved_for);
+    switch (plan.step)
+    {
+    case keyspace_step::wait:
+        break;
+    case keyspace_step::drop:
+        drop_ownership(it.state);
+        break;
+    case keyspace_step::take:
+        if (!is_stopping_)
+            write(p, plan, now);
+        break;
+    case keyspace_step::renew:
+    case keyspace_step::release:
+        write(p, plan, now);
+        break;
+    }
+}
+
+void keyspace_keeper::write(
+    std::uint32_t p, keyspace_plan const& plan, clock_reading now)
+{
+    slot& it = slots_[p];
+    it.is_busy = true;
+    auto done = [this, alive = std::weak_ptr<bool>(alive_), p, plan,
+                 now](result<stored_object> const& answer)
+    {
+        if (!alive.expired())
+            on_write(p, plan, now, answer);
+    };
+    std::string const name = keyspace_name(service_, p);
+    std::string const value = to_json(plan.record);
+    if (it.revision == 0)
+        store_.create(keyspace_kind, name, value, std::move(done));
+    else
+        store_.update(keyspace_kind, name, it.revision, value, std::move(done));
+}
+
+void keyspace_keeper::on_write(
+    std::uint32_t p, keyspace_plan const& plan, clock_reading sent,
+    result<stored_object> const& answer)
+{
+    slot& it = slots_[p];
+    it.is_busy = false;
+    it.skips_reading = is_reading_;
+    is_store_up_ = answer || answer.error().kind == error_kind::conflict;
+    if (!answer)
+    {
+        // Read the object before the next step: the write may have succeeded,
+        // or another process has written.
+        it.is_read = false;
+        return;
+    }
+    it.stored = plan.record;
+    it.revision = answer->revision;
+    if (plan.step == keyspace_step::release)
+        drop_ownership(it.state);
+    else
+        on_lease_written(it.state, plan.record, sent);
+    if (is_stopping_)
+        begin_release(it.state);
+}
+
+} // namespace marjorambeam
--- /dev/null
+++ b/src/at_most_once/keyspace_keeper.hpp
@@ -0,0 +1,97 @@
+// Holds the leases of one service's partitions in the object API.
+//
+// Example:
+//   keyspace_keeper keeper(store, "line-control", {"lc-1", address, self});
+//   keeper.tick(clock, live_upstreams); // several times a second
+//   std::uint32_t p = partition_of(customer, "line-control", key);
+//   window.admit(keeper.state(p), request, keeper.is_store_up(), clock);
+//
+// Everything runs on the loop's thread; nothing is thread-safe.
+#pragma once
+
+#include "at_most_once/keyspace.hpp"
+#include "object_store/object_store.hpp"
+
+#include <array>
+#include <memory>
+#include <span>
+#include <vector>
+
+namespace marjorambeam
+{
+
+class keyspace_keeper
+{
+public:
+    // `store` outlives the keeper. The rank in `self` is ignored: it follows
+    // from the live upstreams.
+    keyspace_keeper(
+        object_store& store, std::string service, keyspace_candidate self,
+        once_limits limits = {});
+    keyspace_keeper(keyspace_keeper const&) = delete;
+    keyspace_keeper& operator=(keyspace_keeper const&) = delete;
+    // A write under way may still take effect; its answer is ignored.
+    ~keyspace_keeper() = default;
+
+    // Reads the partitions every 2 s, and takes, renews and releases.
+    // `live_upstreams` are those of the service, this one included.
+    void tick(clock_reading now, std::span<std::string const> live_upstreams);
+
+    // Releases every partition, for a planned stop, and takes none any more.
+    void begin_stop();
+
+    // What this process holds. Precondition: `partition` is below 16.
+    partition_state& state(std::uint32_t partition)
+    {
+        return slots_[partition].state;
+    }
+
+    // The upstream whose agent owns the partition by the latest reading; empty
+    // when none does.
+    std::string const& owner(std::uint32_t partition) const;
+
+    // Partitions that this process holds.
+    std::size_t owned() const;
+
+    // Whether the latest call to the object API was answered.
+    bool is_store_up() const
+    {
+        return is_store_up_;
+    }
+
+private:
+    struct slot
+    {
+        partition_state state;
+        std::optional<keyspace_record> stored;
+        std::uint64_t revision = 0; // 0: there is no object
+        bool is_busy = false;       // a write is under way
+        bool is_read = false;       // since the latest write that failed
+        bool skips_reading = false; // the reading under way is older
+        std::string reserved_for;
+        std::int64_t not_preferred_since_ms = -1;
+    };
+
+    void read_all(clock_reading now);
+    void on_list(result<std::vector<stored_object>> const& objects);
+    void step(std::uint32_t p, clock_reading now);
+    void write(std::uint32_t p, keyspace_plan const& plan, clock_reading now);
+    void on_write(
+        std::uint32_t p, keyspace_plan const& plan, clock_reading sent,
+        result<stored_object> const& answer);
+    void consider_handover(slot& it, clock_reading now);
+
+    object_store& store_;
+    std::string service_;
+    keyspace_candidate self_;
+    once_limits limits_;
+    std::array<slot, keyspace_partitions> slots_;
+    std::vector<std::string> live_;
+    bool is_reading_ = false;
+    bool is_store_up_ = false;
+    bool is_stopping_ = false;
+    std::int64_t next_read_ms_ = INT64_MIN; // by the steady clock
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+} // namespace marjorambeam
--- /dev/null
+++ b/src/quarantine/quarantine.hpp
@@ -0,0 +1,129 @@
+// Attribution of upstream crashes to requests by their fingerprint.
+//
+// Example:
+//   quarantine_table table;
+//   run_permission p = table.judge(fingerprint, now);
+//   if (p.refusal)
+//       answer_with(*p.refusal); // quarantined, with the time to come back
+//   send(request, p.run_alone);
+//   ...
+//   for (auto const& it : table.on_crash(in_flight, was_alone, now))
+//       tell_entries(it); // peer_call "crash_report"
+//
+// No I/O. Not thread-safe.
+#pragma once
+
+#include "base/time.hpp"
+#include "error/error.hpp"
+
+#include <cstdint>
+#include <list>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace marjorambeam
+{
+
+struct quarantine_limits
+{
+    duration quarantine = std::chrono::minutes(10);
+    // A suspect that is not sent again is forgotten after this.
+    duration suspicion = std::chrono::minutes(10);
+    std::size_t fingerprints = 10'000;
+};
+
+// Name of the peer_call that carries an encoded crash_report.
+constexpr std::string_view crash_report_call = "crash_report";
+
+enum class crash_standing : std::uint8_t
+{
+    suspect,
+    quarantined,
+    cleared
+};
+
+// What one entry tells the others about a fingerprint.
+struct crash_report
+{
+    std::uint64_t fingerprint = 0;
+    crash_standing standing = crash_standing::suspect;
+    std::int64_t remaining_ms = 0; // of the quarantine
+
+    template <class Archive>
+    void serialize(Archive& ar)
+    {
+        ar(fingerprint, standing, remaining_ms);
+    }
+
+    bool operator==(crash_report const&) const = default;
+};
+
+// Returns the body of a crash_report call. Thread-safe.
+std::string encode_crash_report(crash_report const& r);
+
+// Returns the report in a call's body. Error: frame_corrupt. Thread-safe.
+result<crash_report> decode_crash_report(std::string_view body);
+
+// How a request may run.
+struct run_permission
+{
+    std::optional<error> refusal; // `quarantined`, with the time to come back
+    bool run_alone = false;       // suspected: no other request beside it
+};
+
+// Suspects and quarantined fingerprints at one entry. The least recently
+// changed one is forgotten when there is no more room; suspects go first.
+class quarantine_table
+{
+public:
+    explicit quarantine_table(quarantine_limits limits = {});
+
+    // Decides whether and how a request with the fingerprint may run now.
+    run_permission judge(std::uint64_t fingerprint, steady_time now);
+
+    // An upstream has crashed with these fingerprints in flight, equal ones
+    // possibly several times. `was_alone` says that the only one ran alone. A
+    // fingerprint that ran alone, or that is the only suspect among them, is
+    // quarantined, and the rest is not blamed. With several suspects none is
+    // blamed yet; without any, all become suspects. Returns what to tell the
+    // other entries.
+    std::vector<crash_report> on_crash(
+        std::span<std::uint64_t const> in_flight, bool was_alone,
+        steady_time now);
+
+    // A request has finished without a crash. Returns what to tell the other
+    // entries if this clears a suspect.
+    std::optional<crash_report> on_finished(std::uint64_t fingerprint);
+
+    // Takes another entry's report. A quarantine is never shortened by one.
+    void merge(crash_report const& r, steady_time now);
+
+    std::size_t suspects() const;
+    std::size_t quarantined() const;
+
+private:
+    struct row
+    {
+        std::uint64_t fingerprint = 0;
+        crash_standing standing = crash_standing::suspect;
+        steady_time until{};
+    };
+    using row_list = std::list<row>;
+
+    row* find(std::uint64_t fingerprint, steady_time now);
+    void
+    put(std::uint64_t fingerprint, crash_standing standing, steady_time until);
+    void erase(std::uint64_t fingerprint);
+    void make_room();
+    crash_report set_quarantined(std::uint64_t fingerprint, steady_time now);
+
+    quarantine_limits limits_;
+    row_list rows_; // most recently changed first
+    std::unordered_map<std::uint64_t, row_list::iterator> by_fingerprint_;
+};
+
+} // namespace marjorambeam
