Test the bound on admissions with late, lost and crossed messages

Cause: the tests answered each question at once; two faults put into a scratch copy (batches used after their lease, batches returned at any age) passed them. Change: 200 fixed seeds of 2,000 steps with late and lost replies, checked in every window, and a test of the end of a lease. Both faults fail now.

--- a/src/admission/admission_test.cpp
+++ b/src/admission/admission_test.cpp
@@ -109,6 +109,81 @@
     REQUIRE(admitted >= 50 * 20 * 0.95);
 }
 
+// Guards against an overrun above the bound of the header when questions and
+// replies are late or lost, in any order, while the owner stays.
+TEST_CASE("the bound holds when messages are late, lost and crossed")
+{
+    for (std::uint64_t seed = 1; seed <= 200; ++seed)
+    {
+        std::mt19937_64 random(seed);
+        fleet f(3);
+        f.limits = {10, 1e9, 2, 0};
+        std::vector<std::optional<allowance_grant>> replies(3);
+        std::vector<steady_time> admitted;
+        for (int step = 0; step < 2000; ++step)
+        {
+            std::size_t const i = random() % 3;
+            entry_allowance& e = f.entries[i];
+            std::uint64_t const action = random() % 16;
+            if (action < 3)
+                f.advance(milliseconds(random() % 100));
+            if (action == 3 && replies[i])
+                owner_lost(e, f.now);
+            if (action > 3 && action < 7 && replies[i])
+                accept_grant(e, *replies[i], f.view());
+            if (action > 2 && action < 7)
+                replies[i].reset();
+            if (action < 7)
+                continue;
+            admission_decision const d = admit(e, f.limits, {1, 0}, f.view());
+            if (is_admitted(d))
+                admitted.push_back(f.now);
+            if (d.should_ask)
+                replies[i] = grant(
+                    f.owner, f.limits,
+                    make_request(e, f.limits, {1, 0}, f.view()), f.owner_since,
+                    f.now, f.wall);
+        }
+        // R * (T + 2L) + B by batches, R * T + B and one request for each
+        // entry by shares.
+        for (std::size_t i = 0; i < admitted.size(); ++i)
+        {
+            for (std::size_t k = i; k < admitted.size(); ++k)
+            {
+                double const t = to_seconds(admitted[k] - admitted[i]);
+                double const bound = 10 * (t + 2) + 20 + 10 * t + 20 + 3;
+                if (static_cast<double>(k - i + 1) > bound)
+                    FAIL("seed " << seed << ", " << k - i + 1 << " in " << t);
+            }
+        }
+        // About 18 s pass; with nothing admitted the bound proves nothing.
+        REQUIRE(admitted.size() > 50);
+    }
+}
+
+// Guards against batches that pile up at idle entries and are used, or flow
+// back, all at once beside a full bucket.
+TEST_CASE("a batch ends with its lease and flows back only soon after")
+{
+    fleet f(1);
+    entry_allowance& e = f.entries[0];
+    REQUIRE_FALSE(make_report(e, f.view())); // starts the day
+    e.left = {5, 500, 50};
+    e.lease_end = f.now + grant_lease;
+    REQUIRE(is_admitted(admit(e, f.limits, {1, 0}, f.view())));
+    f.advance(grant_lease);
+    REQUIRE(
+        admit(e, f.limits, {1, 0}, f.view()).outcome ==
+        admission_outcome::waits);
+    entry_allowance late = e;
+    REQUIRE(make_report(e, f.view())->returned.requests == 4);
+    f.advance(grant_lease + milliseconds(1));
+    std::optional<allowance_request> const r = make_report(late, f.view());
+    REQUIRE(r);
+    REQUIRE(r->returned.requests == 0);
+    REQUIRE(r->returned.spend == 50);
+}
+
 // Guards against refusing a small customer within its allowance because its
 // requests arrive at many entries.
 TEST_CASE("a customer below its rate is never refused at any entry")
