Let a new lease holder take over a rollout at its share

Cause: a judge that starts on another entry began at the first step, which would take a version back from all to 0.8% of the requests. Change: resume() gives the state for the share in force. The previous version's pooled counts stay the reference after reaching all, so that the state holds no copy of them.

--- a/src/rollout/rollout.cpp
+++ b/src/rollout/rollout.cpp
@@ -218,6 +218,19 @@
     return all;
 }
 
+rollout_state
+resume(double share, version_counts const& candidate, steady_time now)
+{
+    rollout_state s;
+    while (s.step + 1 < rollout_shares.size() &&
+           rollout_shares.at(s.step) < share)
+        ++s.step;
+    s.is_started = true;
+    s.step_started = now;
+    s.at_step = s.last_seen = candidate;
+    return s;
+}
+
 rollout_decision judge(
     rollout_state& s, version_counts const& active,
     version_counts const& candidate, steady_time now)
@@ -226,21 +239,15 @@
         return {rollout_action::halt, 0, "halted before"};
     if (!s.is_started)
     {
-        s.is_started = true;
-        s.step_started = now;
-        s.at_step = s.last_seen = candidate;
-        s.baseline = active;
+        s = resume(first_share, candidate, now);
         return {
             rollout_action::advance, first_share, "first step of the rollout"};
     }
-    // After reaching all, the previous version gets no more evidence.
-    if (s.step + 1 < rollout_shares.size())
-        s.baseline = active;
     version_counts const batch = difference(candidate, s.last_seen);
     s.last_seen = candidate;
     ++s.batches;
-    double const rate = failure_rate(s.baseline);
-    quality_reference const quality = reference_of(s.baseline, candidate);
+    double const rate = failure_rate(active);
+    quality_reference const quality = reference_of(active, candidate);
     s.recent_failures =
         std::max(0.0, s.recent_failures + failure_ratio(batch, rate));
     double const whole = std::log(1 / test_error);
--- a/src/rollout/rollout.hpp
+++ b/src/rollout/rollout.hpp
@@ -137,12 +137,16 @@
     steady_time step_started{};
     version_counts at_step;   // candidate, when the step began
     version_counts last_seen; // candidate, at the last decision
-    version_counts baseline;  // active version, while it still had traffic
     std::uint64_t batches = 0;
     double recent_quality = 0; // cumulative sums
     double recent_failures = 0;
 };
 
+// The state of a judge that takes over a rollout at `share`, 1 when the version
+// has reached all. Without it, judge() would start at the first step.
+rollout_state
+resume(double share, version_counts const& candidate, steady_time now);
+
 // Decides by the pooled counts of the active version (or, after the candidate
 // has reached all, of the previous one) and of the candidate.
 rollout_decision judge(
--- a/src/rollout/rollout_test.cpp
+++ b/src/rollout/rollout_test.cpp
@@ -162,6 +162,22 @@
     REQUIRE(exposure(sc, out) <= 0.01);
 }
 
+// Guards against a new lease holder that starts a rollout again, or that takes
+// a version back from all to the first step.
+TEST_CASE("a judge that takes over goes on at the share in force")
+{
+    version_counts active;
+    for (int i = 0; i < 100; ++i)
+        add_rating(active, 0.8);
+    for (double share : rollout_shares)
+    {
+        rollout_state s = resume(share, {}, steady_time{});
+        rollout_decision const d = judge(s, active, {}, steady_time{});
+        REQUIRE(d.action == rollout_action::hold);
+        REQUIRE(d.share == share);
+    }
+}
+
 // Guards against counting a repeated or overtaken report twice, and against
 // losing the evidence of an entry that has restarted.
 TEST_CASE("evidence of entries adds up once")
