Check the remembered key before its outcome is replayed

Cause: clang-tidy reported a possible null pointer where a replay reads the key's entry; judge_key() only answers replay for a known key, but nothing at that place says so.

Change: the replay branch tests the entry.

--- a/src/at_most_once/key_window.cpp
+++ b/src/at_most_once/key_window.cpp
@@ -202,7 +202,7 @@
     q.floor_ms = floor_ms_;
     q.is_store_up = is_store_up;
     key_verdict const v = judge_key(s, q, now, limits_.times);
-    if (v.step == key_step::replay)
+    if (v.step == key_step::replay && e != nullptr)
     {
         key_admission a;
         a.step = v.step;
