--- a/src/agent/main.cpp
+++ b/src/agent/main.cpp
@@ -110,7 +110,10 @@
     object_store store(http, flags.cluster.store_url);
     std::unique_ptr<cluster_controller> sync;
     agent_controller agent(loop, state, cluster_hooks(sync));
-    cluster.identity.address = agent.address();
+    flags.cluster.bind_address = agent.address();
+    cluster.identity.address = flags.cluster.advertise.empty()
+                                   ? agent.address()
+                                   : flags.cluster.advertise;
     sync = std::make_unique<cluster_controller>(
         loop, cluster, http, store, flags.cluster);
     sync->on_config_change([&] { agent.tick(steady_now()); });
--- a/src/cluster/cluster_settings.cpp
+++ b/src/cluster/cluster_settings.cpp
@@ -11,6 +11,11 @@
             "instance-list", "",
             "Base URL of the platform's instance list; empty for none",
             s.instance_list_url, true),
+        address_setting(
+            "advertise", "",
+            "TCP and UDP address that other daemons are told; empty for the "
+            "bound one",
+            s.advertise),
         duration_setting(
             "instance-list-period-ms", 2000, 100, 60000,
             "Time between two reads of the instance list", s.list_period),
--- a/src/cluster/cluster_settings.hpp
+++ b/src/cluster/cluster_settings.hpp
@@ -28,6 +28,8 @@
     duration tick_period = std::chrono::milliseconds(250);
     sync_rules sync;
     history_limits history;
+    // Address that others are told; empty for the bound one.
+    std::string advertise;
     // Bound for UDP; set by the program, empty for identity.address.
     std::string bind_address;
 };
--- a/src/entry/entry_daemon.cpp
+++ b/src/entry/entry_daemon.cpp
@@ -76,7 +76,10 @@
 
 cluster_state& entry_daemon::identify()
 {
-    state_.cluster.identity = make_identity(settings_, listener_.address());
+    std::string const& advertised = settings_.cluster.advertise;
+    settings_.cluster.bind_address = listener_.address();
+    state_.cluster.identity = make_identity(
+        settings_, advertised.empty() ? listener_.address() : advertised);
     return state_.cluster;
 }
 
