--- a/fakes/engine/fake_engine.cpp
+++ b/fakes/engine/fake_engine.cpp
@@ -384,6 +384,12 @@
     set_faults(next);
     if (body.contains("cold"))
         set_cold(body["cold"].get<bool>());
+    if (body.value("reset_max_running", false))
+    {
+        counts_.max_running = 0;
+        counts_.max_running_cold = 0;
+        note_concurrency();
+    }
     if (body.value("crash_now", false))
         crash();
     respond_json(ex, 200, json::object());
--- /dev/null
+++ b/tests/process/crash_test.cpp
@@ -0,0 +1,169 @@
+// Processes that are killed or frozen, and engines that fail.
+#include "steady_load.hpp"
+
+#include <catch2/catch.hpp>
+#include <csignal>
+
+using namespace marjorambeam;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr int long_answer = 300;
+upstream_plan const slow_engine{.flags = {"--token-interval-us", "3000"}};
+
+// The number of the first upstream whose engine has started a request.
+int running_upstream(process_fleet& fleet, int upstreams)
+{
+    for (int i = 0; i < upstreams; ++i)
+    {
+        if (fleet.count("engine-" + std::to_string(i), "started") > 0)
+            return i;
+    }
+    FAIL("no engine has work");
+    return -1;
+}
+
+bool has_tokens(fleet_call const& call, std::size_t n)
+{
+    constexpr std::size_t bytes_per_event = 80;
+    return call.body.size() > n * bytes_per_event;
+}
+
+} // namespace
+
+// Guards against a stream that ends early, starts over or goes on with another
+// version when the agent that carries it is killed (I1, I3, I7).
+TEST_CASE("a stream survives the death of its agent")
+{
+    process_fleet fleet({.upstreams = {slow_engine, slow_engine}});
+    auto const call = fleet.ask(0, {.prompt = "long", .tokens = long_answer});
+    REQUIRE(fleet.wait([&] { return has_tokens(*call, 20); }, 5s));
+    int const victim = running_upstream(fleet, 2);
+    fleet.process("agent-" + std::to_string(victim)).signal(SIGKILL);
+    fleet.finish(call, 10s);
+    std::string const version = call->header("x-model-version");
+    CHECK(call->is_whole());
+    CHECK(call->text() == fleet_answer(version, "long", long_answer));
+    int const other = 1 - victim;
+    CHECK(fleet.count("engine-" + std::to_string(other), "finished") == 1);
+}
+
+// Guards against requests that are lost or answered wrongly at the other
+// entries when one entry is killed under load (I7).
+TEST_CASE("the other entries answer when one is killed")
+{
+    process_fleet fleet(
+        {.entries = 3, .upstreams = {slow_engine, slow_engine}});
+    steady_load load(
+        fleet, {.concurrency = 12, .entries = 3, .call = {.tokens = 20}});
+    REQUIRE(fleet.wait([&] { return load.answered() >= 50; }, 10s));
+    fleet.process("entry-0").signal(SIGKILL);
+    std::size_t const before = load.answered();
+    CHECK(fleet.wait([&] { return load.answered() >= before + 200; }, 10s));
+    CHECK(load.finish(10s));
+    CHECK(load.wrong().empty());
+    CHECK(!load.failed_tries().empty());
+}
+
+// Guards against requests that wait for a frozen agent beyond the silence limit
+// of 3 s, and against its late frames in an answer (I7).
+TEST_CASE("a frozen agent holds up nothing and its late frames are dropped")
+{
+    process_fleet fleet({.upstreams = {slow_engine, slow_engine, slow_engine}});
+    steady_load load(fleet, {.concurrency = 9, .call = {.tokens = 100}});
+    REQUIRE(fleet.wait([&] { return load.answered() >= 9; }, 10s));
+    child_process& agent = fleet.process("agent-0");
+    steady_time const frozen_at = steady_now();
+    agent.signal(SIGSTOP);
+    REQUIRE(fleet.wait([&] { return steady_now() > frozen_at + 4s; }, 5s));
+    std::uint64_t const before = fleet.count("engine-0", "started");
+    agent.signal(SIGCONT);
+    CHECK(fleet.wait(
+        [&] { return fleet.count("engine-0", "started") > before; }, 10s));
+    CHECK(load.finish(10s));
+    CHECK(load.wrong().empty());
+    CHECK(load.failed_tries().empty());
+    // Limit, the tick that sees it, and the rest of the answer elsewhere.
+    duration const limit = 3s + 250ms + 750ms;
+    for (load_request const& it : load.done())
+    {
+        INFO(it.prompt);
+        CHECK(it.call->done_at - it.call->sent_at < limit);
+    }
+    CHECK(fleet.metric("entry-0", "agent_connections_lost_total") >= 1);
+}
+
+// Guards against a request that crashes every engine it is sent to, and against
+// innocent requests that are given up with it (section 5.8).
+TEST_CASE("a crashing request takes down two engines at most")
+{
+    process_fleet fleet(
+        {.entries = 2,
+         .upstreams = {slow_engine, slow_engine, slow_engine, slow_engine}});
+    steady_load load(
+        fleet, {.concurrency = 8, .entries = 2, .call = {.tokens = 50}});
+    REQUIRE(fleet.wait([&] { return load.answered() >= 8; }, 10s));
+    std::string kind;
+    std::string retry_after;
+    for (int i = 0; i < 6; ++i) // the caller sends it again
+    {
+        auto const call = fleet.ask(i % 2, {.prompt = "a CRASH-ENGINE b"});
+        fleet.finish(call, 10s);
+        CHECK(!call->is_whole());
+        kind = call->error_field("kind");
+        retry_after = call->header("retry-after");
+    }
+    CHECK(load.finish(10s));
+    std::uint64_t crashes = 0;
+    for (int i = 0; i < 4; ++i)
+        crashes += fleet.count("engine-" + std::to_string(i), "crashed");
+    CHECK(crashes <= 2);
+    CHECK(kind == "quarantined");
+    CHECK(!retry_after.empty());
+    CHECK(load.wrong().empty());
+    CHECK(load.failed_tries().empty());
+}
+
+// Guards against an agent that keeps its warm limit when the engine turns cold
+// without warning (I5). Noticed means that the agent's status reports the
+// upstream as cold and that what ran above the cold limit by then has ended;
+// the engine of this test only becomes slow meanwhile. It reports its load
+// every 100 ms and the agent asks every 500 ms.
+TEST_CASE("a cold engine gets no more than its cold limit once noticed")
+{
+    constexpr std::uint64_t cold_limit = 2;
+    upstream_plan const engine{
+        .cold_concurrency = cold_limit,
+        .warm_concurrency = 16,
+        .flags = {
+            "--token-interval-us", "2000", "--first-token-us", "4000",
+            "--cold-concurrency", "64", "--cold-ms", "0"}};
+    process_fleet fleet({.upstreams = {engine, engine}});
+    steady_load load(fleet, {.concurrency = 16, .call = {.tokens = 20}});
+    REQUIRE(fleet.wait(
+        [&] { return fleet.count("engine-0", "max_running") > 4; }, 10s));
+    std::string const engine_url = fleet.url("engine-0");
+    fleet.put(engine_url + "/faults", {{"cold", true}});
+    steady_time const cold_at = steady_now();
+    REQUIRE(fleet.wait(
+        [&]
+        {
+            auto const status =
+                fleet.get(fleet.url("agent-0", "admin") + "/admin/status");
+            return status["load"]["limit"] == cold_limit &&
+                   status["load"]["running"] <= cold_limit;
+        },
+        5s));
+    CHECK(steady_now() - cold_at < 3s);
+    fleet.put(engine_url + "/faults", {{"reset_max_running", true}});
+    std::uint64_t const before = fleet.count("engine-0", "finished");
+    CHECK(fleet.wait(
+        [&] { return fleet.count("engine-0", "finished") > before + 20; },
+        10s));
+    CHECK(fleet.count("engine-0", "max_running_cold") <= cold_limit);
+    CHECK(load.finish(10s));
+    CHECK(load.wrong().empty());
+    CHECK(load.failed_tries().empty());
+}
