--- a/tests/process/configuration_test.cpp
+++ b/tests/process/configuration_test.cpp
@@ -93,7 +93,7 @@
     steady_time const accepted_at =
         change(fleet, {"upstream", "out", "upstream-0"});
     CHECK(fleet.wait([&] { return is_in_force(fleet, before + 1); }, 7s));
-    CHECK(steady_now() - accepted_at < 7s);
+    CHECK(to_seconds(steady_now() - accepted_at) < 7);
     check_nothing_lost(load);
 }
 
@@ -146,7 +146,7 @@
     chat_call const call{
         .prompt = "p", .model = "assess", .key = "nordlaks-key"};
     CHECK(
-        fleet.finish(fleet.ask(0, call), 5s).header("x-model-version") ==
+        fleet.finish(fleet.ask(0, call), 5s)->header("x-model-version") ==
         "assess@v2");
     steady_time const accepted_at =
         change(fleet, {"version", "withdraw", "assess@v2"});
@@ -155,9 +155,9 @@
     REQUIRE(fleet.wait([&] { return load.answered() >= answered + 100; }, 10s));
     for (int entry = 0; entry < 2; ++entry)
     {
-        fleet_call const& refused = fleet.finish(fleet.ask(entry, call), 5s);
-        CHECK(refused.error_field("kind") == "version_withdrawn");
-        CHECK(refused.error_field("run") == "not_run");
+        auto const refused = fleet.finish(fleet.ask(entry, call), 5s);
+        CHECK(refused->error_field("kind") == "version_withdrawn");
+        CHECK(refused->error_field("run") == "not_run");
     }
     check_nothing_lost(load);
     for (load_request const& it : load.done())
--- a/tests/process/connection_test.cpp
+++ b/tests/process/connection_test.cpp
@@ -11,7 +11,9 @@
 // an agent that stays unused afterwards (I7, section 5.9).
 TEST_CASE("a silent connection is replaced within 3 s")
 {
-    constexpr int tokens = 400;
+    // Takes longer than the silence limit, so that the agent has to notice the
+    // silence as well and stop the engine.
+    constexpr int tokens = 1500;
     upstream_plan const engine{
         .has_relay = true, .flags = {"--token-interval-us", "3000"}};
     process_fleet fleet({.upstreams = {engine, engine}});
@@ -26,9 +28,9 @@
         "agent_connections_lost_total{reason=\"connection_silent\"";
     REQUIRE(fleet.wait([&] { return fleet.metric("entry-0", lost) >= 1; }, 5s));
     // Ticks of 250 ms, and the load of the machine.
-    CHECK(steady_now() - silent_at < 3s + 500ms);
+    CHECK(to_seconds(steady_now() - silent_at) < 3.5);
 
-    fleet.finish(call, 10s);
+    fleet.finish(call, 15s);
     CHECK(call->is_whole());
     CHECK(
         call->text() ==
@@ -42,7 +44,7 @@
         [&]
         {
             auto const next = fleet.ask(0, {.prompt = "short", .tokens = 2});
-            CHECK(fleet.finish(next, 5s).is_whole());
+            CHECK(fleet.finish(next, 5s)->is_whole());
             return fleet.count(used, "finished") > before;
         },
         10s));
--- a/tests/process/crash_test.cpp
+++ b/tests/process/crash_test.cpp
@@ -86,11 +86,11 @@
     CHECK(load.wrong().empty());
     CHECK(load.failed_tries().empty());
     // Limit, the tick that sees it, and the rest of the answer elsewhere.
-    duration const limit = 3s + 250ms + 750ms;
+    double const limit = 3 + 0.25 + 0.75;
     for (load_request const& it : load.done())
     {
         INFO(it.prompt);
-        CHECK(it.call->done_at - it.call->sent_at < limit);
+        CHECK(to_seconds(it.call->done_at - it.call->sent_at) < limit);
     }
     CHECK(fleet.metric("entry-0", "agent_connections_lost_total") >= 1);
 }
@@ -156,7 +156,7 @@
                    status["load"]["running"] <= cold_limit;
         },
         5s));
-    CHECK(steady_now() - cold_at < 3s);
+    CHECK(to_seconds(steady_now() - cold_at) < 3);
     fleet.put(engine_url + "/faults", {{"reset_max_running", true}});
     std::uint64_t const before = fleet.count("engine-0", "finished");
     CHECK(fleet.wait(
--- a/tests/process/process_fleet.cpp
+++ b/tests/process/process_fleet.cpp
@@ -413,10 +413,10 @@
 }
 
 fleet_call&
-process_fleet::finish(std::shared_ptr<fleet_call> const& call, duration limit)
+process_fleet::finish(std::shared_ptr<fleet_call> call, duration limit)
 {
     REQUIRE(wait([&] { return call->is_done(); }, limit));
-    return *call;
+    return call;
 }
 
 json process_fleet::get(std::string const& url)
--- a/tests/process/shutdown_test.cpp
+++ b/tests/process/shutdown_test.cpp
@@ -27,7 +27,7 @@
         [&]
         {
             auto const call = fleet.send({.url = status});
-            return fleet.finish(call, 5s).status() == 503;
+            return fleet.finish(call, 5s)->status() == 503;
         },
         2s));
     CHECK(!daemon.exit_code());
