Hold allowances and sessions across entries

Cause: the entry admitted every request of a known contract and knew no sessions.

Change: peer_calls carries named calls between entries over frame connections. admission_controller asks the owner of a customer for batches and holds a request until the grant or grant_timeout. session_controller reads and makes tokens, and keeps callers' own ids at two owners. caller_api resolves the session, chooses the version, and admits before a request begins; the end handler settles the allowance with the actual cost.

Ruled out: one round trip that proposes the version and learns the pin, because the choice of a version must see the pin; running calls over connections that the other entry opened, because a restarted entry could not be told from its predecessor.

--- a/src/entry/caller_api.cpp
+++ b/src/entry/caller_api.cpp
@@ -14,6 +14,7 @@
 {
 
 constexpr std::string_view chat_path = "/v1/chat/completions";
+constexpr std::string_view session_header = "x-session-id";
 constexpr std::size_t max_key_bytes = 255;
 
 // Returns the request's deadline or the error of its header.
@@ -31,9 +32,13 @@
 
 } // namespace
 
-caller_api::caller_api(entry_state& state, request_controller& requests)
+caller_api::caller_api(
+    entry_state& state, request_controller& requests,
+    session_controller& sessions, admission_controller& admission)
     : state_(state)
     , requests_(requests)
+    , sessions_(sessions)
+    , admission_(admission)
     , ids_(state.cluster.identity.self)
 {
 }
@@ -160,6 +165,34 @@
                 make_error(error_kind::method_not_allowed, "use GET"), "");
         return;
     }
+    entry_request& r = hold(exchange, c);
+    result<duration> const timeout = read_timeout(c, in);
+    if (!timeout)
+    {
+        refuse_held(r, timeout.error());
+        return;
+    }
+    r.deadline = r.admitted_at + *timeout;
+    bool const is_model = in.path == chat_path;
+    result<void> const accepted =
+        is_model ? read_model_request(r) : read_service_request(c, r);
+    if (!accepted)
+        refuse_held(r, accepted.error());
+    else if (!is_model)
+        ask_admission(r);
+    else
+    {
+        sessions_.find_pin(
+            c, r.config, in.header(session_header),
+            [this, id = r.id](result<std::string> const& pin)
+            { on_pin(id, pin); });
+    }
+}
+
+entry_request& caller_api::hold(
+    std::shared_ptr<http_exchange> const& exchange, contract const& c)
+{
+    http_request const& in = exchange->request();
     auto r = std::make_unique<entry_request>();
     r->id = ids_.next();
     r->exchange = exchange;
@@ -172,34 +205,141 @@
     r->work.method = in.method;
     r->work.content_type = in.header("content-type");
     r->work.fingerprint = hash64(in.body, hash64(in.path));
-    result<duration> const timeout = read_timeout(c, in);
-    result<void> accepted;
-    if (!timeout)
-        accepted = tl::unexpected<error>(timeout.error());
-    else if (in.path == chat_path)
-        accepted = read_model_request(c, *r);
-    else
-        accepted = read_service_request(c, *r);
-    if (!accepted)
+    entry_request& held = *r;
+    held_[held.id] = std::move(r);
+    return held;
+}
+
+entry_request* caller_api::find(std::string const& id)
+{
+    auto const it = held_.find(id);
+    return it == held_.end() ? nullptr : it->second.get();
+}
+
+void caller_api::refuse_held(entry_request& r, error const& why)
+{
+    state_.traces.add(
+        r.id, wall_now(),
+        "Refused: " + std::string(to_string(why.kind)) + ", " + why.message +
+            ".");
+    refuse(*r.exchange, why, r.id);
+    held_.erase(held_.find(r.id));
+}
+
+result<void> caller_api::choose(entry_request& r)
+{
+    contract const& c = r.config->contracts.find(r.customer)->second;
+    std::string const asked = r.chat.model;
+    if (!r.pin.empty())
+    {
+        std::string_view const pin = r.pin;
+        bool const is_named = asked == "auto" || asked == pin ||
+                              asked == pin.substr(0, pin.find('@'));
+        if (!is_named)
+        {
+            return fail(
+                error_kind::session_invalid, "the session is pinned to " +
+                                                 r.pin + ", not to \"" + asked +
+                                                 "\"");
+        }
+        // Naming the version makes every way of choosing keep the pin.
+        r.chat.model = r.pin;
+    }
+    result<void> const chosen = choose_version(c, r);
+    r.chat.model = asked;
+    return chosen;
+}
+
+void caller_api::on_pin(std::string const& id, result<std::string> const& pin)
+{
+    entry_request* const r = find(id);
+    if (r == nullptr)
+        return;
+    if (!pin)
+    {
+        refuse_held(*r, pin.error());
+        return;
+    }
+    r->pin = *pin;
+    if (result<void> ok = choose(*r); !ok)
+    {
+        refuse_held(*r, ok.error());
+        return;
+    }
+    if (!r->pin.empty())
+    {
+        on_adopted(id, r->pin);
+        return;
+    }
+    sessions_.adopt(
+        r->customer, r->exchange->request().header(session_header),
+        r->config->versions.find(r->version_id)->second,
+        [this, id](std::string const& adopted) { on_adopted(id, adopted); });
+}
+
+void caller_api::on_adopted(std::string const& id, std::string const& pin)
+{
+    entry_request* const r = find(id);
+    if (r == nullptr)
+        return;
+    if (pin != r->version_id)
+    {
+        contract const& c = r->config->contracts.find(r->customer)->second;
+        r->pin = pin;
+        result<void> ok = check_pin(c, *r->config, pin);
+        if (ok)
+            ok = choose(*r);
+        if (!ok)
+        {
+            refuse_held(*r, ok.error());
+            return;
+        }
+    }
+    http_request const& in = r->exchange->request();
+    r->session_token =
+        sessions_.token(r->customer, in.header(session_header), r->version_id);
+    r->work.body = with_model(in.body, r->version_id);
+    ask_admission(*r);
+}
+
+void caller_api::ask_admission(entry_request& r)
+{
+    admission_.admit(
+        r.config->contracts.find(r.customer)->second, estimated_cost(r),
+        [this, id = r.id](result<admission_ticket> const& ticket)
+        { on_admission(id, ticket); });
+}
+
+void caller_api::on_admission(
+    std::string const& id, result<admission_ticket> const& ticket)
+{
+    auto const it = held_.find(id);
+    if (it == held_.end())
+        return;
+    if (!ticket)
+    {
+        refuse_held(*it->second, ticket.error());
+        return;
+    }
+    std::unique_ptr<entry_request> r = std::move(it->second);
+    held_.erase(it);
+    if (!r->exchange->is_open())
     {
-        state_.traces.add(
-            r->id, wall_now(),
-            "Refused: " + std::string(to_string(accepted.error().kind)) + ", " +
-                accepted.error().message + ".");
-        refuse(*exchange, accepted.error(), r->id);
+        admission_.settle(*ticket, {});
+        count_refusal(error_kind::cancelled);
         return;
     }
-    r->deadline = r->admitted_at + *timeout;
+    r->ticket = *ticket;
     state_.cluster.counters.count("requests_admitted_total");
     state_.traces.add(
-        r->id, wall_now(),
+        id, wall_now(),
         "Admitted for customer " + r->customer + " in generation " +
             std::to_string(r->config->number) + ", target " + r->work.target +
             ".");
     requests_.begin(std::move(r), steady_now());
 }
 
-result<void> caller_api::read_model_request(contract const& c, entry_request& r)
+result<void> caller_api::read_model_request(entry_request& r)
 {
     http_request const& in = r.exchange->request();
     if (in.method != "POST")
@@ -212,9 +352,6 @@
     r.work.path = chat_path;
     r.work.is_stream = r.chat.is_stream;
     r.work.token_cost = estimate_tokens(r.chat);
-    if (result<void> ok = choose_version(c, r); !ok)
-        return ok;
-    r.work.body = with_model(in.body, r.version_id);
     return {};
 }
 
--- a/src/entry/entry_daemon.cpp
+++ b/src/entry/entry_daemon.cpp
@@ -9,6 +9,8 @@
 
 constexpr duration tick_interval = std::chrono::milliseconds(10);
 constexpr duration link_tick_interval = std::chrono::milliseconds(250);
+// Visits every known daemon, so it does not follow each digest.
+constexpr duration live_interval = std::chrono::milliseconds(100);
 
 daemon_identity
 make_identity(entry_settings const& s, std::string const& address)
@@ -54,9 +56,16 @@
           loop, settings_.peer_listen,
           [this](std::shared_ptr<frame_connection> const& c) { on_peer(c); })
     , cluster_(loop, identify(), client_, store_, settings_.cluster)
+    , live_(state_.cluster, steady_now())
+    , calls_(loop, state_.cluster, call_settings())
+    , admission_(state_, live_, calls_)
+    , sessions_(state_, live_, calls_, settings_.session_secret)
     , links_(loop, state_.cluster, link_settings(settings_), link_handlers())
-    , requests_(state_, links_, [](entry_request const&, error const*) {})
-    , api_(state_, requests_)
+    , requests_(
+          state_, links_,
+          [this](entry_request const& r, error const* why)
+          { admission_.settle(r.ticket, actual_cost(r, why)); })
+    , api_(state_, requests_, sessions_, admission_)
     , caller_server_(
           loop, caller_limits(settings_),
           [this](std::shared_ptr<http_exchange> const& ex) { api_.handle(ex); },
@@ -66,12 +75,20 @@
           [this](std::shared_ptr<http_exchange> const& ex)
           { handle_admin(ex); })
     , ticker_(loop, [this] { tick(); })
-    , link_ticker_(loop, [this] { links_.tick(steady_now()); })
+    , link_ticker_(
+          loop,
+          [this]
+          {
+              links_.tick(steady_now());
+              calls_.tick(steady_now());
+          })
+    , live_ticker_(loop, [this] { refresh_live_entries(); })
     , terminate_(loop, SIGTERM, [this] { begin_shutdown(); })
     , interrupt_(loop, SIGINT, [this] { begin_shutdown(); })
 {
     ticker_.start_every(tick_interval);
     link_ticker_.start_every(link_tick_interval);
+    live_ticker_.start_every(live_interval);
 }
 
 cluster_state& entry_daemon::identify()
@@ -105,6 +122,23 @@
         { on_peer_message(c, m); }};
 }
 
+peer_call_settings entry_daemon::call_settings()
+{
+    peer_call_settings out;
+    out.on_refused = [this](std::string_view instance)
+    {
+        cluster_.note_refused(instance);
+        refresh_live_entries();
+    };
+    return out;
+}
+
+void entry_daemon::refresh_live_entries()
+{
+    steady_time const now = steady_now();
+    live_.refresh([&](peer const& p) { return cluster_.is_live(p, now); }, now);
+}
+
 void entry_daemon::on_peer(std::shared_ptr<frame_connection> const& connection)
 {
     peers_.insert(connection);
@@ -121,14 +155,26 @@
             state_.cluster.counters.count(
                 "peer_connections_ended_total", to_string(why.kind));
             if (auto const c = weak.lock())
+            {
+                calls_.forget(*c);
                 peers_.erase(c);
+            }
         });
 }
 
 void entry_daemon::on_peer_message(
     std::shared_ptr<frame_connection> const& connection, message const& m)
 {
-    cluster_.handle(connection, m);
+    if (cluster_.handle(connection, m))
+        return;
+    if (auto const* h = std::get_if<hello>(&m))
+        cluster_.note_frame(h->instance, h->generation);
+    calls_.handle(connection, m);
+    if (!connection->is_open())
+    {
+        calls_.forget(*connection);
+        peers_.erase(connection);
+    }
 }
 
 void entry_daemon::handle_admin(std::shared_ptr<http_exchange> const& exchange)
@@ -164,6 +210,7 @@
 {
     steady_time const now = steady_now();
     requests_.tick(now);
+    admission_.tick(now);
     if (state_.cluster.is_shutting_down)
         continue_shutdown(now);
 }
--- a/src/entry/entry_daemon.hpp
+++ b/src/entry/entry_daemon.hpp
@@ -10,11 +10,15 @@
 #pragma once
 
 #include "cluster/cluster_controller.hpp"
+#include "entry/admission_controller.hpp"
 #include "entry/agent_links.hpp"
 #include "entry/caller_api.hpp"
 #include "entry/entry_settings.hpp"
 #include "entry/entry_state.hpp"
+#include "entry/live_entries.hpp"
+#include "entry/peer_calls.hpp"
 #include "entry/request_controller.hpp"
+#include "entry/session_controller.hpp"
 #include "event_loop/event_loop.hpp"
 #include "http_client/http_client.hpp"
 #include "http_server/http_server.hpp"
@@ -51,6 +55,10 @@
     {
         return state_;
     }
+    session_controller const& sessions() const
+    {
+        return sessions_;
+    }
     // URL for callers and URL for operators.
     std::string caller_url() const;
     std::string admin_url() const;
@@ -69,6 +77,8 @@
     // Fills in who this daemon is; the listener is already bound.
     cluster_state& identify();
     agent_links::handlers link_handlers();
+    peer_call_settings call_settings();
+    void refresh_live_entries();
 
     ev::loop_ref loop_;
     entry_settings settings_;
@@ -78,6 +88,10 @@
     std::set<std::shared_ptr<frame_connection>> peers_;
     frame_listener listener_;
     cluster_controller cluster_;
+    live_entries live_;
+    peer_calls calls_;
+    admission_controller admission_;
+    session_controller sessions_;
     agent_links links_;
     request_controller requests_;
     caller_api api_;
@@ -85,6 +99,7 @@
     http_server admin_server_;
     loop_timer ticker_;
     loop_timer link_ticker_;
+    loop_timer live_ticker_;
     loop_signal terminate_;
     loop_signal interrupt_;
     logger log_{"entry"};
--- a/src/entry/entry_state.hpp
+++ b/src/entry/entry_state.hpp
@@ -8,6 +8,7 @@
 // Used on the loop's thread only; not thread-safe.
 #pragma once
 
+#include "admission/admission.hpp"
 #include "answer/answer.hpp"
 #include "base/id.hpp"
 #include "base/time.hpp"
@@ -26,6 +27,14 @@
 namespace marjorambeam
 {
 
+// What a customer's allowance was charged for a request.
+struct admission_ticket
+{
+    std::string customer;
+    request_cost estimate;
+    bool is_given = false;
+};
+
 // One request of a caller, from admission to the last byte of its response.
 struct entry_request
 {
@@ -41,6 +50,8 @@
     std::string version_id; // "model@version"
     std::string original_body;
     chat_request chat;
+    std::string pin; // "model@version" of the session, empty for none
+    admission_ticket ticket;
     std::string session_token; // returned to the caller when not empty
 
     // The present attempt.
--- /dev/null
+++ b/src/entry/live_entries.cpp
@@ -0,0 +1,27 @@
+#include "entry/live_entries.hpp"
+
+#include <algorithm>
+
+namespace marjorambeam
+{
+
+void live_entries::refresh(
+    std::function<bool(peer const&)> const& is_live, steady_time now)
+{
+    std::vector<std::string> names;
+    for (auto const& [instance, p] : cluster_.peers)
+    {
+        if (p.role == process_role::entry && is_live(p))
+            names.push_back(instance);
+    }
+    if (names.empty() || !cluster_.is_shutting_down)
+        names.push_back(cluster_.identity.instance);
+    std::sort(names.begin(), names.end());
+    bool const has_all =
+        std::includes(names.begin(), names.end(), names_.begin(), names_.end());
+    if (!has_all)
+        left_at_ = now;
+    names_ = std::move(names);
+}
+
+} // namespace marjorambeam
--- /dev/null
+++ b/src/entry/session_controller.cpp
@@ -0,0 +1,265 @@
+#include "entry/session_controller.hpp"
+
+#include <algorithm>
+
+namespace marjorambeam
+{
+namespace
+{
+
+// One-way peer_call with a pin that its owner lacks.
+constexpr std::string_view pin_copy_call = "session_pin_copy";
+
+bool is_own_id(std::string_view header)
+{
+    return !header.empty() && !is_session_token(header);
+}
+
+std::string version_id(session_pin const& pin)
+{
+    return pin.model + "@" + pin.version;
+}
+
+bool is_same_version(session_pin const& a, session_pin const& b)
+{
+    return a.model == b.model && a.version == b.version;
+}
+
+// Splits "model@version".
+std::pair<std::string, std::string> split_version(std::string_view id)
+{
+    std::size_t const at = id.find('@');
+    if (at == std::string_view::npos)
+        return {std::string(id), ""};
+    return {std::string(id.substr(0, at)), std::string(id.substr(at + 1))};
+}
+
+} // namespace
+
+result<void> check_pin(
+    contract const& c, config_snapshot const& config, std::string_view pin)
+{
+    version named;
+    std::tie(named.model, named.name) = split_version(pin);
+    if (!is_permitted(c, named))
+    {
+        return fail(
+            error_kind::model_not_allowed,
+            "the contract no longer allows the session's version " +
+                named.id());
+    }
+    auto const it = config.versions.find(pin);
+    bool const is_withdrawn = it == config.versions.end() ||
+                              it->second.state == version_state::withdrawn;
+    if (is_withdrawn)
+    {
+        return fail(
+            error_kind::version_withdrawn,
+            "the session's version " + named.id() + " is withdrawn");
+    }
+    return {};
+}
+
+session_controller::session_controller(
+    entry_state& state, live_entries const& live, peer_calls& calls,
+    std::string_view secret)
+    : state_(state)
+    , live_(live)
+    , calls_(calls)
+    , key_(make_session_key(secret))
+{
+    calls_.serve(
+        std::string(session_pin_call),
+        [this](std::string_view /*instance*/, std::string_view body)
+            -> std::optional<std::string>
+        {
+            std::optional<session_pin> pin = read_pin(body);
+            if (!pin)
+                return std::nullopt;
+            auto const held = pins_.find_or_adopt(*pin, wall_now());
+            // An empty version tells that there is no pin.
+            return encode_session_pin(held ? *held : *pin);
+        });
+    calls_.serve(
+        std::string(pin_copy_call),
+        [this](std::string_view /*instance*/, std::string_view body)
+            -> std::optional<std::string>
+        {
+            std::optional<session_pin> const pin = read_pin(body);
+            if (pin && !pin->version.empty())
+                pins_.merge(*pin, wall_now());
+            return std::nullopt;
+        });
+}
+
+std::optional<session_pin> session_controller::read_pin(std::string_view body)
+{
+    result<session_pin> pin = decode_session_pin(body);
+    if (pin && check_own_session_id(pin->id))
+        return *pin;
+    state_.cluster.counters.count(
+        "peer_calls_refused_total", "session_pin_malformed");
+    return std::nullopt;
+}
+
+void session_controller::find_pin(
+    contract const& c, std::shared_ptr<config_snapshot const> config,
+    std::string_view header, pin_handler done)
+{
+    if (header.empty())
+    {
+        done(std::string());
+        return;
+    }
+    auto check = [](contract const& allowed, config_snapshot const& in_force,
+                    std::string pin) -> result<std::string>
+    {
+        if (result<void> ok = check_pin(allowed, in_force, pin); !ok)
+            return tl::unexpected<error>(ok.error());
+        return pin;
+    };
+    if (is_session_token(header))
+    {
+        result<session_token> const t =
+            read_session_token(key_, header, c.customer, wall_now());
+        done(
+            t ? check(c, *config, t->model + "@" + t->version)
+              : result<std::string>(tl::unexpected<error>(t.error())));
+        return;
+    }
+    if (result<void> ok = check_own_session_id(header); !ok)
+    {
+        done(tl::unexpected<error>(ok.error()));
+        return;
+    }
+    ask({.customer = c.customer, .id = std::string(header)},
+        [config = std::move(config), customer = c.customer, check,
+         done = std::move(done)](std::optional<session_pin> pin)
+        {
+            done(
+                pin ? check(
+                          config->contracts.find(customer)->second, *config,
+                          version_id(*pin))
+                    : result<std::string>(std::string()));
+        });
+}
+
+void session_controller::adopt(
+    std::string_view customer, std::string_view header, version const& chosen,
+    adopted_handler done)
+{
+    if (!is_own_id(header))
+    {
+        done(chosen.id());
+        return;
+    }
+    std::int64_t const now_ms = to_unix_ms(wall_now());
+    ask({std::string(customer), std::string(header), chosen.model, chosen.name,
+         now_ms, now_ms},
+        [done = std::move(done),
+         fallback = chosen.id()](std::optional<session_pin> pin)
+        { done(pin ? version_id(*pin) : fallback); });
+}
+
+std::string session_controller::token(
+    std::string_view customer, std::string_view header,
+    std::string_view pin) const
+{
+    wall_time const now = wall_now();
+    auto const [model, name] = split_version(pin);
+    if (is_session_token(header))
+    {
+        // Renewed while half of its time is left, so that a session in use
+        // does not end.
+        result<session_token> const t = read_session_token(
+            key_, header, customer, now, session_lifetime / 2);
+        if (t && t->model == model && t->version == name)
+            return std::string(header);
+    }
+    return make_session_token(
+        key_, {std::string(customer), model, name, to_unix_ms(now)});
+}
+
+void session_controller::ask(session_pin asked, found_handler done)
+{
+    std::vector<std::string> const owners =
+        pin_owners(asked.customer, asked.id, live_.names());
+    auto const q = std::make_shared<question>(
+        question{std::move(asked), owners.size(), {}, std::move(done)});
+    for (std::string const& it : owners)
+    {
+        if (live_.is_self(it))
+        {
+            q->replies.push_back(
+                {it, pins_.find_or_adopt(q->asked, wall_now())});
+            --q->outstanding;
+            continue;
+        }
+        calls_.call(
+            it, session_pin_call, encode_session_pin(q->asked),
+            session_pin_timeout,
+            [this, q, it](result<std::string> const& body)
+            { on_reply(*q, it, body); });
+    }
+    if (q->outstanding == 0)
+        finish(*q);
+}
+
+void session_controller::on_reply(
+    question& q, std::string const& owner, result<std::string> const& body)
+{
+    --q.outstanding;
+    std::optional<session_pin> pin = body ? read_pin(*body) : std::nullopt;
+    bool const is_answer =
+        pin && pin->customer == q.asked.customer && pin->id == q.asked.id;
+    if (is_answer)
+    {
+        if (pin->version.empty())
+            pin.reset();
+        q.replies.push_back({owner, std::move(pin)});
+    }
+    if (q.outstanding == 0)
+        finish(q);
+}
+
+void session_controller::finish(question& q)
+{
+    wall_time const now = wall_now();
+    std::optional<session_pin> best;
+    auto consider = [&](std::optional<session_pin> const& pin)
+    {
+        if (pin && (!best || is_earlier_pin(*pin, *best)))
+            best = pin;
+    };
+    for (owner_reply const& it : q.replies)
+        consider(it.pin);
+    session_pin own = q.asked;
+    bool const is_alone = q.replies.empty();
+    if (!is_alone)
+        own.version.clear(); // only looks up
+    else
+        state_.cluster.counters.count("session_pins_total", "own_table");
+    consider(pins_.find_or_adopt(own, now));
+    if (best)
+    {
+        bool const is_new = best->created_ms == q.asked.created_ms &&
+                            is_same_version(*best, q.asked);
+        state_.cluster.counters.count(
+            "session_pins_total", is_new ? "adopted" : "found");
+        spread(q, *best);
+        pins_.merge(*best, now);
+    }
+    q.done(std::move(best));
+}
+
+void session_controller::spread(question const& q, session_pin const& pin)
+{
+    for (owner_reply const& it : q.replies)
+    {
+        bool const has_pin = it.pin && is_same_version(*it.pin, pin);
+        if (!has_pin && !live_.is_self(it.owner))
+            calls_.send(it.owner, pin_copy_call, encode_session_pin(pin));
+    }
+}
+
+} // namespace marjorambeam
--- /dev/null
+++ b/src/entry/session_controller.hpp
@@ -0,0 +1,120 @@
+// Keeps sessions on their version: signed tokens, and pins of the ids that
+// callers chose, at two owners among the entries.
+//
+// Example:
+//   session_controller sessions(state, live, calls, settings.session_secret);
+//   sessions.find_pin(contract, config, header, [](result<std::string> pin) {
+//       ... // refuse, or choose a version with *pin, which may be empty
+//   });
+//   sessions.adopt(customer, header, chosen, [](std::string pin) {
+//       ... // the version in force, which another entry may have chosen
+//   });
+//   headers.emplace_back("X-Session-Id", sessions.token(customer, header, v));
+//
+// An owner that can't be reached counts as absent; with both absent, the pins
+// that this entry has seen decide. Every entry keeps what it has seen, so that
+// a session survives the loss of both owners. Counters:
+// session_pins_total{found,adopted,own_table} and
+// peer_calls_refused_total{session_pin_malformed}.
+//
+// Used on the loop's thread only; not thread-safe.
+#pragma once
+
+#include "config/generation.hpp"
+#include "entry/entry_state.hpp"
+#include "entry/live_entries.hpp"
+#include "entry/peer_calls.hpp"
+#include "session/session.hpp"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace marjorambeam
+{
+
+// A round trip between zones of a region takes about 1 ms.
+constexpr duration session_pin_timeout = std::chrono::milliseconds(20);
+
+// Whether the contract and the configuration still allow the version
+// "model@version" that a session is pinned to. Errors: model_not_allowed,
+// version_withdrawn (also for a version that no longer exists). Thread-safe.
+result<void> check_pin(
+    contract const& c, config_snapshot const& config, std::string_view pin);
+
+class session_controller
+{
+public:
+    using pin_handler = std::function<void(result<std::string>)>;
+    using adopted_handler = std::function<void(std::string)>;
+
+    // All references outlive this. Precondition: `secret` isn't empty.
+    session_controller(
+        entry_state& state, live_entries const& live, peer_calls& calls,
+        std::string_view secret);
+    session_controller(session_controller const&) = delete;
+    session_controller& operator=(session_controller const&) = delete;
+    ~session_controller() = default;
+
+    // Finds the version that the session in the request header X-Session-Id
+    // is pinned to, "model@version", or empty when there is none. `done` is
+    // called once, at once for a token or an empty header. Errors:
+    // session_invalid and those of check_pin(). Precondition: `config` holds
+    // the contract.
+    void find_pin(
+        contract const& c, std::shared_ptr<config_snapshot const> config,
+        std::string_view header, pin_handler done);
+
+    // Pins a session without a pin to the version chosen for it. `done`
+    // receives the pin in force, which differs when another entry was first.
+    void adopt(
+        std::string_view customer, std::string_view header,
+        version const& chosen, adopted_handler done);
+
+    // The token for the response of a request that ran on "model@version". A
+    // request without a header starts a session, too.
+    std::string token(
+        std::string_view customer, std::string_view header,
+        std::string_view pin) const;
+
+    pin_table const& pins() const
+    {
+        return pins_;
+    }
+
+private:
+    using found_handler = std::function<void(std::optional<session_pin>)>;
+
+    struct owner_reply
+    {
+        std::string owner;
+        std::optional<session_pin> pin;
+    };
+    // A question to both owners.
+    struct question
+    {
+        session_pin asked;
+        std::size_t outstanding = 0;
+        std::vector<owner_reply> replies;
+        found_handler done;
+    };
+
+    void ask(session_pin asked, found_handler done);
+    void on_reply(
+        question& q, std::string const& owner, result<std::string> const& body);
+    void finish(question& q);
+    // Tells the owners that lack the pin.
+    void spread(question const& q, session_pin const& pin);
+    std::optional<session_pin> read_pin(std::string_view body);
+
+    entry_state& state_;
+    live_entries const& live_;
+    peer_calls& calls_;
+    session_key key_;
+    pin_table pins_;
+};
+
+} // namespace marjorambeam
--- /dev/null
+++ b/src/entry/session_controller_test.cpp
@@ -0,0 +1,80 @@
+#include "entry/session_controller.hpp"
+
+#include "entry/entry_test_support.hpp"
+
+using namespace marjorambeam;
+using namespace marjorambeam::test;
+
+// Guards against a session that changes its version while a new one is rolled
+// out, when its entries alternate or the owner of its pin is gone.
+TEST_CASE("a session by own id stays on its version")
+{
+    entry_fleet f(3);
+    std::string const id = "photo-batch-7";
+    CHECK(f.ask("e0", "havbris", id).version == "tagger@v1");
+    f.change({entry_fleet::version_edit("v2", "rolling", 1.0, 5)});
+    CHECK(f.ask("e1", "havbris", "another").version == "tagger@v2");
+    for (int i = 0; i < 6; ++i)
+    {
+        caller_answer const a = f.ask(f.names()[i % 3], "havbris", id);
+        CHECK(a.status == 200);
+        CHECK(a.version == "tagger@v1");
+    }
+    std::vector<std::string> const names = f.names();
+    f.kill(pin_owners("havbris", id, names).front());
+    for (int i = 0; i < 4; ++i)
+    {
+        caller_answer const a = f.ask(f.names()[i % 2], "havbris", id);
+        CHECK(a.status == 200);
+        CHECK(a.version == "tagger@v1");
+    }
+}
+
+// Guards against an owner that joins later and knows no pin: it must learn of
+// the pin, not have the session chosen anew.
+TEST_CASE("a new owner of a session takes over the pin")
+{
+    entry_fleet f(2);
+    std::string const id = "s-1";
+    CHECK(f.ask("e0", "havbris", id).version == "tagger@v1");
+    for (auto const& [name, e] : f.entries)
+        CHECK(f.run_until([&] { return e->sessions().pins().size() == 1; }));
+    f.change({entry_fleet::version_edit("v2", "rolling", 1.0, 5)});
+    std::string const other = pin_owners("havbris", id, f.names()).front();
+    f.add_entry("e2");
+    f.kill(other);
+    f.run_for(milliseconds(300));
+    CHECK(f.ask("e2", "havbris", id).version == "tagger@v1");
+    CHECK(f.entries.at("e2")->sessions().pins().size() == 1);
+}
+
+// Guards against a token that is accepted after it was changed, that moves a
+// session, or that runs on a version that is withdrawn or no longer allowed.
+TEST_CASE("a token keeps its session's version or is refused")
+{
+    entry_fleet f(2);
+    std::string const token = f.ask("e0", "havbris").session;
+    REQUIRE(is_session_token(token));
+    f.change({entry_fleet::version_edit("v2", "rolling", 1.0, 5)});
+    caller_answer const same = f.ask("e1", "havbris", token);
+    CHECK(same.version == "tagger@v1");
+    CHECK(same.session == token);
+
+    std::string changed = token;
+    changed[token.size() / 2] = token[token.size() / 2] == 'A' ? 'B' : 'A';
+    caller_answer const refused = f.ask("e1", "havbris", changed);
+    CHECK(refused.status == 400);
+    CHECK(refused.error_kind == "session_invalid");
+    CHECK(f.ask("e1", "stor", token).error_kind == "session_invalid");
+
+    CHECK(f.ask("e0", "havbris", "own-id").version == "tagger@v2");
+    f.change(
+        {entry_fleet::version_edit("v1", "withdrawn", 0, 10),
+         {document_kind::contract, "stor",
+          R"({"customer":"stor","key_hashes":[")" + secret_hash("stor") +
+              R"("],"models":[]})"}});
+    caller_answer const withdrawn = f.ask("e0", "havbris", token);
+    CHECK(withdrawn.status == 410);
+    CHECK(withdrawn.error_kind == "version_withdrawn");
+    CHECK(f.ask("e0", "havbris", "own-id").status == 200);
+}
