--- a/cmake/marjorambeam.cmake
+++ b/cmake/marjorambeam.cmake
@@ -24,7 +24,7 @@
     add_executable(${name}_test ${tests})
     target_link_libraries(${name}_test PRIVATE ${name} catch_main ${RAPIDCHECK})
     catch_discover_tests(${name}_test TEST_PREFIX "${name}: "
-      PROPERTIES TIMEOUT 120)
+      PROPERTIES TIMEOUT 120 ENVIRONMENT RC_PARAMS=seed=1)
   endif()
   if(benchmarks)
     add_executable(${name}_benchmark ${benchmarks})
--- a/src/error/error_test.cpp
+++ b/src/error/error_test.cpp
@@ -1,7 +1,9 @@
 #include "error/error.hpp"
 
 #include <catch2/catch.hpp>
+#include <fstream>
 #include <set>
+#include <sstream>
 
 using namespace marjorambeam;
 
@@ -20,3 +22,18 @@
             (it.retry_after == duration(0)));
     }
 }
+
+// Guards against a refusal that operators can't look up.
+TEST_CASE("the operations page explains each error kind with its status")
+{
+    std::ifstream in(OPERATIONS_PAGE);
+    std::stringstream page;
+    page << in.rdbuf();
+    for (error_answer const& it : all_error_answers())
+    {
+        std::string const row = "| `" + std::string(it.name) + "` | " +
+                                std::to_string(it.http_status) + " |";
+        INFO(row);
+        CHECK(page.str().find(row) != std::string::npos);
+    }
+}
--- a/src/retry/retry_test.cpp
+++ b/src/retry/retry_test.cpp
@@ -1,6 +1,8 @@
 #include "retry/retry.hpp"
 
 #include <catch2/catch.hpp>
+#include <fstream>
+#include <sstream>
 
 using namespace marjorambeam;
 using std::chrono::milliseconds;
@@ -157,3 +159,20 @@
     q = question(error_kind::queue_full, run_state::not_run);
     REQUIRE(decide_retry(b, q).reason == retry_reason::given_up_budget);
 }
+
+// Guards against a retry reason that operators can't look up.
+TEST_CASE("the operations page explains each retry reason")
+{
+    std::ifstream in(OPERATIONS_PAGE);
+    std::stringstream page;
+    page << in.rdbuf();
+    for (int i = 0; i <= static_cast<int>(retry_reason::given_up_no_upstream);
+         ++i)
+    {
+        std::string const row =
+            "| `" + std::string(to_string(static_cast<retry_reason>(i))) +
+            "` | ";
+        INFO(row);
+        CHECK(page.str().find(row) != std::string::npos);
+    }
+}
