--- a/tests/process/process_fleet.cpp
+++ b/tests/process/process_fleet.cpp
@@ -412,7 +412,7 @@
          .timeout = std::chrono::seconds(30)});
 }
 
-fleet_call&
+std::shared_ptr<fleet_call>
 process_fleet::finish(std::shared_ptr<fleet_call> call, duration limit)
 {
     REQUIRE(wait([&] { return call->is_done(); }, limit));
--- a/tests/process/process_fleet.hpp
+++ b/tests/process/process_fleet.hpp
@@ -109,8 +109,10 @@
     // A plain service call; a key is sent as Idempotency-Key.
     std::shared_ptr<fleet_call>
     call_service(int entry, std::string const& body, std::string const& key);
-    // Waits for the call; fails the test when it takes over `limit`.
-    fleet_call& finish(std::shared_ptr<fleet_call> const& call, duration limit);
+    // Waits for the call and returns it; fails the test when it takes over
+    // `limit`.
+    std::shared_ptr<fleet_call>
+    finish(std::shared_ptr<fleet_call> call, duration limit);
 
     // GET and PUT with JSON; fail the test unless the status is 200.
     nlohmann::json get(std::string const& url);
