--- a/src/entry/caller_api.cpp
+++ b/src/entry/caller_api.cpp
@@ -245,7 +245,7 @@
         // Naming the version makes every way of choosing keep the pin.
         r.chat.model = r.pin;
     }
-    result<void> const chosen = choose_version(c, r);
+    result<void> chosen = choose_version(c, r);
     r.chat.model = asked;
     return chosen;
 }
