Leave the check of a session's pin to routing

Change: check_pin is gone; find_pin needs only customer and header. The test of tokens covers a version that the contract no longer allows.

--- a/src/entry/caller_api.cpp
+++ b/src/entry/caller_api.cpp
@@ -186,7 +186,7 @@
     else
     {
         sessions_.find_pin(
-            c, r.config, in.header(session_header),
+            r.customer, in.header(session_header),
             [this, id = r.id](result<std::string> const& pin)
             { on_pin(id, pin); });
     }
--- a/src/entry/session_controller.cpp
+++ b/src/entry/session_controller.cpp
@@ -36,30 +36,6 @@
 
 } // namespace
 
-result<void> check_pin(
-    contract const& c, config_snapshot const& config, std::string_view pin)
-{
-    version named;
-    std::tie(named.model, named.name) = split_version(pin);
-    if (!is_permitted(c, named))
-    {
-        return fail(
-            error_kind::model_not_allowed,
-            "the contract no longer allows the session's version " +
-                named.id());
-    }
-    auto const it = config.versions.find(pin);
-    bool const is_withdrawn = it == config.versions.end() ||
-                              it->second.state == version_state::withdrawn;
-    if (is_withdrawn)
-    {
-        return fail(
-            error_kind::version_withdrawn,
-            "the session's version " + named.id() + " is withdrawn");
-    }
-    return {};
-}
-
 session_controller::session_controller(
     entry_state& state, live_entries& live, peer_calls& calls,
     std::string_view secret)
@@ -103,28 +79,19 @@
 }
 
 void session_controller::find_pin(
-    contract const& c, std::shared_ptr<config_snapshot const> config,
-    std::string_view header, pin_handler done)
+    std::string_view customer, std::string_view header, pin_handler done)
 {
     if (header.empty())
     {
         done(std::string());
         return;
     }
-    auto check = [](contract const& allowed, config_snapshot const& in_force,
-                    std::string pin) -> result<std::string>
-    {
-        if (result<void> ok = check_pin(allowed, in_force, pin); !ok)
-            return tl::unexpected<error>(ok.error());
-        return pin;
-    };
     if (is_session_token(header))
     {
         result<session_token> const t =
-            read_session_token(key_, header, c.customer, wall_now());
-        done(
-            t ? check(c, *config, t->model + "@" + t->version)
-              : result<std::string>(tl::unexpected<error>(t.error())));
+            read_session_token(key_, header, customer, wall_now());
+        done(t.map([](session_token const& it)
+                   { return it.model + "@" + it.version; }));
         return;
     }
     if (result<void> ok = check_own_session_id(header); !ok)
@@ -132,16 +99,9 @@
         done(tl::unexpected<error>(ok.error()));
         return;
     }
-    ask({.customer = c.customer, .id = std::string(header)},
-        [config = std::move(config), customer = c.customer, check,
-         done = std::move(done)](std::optional<session_pin> pin)
-        {
-            done(
-                pin ? check(
-                          config->contracts.find(customer)->second, *config,
-                          version_id(*pin))
-                    : result<std::string>(std::string()));
-        });
+    ask({.customer = std::string(customer), .id = std::string(header)},
+        [done = std::move(done)](std::optional<session_pin> const& pin)
+        { done(pin ? version_id(*pin) : std::string()); });
 }
 
 void session_controller::adopt(
--- a/src/entry/session_controller.hpp
+++ b/src/entry/session_controller.hpp
@@ -3,7 +3,7 @@
 //
 // Example:
 //   session_controller sessions(state, live, calls, settings.session_secret);
-//   sessions.find_pin(contract, config, header, [](result<std::string> pin) {
+//   sessions.find_pin(customer, header, [](result<std::string> pin) {
 //       ... // refuse, or choose a version with *pin, which may be empty
 //   });
 //   sessions.adopt(customer, header, chosen, [](std::string pin) {
@@ -20,7 +20,6 @@
 // Used on the loop's thread only; not thread-safe.
 #pragma once
 
-#include "config/generation.hpp"
 #include "entry/entry_state.hpp"
 #include "entry/live_entries.hpp"
 #include "entry/peer_calls.hpp"
@@ -39,12 +38,6 @@
 // A round trip between zones of a region takes about 1 ms.
 constexpr duration session_pin_timeout = std::chrono::milliseconds(20);
 
-// Whether the contract and the configuration still allow the version
-// "model@version" that a session is pinned to. Errors: model_not_allowed,
-// version_withdrawn (also for a version that no longer exists). Thread-safe.
-result<void> check_pin(
-    contract const& c, config_snapshot const& config, std::string_view pin);
-
 class session_controller
 {
 public:
@@ -60,13 +53,11 @@
     ~session_controller() = default;
 
     // Finds the version that the session in the request header X-Session-Id
-    // is pinned to, "model@version", or empty when there is none. `done` is
-    // called once, at once for a token or an empty header. Errors:
-    // session_invalid and those of check_pin(). Precondition: `config` holds
-    // the contract.
+    // is pinned to, "model@version", or empty when there is none. The choice
+    // of the version checks whether it is still allowed. `done` is called
+    // once, at once for a token or an empty header. Error: session_invalid.
     void find_pin(
-        contract const& c, std::shared_ptr<config_snapshot const> config,
-        std::string_view header, pin_handler done);
+        std::string_view customer, std::string_view header, pin_handler done);
 
     // Pins a session without a pin to the version chosen for it,
     // "model@version". `done`
--- a/src/entry/session_controller_test.cpp
+++ b/src/entry/session_controller_test.cpp
@@ -69,13 +69,18 @@
     CHECK(f.ask("e1", "stor", token).error_kind == "session_invalid");
 
     CHECK(f.ask("e0", "havbris", "own-id").version == "tagger@v2");
-    f.change(
-        {entry_fleet::version_edit("v1", "withdrawn", 0, 10),
-         {document_kind::contract, "stor",
-          R"({"customer":"stor","key_hashes":[")" + secret_hash("stor") +
-              R"("],"models":[]})"}});
+    std::string const others = f.ask("e0", "stor", "own-id").session;
+    f.change({entry_fleet::version_edit("v1", "withdrawn", 0, 10)});
     caller_answer const withdrawn = f.ask("e0", "havbris", token);
     CHECK(withdrawn.status == 410);
     CHECK(withdrawn.error_kind == "version_withdrawn");
     CHECK(f.ask("e0", "havbris", "own-id").status == 200);
+
+    f.change(
+        {{document_kind::contract, "stor",
+          R"({"customer":"stor","key_hashes":[")" + secret_hash("stor") +
+              R"("],"models":[{"model":"tagger","versions":["v1"]}]})"}});
+    caller_answer const forbidden = f.ask("e1", "stor", others);
+    CHECK(forbidden.status == 403);
+    CHECK(forbidden.error_kind == "model_not_allowed");
 }
