--- a/src/entry/caller_api.cpp
+++ b/src/entry/caller_api.cpp
@@ -252,6 +252,9 @@
             r.chat.max_tokens == 0 ? default_max_tokens : r.chat.max_tokens),
         v);
     r.work.token_cost = static_cast<std::uint64_t>(r.ticket.estimate.tokens);
+    state_.traces.add(
+        r.id, wall_now(),
+        "Version " + r.version_id + ": " + std::string(choice->reason) + ".");
     return {};
 }
 
