--- a/src/entry/admission_controller.cpp
+++ b/src/entry/admission_controller.cpp
@@ -40,55 +40,43 @@
     return std::nullopt;
 }
 
-// Assumed when the caller sets no limit.
-constexpr std::uint64_t default_max_tokens = 256;
-
-version const* version_of(entry_request const& r)
-{
-    auto const it = r.config->versions.find(r.version_id);
-    return it == r.config->versions.end() ? nullptr : &it->second;
-}
-
+// Price of one call of the request's service.
 micro_credits call_price(entry_request const& r)
 {
     auto const it = r.config->services.find(r.work.target);
     return it == r.config->services.end() ? 0 : it->second.price;
 }
 
-} // namespace
-
-request_cost estimated_cost(entry_request const& r)
+micro_credits tokens_price(entry_request const& r)
 {
-    if (r.work.kind == work_kind::service)
-        return {0, call_price(r)};
-    version const* const v = version_of(r);
-    std::uint64_t const out =
-        r.chat.max_tokens == 0 ? default_max_tokens : r.chat.max_tokens;
-    return estimate_cost(
-        r.chat.prompt_bytes, static_cast<std::int64_t>(out),
-        v == nullptr ? version{} : *v);
+    auto const it = r.config->versions.find(r.version_id);
+    if (it == r.config->versions.end())
+        return 0;
+    return static_cast<micro_credits>(r.tokens_in) * it->second.price_in +
+           static_cast<micro_credits>(r.tokens_out) * it->second.price_out;
 }
 
+} // namespace
+
 request_cost actual_cost(entry_request const& r, error const* why)
 {
+    if (r.is_replay || r.earlier_run == run_state::not_run)
+        return {};
+    bool const is_whole = why == nullptr;
     if (r.work.kind == work_kind::service)
-        return {0, why == nullptr ? call_price(r) : 0};
-    if (why != nullptr)
+        return {0, is_whole ? call_price(r) : 0};
+    if (is_whole)
     {
-        std::uint64_t const delivered =
-            r.answer == nullptr ? 0 : r.answer->delivered().tokens;
-        return {static_cast<double>(std::max(r.tokens_out, delivered)), 0};
+        return {
+            static_cast<double>(r.tokens_in + r.tokens_out), tokens_price(r)};
     }
-    version const* const v = version_of(r);
-    auto const in = static_cast<micro_credits>(r.tokens_in);
-    auto const out = static_cast<micro_credits>(r.tokens_out);
-    micro_credits const spend =
-        v == nullptr ? 0 : in * v->price_in + out * v->price_out;
-    return {static_cast<double>(in + out), spend};
+    std::uint64_t const delivered =
+        r.answer == nullptr ? 0 : r.answer->delivered().tokens;
+    return {static_cast<double>(delivered), 0};
 }
 
 admission_controller::admission_controller(
-    entry_state& state, live_entries const& live, peer_calls& calls)
+    entry_state& state, live_entries& live, peer_calls& calls)
     : state_(state)
     , live_(live)
     , calls_(calls)
@@ -104,12 +92,12 @@
     state_.cluster.counters.count(name, reason);
 }
 
-admission_view admission_controller::view(steady_time now) const
+admission_view admission_controller::view(steady_time now)
 {
     return {now, wall_now(), live_.names().size()};
 }
 
-bool admission_controller::owns(std::string_view customer) const
+bool admission_controller::owns(std::string_view customer)
 {
     return live_.is_self(
         live_.names()[allowance_owner(customer, live_.names())]);
--- a/src/entry/entry_daemon.cpp
+++ b/src/entry/entry_daemon.cpp
@@ -63,7 +63,10 @@
           loop, settings_.peer_listen,
           [this](std::shared_ptr<frame_connection> const& c) { on_peer(c); })
     , cluster_(loop, identify(), client_, store_, settings_.cluster)
-    , live_(state_.cluster, steady_now())
+    , live_(
+          state_.cluster,
+          [this](peer const& p) { return cluster_.is_live(p, steady_now()); },
+          steady_now())
     , calls_(loop, state_.cluster, call_settings())
     , admission_(state_, live_, calls_)
     , sessions_(state_, live_, calls_, settings_.session_secret)
@@ -77,8 +80,8 @@
           state_, links_, routing_,
           [this](entry_request const& r, error const* why)
           {
-              usage_.on_end(r, why);
               admission_.settle(r.ticket, actual_cost(r, why));
+              usage_.on_end(r, why);
           })
     , api_(state_, requests_, routing_, sessions_, admission_)
     , caller_server_(
@@ -91,14 +94,14 @@
           { handle_admin(ex); })
     , ticker_(loop, [this] { tick(); })
     , slow_ticker_(loop, [this] { slow_tick(); })
-    , live_ticker_(loop, [this] { refresh_live_entries(); })
+    , live_ticker_(loop, [this] { live_.refresh(steady_now()); })
     , terminate_(loop, SIGTERM, [this] { begin_shutdown(); })
     , interrupt_(loop, SIGINT, [this] { begin_shutdown(); })
 {
     ticker_.start_every(tick_interval);
     slow_ticker_.start_every(slow_tick_interval);
-    cluster_.on_config_change([this] { routing_.rebuild(); });
     live_ticker_.start_every(live_interval);
+    cluster_.on_config_change([this] { routing_.rebuild(); });
 }
 
 cluster_state& entry_daemon::identify()
@@ -141,17 +144,11 @@
     out.on_refused = [this](std::string_view instance)
     {
         cluster_.note_refused(instance);
-        refresh_live_entries();
+        live_.refresh(steady_now());
     };
     return out;
 }
 
-void entry_daemon::refresh_live_entries()
-{
-    steady_time const now = steady_now();
-    live_.refresh([&](peer const& p) { return cluster_.is_live(p, now); }, now);
-}
-
 void entry_daemon::on_peer(std::shared_ptr<frame_connection> const& connection)
 {
     peers_.insert(connection);
--- a/src/entry/live_entries.hpp
+++ b/src/entry/live_entries.hpp
@@ -1,8 +1,8 @@
 // The live entries, over which customers and sessions are divided.
 //
 // Example:
-//   live_entries live(state.cluster, steady_now());
-//   live.refresh([&](peer const& p) { return cluster.is_live(p, now); }, now);
+//   live_entries live(state.cluster, is_live, steady_now());
+//   live.refresh(steady_now()); // every 100 ms, and when a peer is lost
 //   std::size_t owner = allowance_owner(customer, live.names());
 //
 // Used on the loop's thread only; not thread-safe.
@@ -22,9 +22,14 @@
 class live_entries
 {
 public:
-    // Starts with this entry alone. `cluster` outlives this.
-    live_entries(cluster_state const& cluster, steady_time now)
+    using live_test = std::function<bool(peer const&)>;
+
+    // Starts with this entry alone. `cluster` outlives this; `is_live` tells
+    // whether a peer counts.
+    live_entries(
+        cluster_state const& cluster, live_test is_live, steady_time now)
         : cluster_(cluster)
+        , is_live_(std::move(is_live))
         , names_{cluster.identity.instance}
         , left_at_(now)
     {
@@ -32,13 +37,16 @@
 
     // Reads the set anew. It is kept in between, because a request must not
     // visit every known daemon.
-    void
-    refresh(std::function<bool(peer const&)> const& is_live, steady_time now);
+    void refresh(steady_time now);
 
     // In order, with this entry; not empty. This entry is left out while it
-    // shuts down and there are others.
-    std::span<std::string const> names() const
+    // shuts down and there are others. Reads the set anew when peers were
+    // added or removed: an entry that has just started must not act as if it
+    // were alone.
+    std::span<std::string const> names()
     {
+        if (cluster_.peers.size() != known_peers_)
+            refresh(steady_now());
         return names_;
     }
     bool is_self(std::string_view name) const
@@ -53,6 +61,8 @@
 
 private:
     cluster_state const& cluster_;
+    live_test is_live_;
+    std::size_t known_peers_ = 0; // at the last refresh
     std::vector<std::string> names_;
     steady_time left_at_;
 };
--- a/src/entry/session_controller_test.cpp
+++ b/src/entry/session_controller_test.cpp
@@ -40,12 +40,13 @@
     for (auto const& [name, e] : f.entries)
         CHECK(f.run_until([&] { return e->sessions().pins().size() == 1; }));
     f.change({entry_fleet::version_edit("v2", "rolling", 1.0, 5)});
-    std::string const other = pin_owners("havbris", id, f.names()).front();
     f.add_entry("e2");
-    f.kill(other);
-    f.run_for(milliseconds(300));
+    f.kill(pin_owners("havbris", id, f.names()).front());
+    REQUIRE(f.entries.count("e2") == 1);
+    CHECK(f.ask("e2", "havbris", id).version == "tagger@v1");
+    while (f.entries.size() > 1)
+        f.kill(f.names().front());
     CHECK(f.ask("e2", "havbris", id).version == "tagger@v1");
-    CHECK(f.entries.at("e2")->sessions().pins().size() == 1);
 }
 
 // Guards against a token that is accepted after it was changed, that moves a
@@ -68,13 +69,18 @@
     CHECK(f.ask("e1", "stor", token).error_kind == "session_invalid");
 
     CHECK(f.ask("e0", "havbris", "own-id").version == "tagger@v2");
-    f.change(
-        {entry_fleet::version_edit("v1", "withdrawn", 0, 10),
-         {document_kind::contract, "stor",
-          R"({"customer":"stor","key_hashes":[")" + secret_hash("stor") +
-              R"("],"models":[]})"}});
+    std::string const others = f.ask("e0", "stor", "own-id").session;
+    f.change({entry_fleet::version_edit("v1", "withdrawn", 0, 10)});
     caller_answer const withdrawn = f.ask("e0", "havbris", token);
     CHECK(withdrawn.status == 410);
     CHECK(withdrawn.error_kind == "version_withdrawn");
     CHECK(f.ask("e0", "havbris", "own-id").status == 200);
+
+    f.change(
+        {{document_kind::contract, "stor",
+          R"({"customer":"stor","key_hashes":[")" + secret_hash("stor") +
+              R"("],"models":[{"model":"tagger","versions":["v1"]}]})"}});
+    caller_answer const forbidden = f.ask("e1", "stor", others);
+    CHECK(forbidden.status == 403);
+    CHECK(forbidden.error_kind == "model_not_allowed");
 }
