Report and use an upstream's speed so that it can recover

Cause: two faults kept an upstream without work for good. The agent reported the speed of all its slots together where routing expects that of one response, so an upstream with a low limit looked slow, got no work, and without responses its limit did not grow. And routing used the speed of a report of any age, so an upstream that was slow once was not sent the work that shows its recovery.

Seen: in the process tests an agent that was frozen and resumed, and an upstream taken out and brought back, got no request in 10 s. explain showed expected times of 0.023 to 0.026 s for the others and 0.035 s for the returned one, where a response took 0.42 s.

Change: current_load() reports the speed of one response; expected_seconds() uses a reported speed only as long as the reported load.

Ruled out: membership (condition live), the pause after a failure (2 s), and the warm-up limit itself.

--- a/src/agent/agent_state.cpp
+++ b/src/agent/agent_state.cpp
@@ -32,7 +32,7 @@
         .limit = current_limit(s.warm_up),
         .warm_limit = s.warm_up.bounds.warm,
         .queued_tokens = s.queue.cost(),
-        .tokens_per_second = tokens_per_second(s),
+        .tokens_per_second = s.tokens_per_slot_second,
         .first_token_seconds = s.first_token_seconds,
         .is_cold = is_cold(s.warm_up)};
 }
--- a/src/routing/routing.cpp
+++ b/src/routing/routing.cpp
@@ -303,9 +303,13 @@
 {
     bool const known = is_known(s, now);
     double const limit = known ? s.limit : a.limit;
-    double const first = s.first_token > 0 ? s.first_token : a.first_token;
+    // An old speed is no better known than an old load; an upstream that was
+    // slow once would never be sent the work that shows that it has recovered.
+    bool const has_first = known && s.first_token > 0;
+    bool const has_speed = known && s.seconds_per_token > 0;
+    double const first = has_first ? s.first_token : a.first_token;
     double const per_token =
-        s.seconds_per_token > 0 ? s.seconds_per_token : a.seconds_per_token;
+        has_speed ? s.seconds_per_token : a.seconds_per_token;
     double const n = in_flight(s, a, limit, known);
     double const service = first + tokens * per_token;
     double const crowd = std::min(1.0, n / limit) * batch_slowdown;
--- a/src/routing/routing_test.cpp
+++ b/src/routing/routing_test.cpp
@@ -223,6 +223,23 @@
     REQUIRE(counts["slow"] >= 2);
 }
 
+// Guards against an upstream that reported a low speed once and is never sent
+// the work that would show that it has recovered.
+TEST_CASE("a reported speed counts as unknown after a while")
+{
+    fixture f;
+    f.add_upstream("recovered", "z1");
+    f.add_upstream("steady", "z1");
+    f.build();
+    f.report("recovered", 0, 2);
+    for (int i = 0; i < 200; ++i)
+        f.report("steady", 4, 50);
+    REQUIRE(f.count_choices(10)["recovered"] == 0);
+    f.now += load_age_limit + milliseconds(1);
+    f.report("steady", 4, 50);
+    REQUIRE(f.count_choices(10)["recovered"] > 0);
+}
+
 // Guards against crossing zones without need, and against queueing in the own
 // zone while another has room.
 TEST_CASE("the own zone goes first and spills over when full")
--- a/src/wire/message.hpp
+++ b/src/wire/message.hpp
@@ -42,7 +42,7 @@
     std::uint32_t limit = 0;         // requests it may run now
     std::uint32_t warm_limit = 0;    // the limit when fully warm
     std::uint64_t queued_tokens = 0; // token cost of the waiting requests
-    double tokens_per_second = 0;    // recent speed
+    double tokens_per_second = 0;    // recent speed of one response
     double first_token_seconds = 0;  // recent median
     bool is_cold = false;
 
