--- a/tests/process/steady_load.hpp
+++ b/tests/process/steady_load.hpp
@@ -37,6 +37,12 @@
 public:
     steady_load(process_fleet& fleet, load_plan plan);
 
+    // Changes how many requests are under way.
+    void set_concurrency(std::size_t n)
+    {
+        plan_.concurrency = n;
+    }
+
     // Sends no new requests and waits for those under way; false after
     // `limit`.
     bool finish(duration limit);
