Pass the flags without the program name in fake-instance-list

Cause: the binary refused every flag, as its own path was parsed as one; found by starting it by hand.

Change: args start after argv[0]. After: it prints its address and exits with 0 on SIGTERM, started by hand.

Conclusion: no test starts the binary; the demo script will.

--- a/fakes/instance_list/main.cpp
+++ b/fakes/instance_list/main.cpp
@@ -12,7 +12,7 @@
     std::string listen;
     std::vector<setting> const table = {address_setting(
         "listen", "127.0.0.1:0", "HTTP address of the list", listen)};
-    std::vector<std::string> const args(argv, argv + argc);
+    std::vector<std::string> const args(argv + 1, argv + argc);
     settings_outcome const outcome = parse_settings(
         "fake-instance-list", "FAKE_INSTANCE_LIST", table, args,
         process_environment(), std::cout, std::cerr);
