Choose a TCP port whose number is free for datagrams

Cause: a daemon binds UDP to the port number that the kernel chose for TCP. When another process has that UDP port, the daemon could not start; with 128 daemons on one machine about 0.3 such collisions are expected per start.

Change: with port 0 the listener tries ports until the datagram port is free.

Ruled out: separate port numbers, which would double the ports that operators have to open and the addresses in every digest.

--- a/src/transport/transport.cpp
+++ b/src/transport/transport.cpp
@@ -75,6 +75,31 @@
     return fd;
 }
 
+constexpr int max_port_attempts = 16;
+
+// Returns a listening socket. With port 0 the kernel chooses a port whose
+// number is free for datagrams, too, because daemons use both.
+int open_listener(std::string_view address)
+{
+    result<std::pair<std::string, std::uint16_t>> const wanted =
+        split_address(address);
+    for (int i = 1;; ++i)
+    {
+        int const fd = open_bound(address, SOCK_STREAM);
+        if (!wanted || wanted->second != 0 || i == max_port_attempts)
+            return fd;
+        try
+        {
+            ::close(open_bound(bound_address(fd), SOCK_DGRAM));
+            return fd;
+        }
+        catch (std::runtime_error const&)
+        {
+            ::close(fd);
+        }
+    }
+}
+
 bool is_temporary(int ec)
 {
     return ec == EAGAIN || ec == EWOULDBLOCK || ec == EINTR;
@@ -277,7 +302,7 @@
 frame_listener::frame_listener(
     ev::loop_ref loop, std::string_view address, handler on_connection)
     : loop_(loop)
-    , fd_(open_bound(address, SOCK_STREAM))
+    , fd_(open_listener(address))
     , io_(loop)
     , address_(bound_address(fd_))
     , on_connection_(std::move(on_connection))
--- a/src/transport/transport_test.cpp
+++ b/src/transport/transport_test.cpp
@@ -84,3 +84,22 @@
     loop.run();
     CHECK(delivered == 1);
 }
+
+// Guards against a daemon that can't start because the kernel chose a TCP port
+// whose number is taken for datagrams.
+TEST_CASE("a chosen port is free for datagrams")
+{
+    ev::dynamic_loop loop;
+    std::vector<std::unique_ptr<frame_listener>> listeners;
+    std::vector<std::unique_ptr<datagram_socket>> sockets;
+    constexpr int daemons = 300;
+    for (int i = 0; i < daemons; ++i)
+    {
+        listeners.push_back(
+            std::make_unique<frame_listener>(loop, "127.0.0.1:0", [](auto) {}));
+        sockets.push_back(std::make_unique<datagram_socket>(
+            loop, listeners.back()->address(), [](message&&) {},
+            [](error const&) {}));
+    }
+    CHECK(sockets.size() == daemons);
+}
