Store no checkpoint before the first read has ended

Cause: test "a watcher stores the checkpoint and later daemons start from it" failed under load in 6 of 15 runs beside the linter and in 1 of 24 runs six at a time: a tick between two pages of the first read stored checkpoint 200, and the next one waits 10 s.

Change: checkpoints are stored once the daemon has its configuration.

Ruled out: waiting longer in the test; the earlier checkpoint is of no use to anybody.

--- a/src/cluster/cluster_controller.cpp
+++ b/src/cluster/cluster_controller.cpp
@@ -353,8 +353,9 @@
 {
     bool const is_due = history_.newest > stored_checkpoint_ &&
                         history_.newest % checkpoint_interval == 0;
-    if (!is_watcher_ || !is_due || is_writing_checkpoint_ ||
-        now < next_checkpoint_)
+    // While the first read goes on, checkpoints that it passes are of no use.
+    if (!is_watcher_ || !sync_.has_config || !is_due ||
+        is_writing_checkpoint_ || now < next_checkpoint_)
         return;
     is_writing_checkpoint_ = true;
     next_checkpoint_ = now + varied(checkpoint_retry, random_);
