Learn a pool's average speed while all its upstreams are cold

Cause: the means that stand in for an unknown load took in reports of warm upstreams only and began with assumed speeds (20 ms a token). An upstream's limit reaches the warm bound only after many responses, so at low load all stay cold, and an upstream of unknown load (returned, resumed, restarted) was expected to take 2.5 s where the others took 0.45 s. It got no work until the others queued.

Seen in the process test of a frozen agent: no request in 10 s at 9 requests under way.

Change: reports of cold upstreams count until a warm one was seen, and the first report replaces what was assumed.

Ruled out: the age limit of load reports, fixed before; the agent was live and in the table.

After: the new case fails without the change (0 of 10 choices) and passes with it; routing_test and policy_model_test pass.

--- a/src/routing/routing_table.cpp
+++ b/src/routing/routing_table.cpp
@@ -201,6 +201,32 @@
         b.t.models[document.model].push_back({&document, find_pool(b.t, id)});
 }
 
+void blend(double& mean, double sample, double weight)
+{
+    mean += weight * (sample - mean);
+}
+
+void add_to_average(pool_average& a, upstream_status const& s)
+{
+    average_source const from =
+        s.is_cold ? average_source::cold : average_source::warm;
+    if (from < a.source)
+        return;
+    // The first speed replaces one of a lesser kind: against an assumed speed
+    // that is far too low, an upstream of unknown load would get no work.
+    double const weight = from > a.source ? 1 : average_weight;
+    double const limit = s.limit;
+    if (!s.is_cold)
+        blend(a.limit, limit, average_weight);
+    blend(a.utilization, std::min(2.0, s.reported / limit), average_weight);
+    if (s.first_token > 0)
+        blend(a.first_token, s.first_token, weight);
+    if (s.seconds_per_token <= 0)
+        return;
+    blend(a.seconds_per_token, s.seconds_per_token, weight);
+    a.source = from;
+}
+
 } // namespace
 
 routing_table
@@ -251,21 +277,10 @@
     s.limit = load.limit;
     s.is_cold = load.is_cold;
     s.load_seen = now;
-    if (load.limit == 0 || load.is_cold)
+    if (load.limit == 0)
         return;
     for (pool_index p : t.slots[u].pools)
-    {
-        pool_average& a = t.pools[p].average;
-        auto const blend = [](double& mean, double sample)
-        { mean += average_weight * (sample - mean); };
-        double const limit = load.limit;
-        blend(a.limit, limit);
-        blend(a.utilization, std::min(2.0, s.reported / limit));
-        if (s.first_token > 0)
-            blend(a.first_token, s.first_token);
-        if (s.seconds_per_token > 0)
-            blend(a.seconds_per_token, s.seconds_per_token);
-    }
+        add_to_average(t.pools[p].average, s);
 }
 
 void note_sent(routing_table& t, upstream_index u)
--- a/src/routing/routing_table.hpp
+++ b/src/routing/routing_table.hpp
@@ -103,9 +103,18 @@
     upstream_index upstream = no_index;
 };
 
+// What the means of a pool are from. Reports of a lesser kind do not count.
+enum class average_source : std::uint8_t
+{
+    assumed, // no report yet
+    cold,    // upstreams below their warm limit, which may be all for long
+    warm
+};
+
 // Means over the reports in a pool; stand in for an unknown load.
 struct pool_average
 {
+    average_source source = average_source::assumed;
     double first_token = 0.1;
     double seconds_per_token = 0.02;
     double utilization = 0.5;
--- a/src/routing/routing_test.cpp
+++ b/src/routing/routing_test.cpp
@@ -223,6 +223,27 @@
     REQUIRE(counts["slow"] >= 2);
 }
 
+// Guards against an upstream that gets no work after its return because the
+// pool's assumed speed is far below that of the others, all still warming up.
+TEST_CASE("an upstream of unknown load counts as average while all are cold")
+{
+    fixture f;
+    f.add_upstream("returned", "z1");
+    f.add_upstream("steady", "z1");
+    f.build();
+    upstream_load load{
+        .running = 1,
+        .limit = 4,
+        .tokens_per_second = 500,
+        .first_token_seconds = 0.1,
+        .is_cold = true};
+    for (int i = 0; i < 50; ++i)
+        note_load(f.t, find_upstream(f.t, "steady"), load, f.now);
+    load.running = 2;
+    note_load(f.t, find_upstream(f.t, "steady"), load, f.now);
+    REQUIRE(f.count_choices(10)["returned"] > 0);
+}
+
 // Guards against an upstream that reported a low speed once and is never sent
 // the work that would show that it has recovered.
 TEST_CASE("a reported speed counts as unknown after a while")
--- a/tests/process/crash_test.cpp
+++ b/tests/process/crash_test.cpp
@@ -148,7 +148,6 @@
     auto load_of = [&](char const* agent)
     { return fleet.get(fleet.url(agent, "admin") + "/admin/status")["load"]; };
     REQUIRE(fleet.wait([&] { return load_of("agent-0")["limit"] == 16; }, 10s));
-    // More than the other engine can hold, so that the cold one is needed.
     load.set_concurrency(24);
     REQUIRE(fleet.wait(
         [&] { return fleet.count("engine-0", "max_running") > 4; }, 10s));
@@ -164,6 +163,10 @@
         5s));
     CHECK(to_seconds(steady_now() - cold_at) < 3);
     fleet.put(engine_url + "/faults", {{"reset_max_running", true}});
+    // Now all go to the cold one, as many as its agent lets wait.
+    load.set_concurrency(8);
+    REQUIRE(fleet.wait([&] { return load.under_way() <= 8; }, 10s));
+    REQUIRE(fleet.run_ctl({"upstream", "out", "upstream-1"}) == 0);
     std::uint64_t const before = fleet.count("engine-0", "finished");
     CHECK(fleet.wait(
         [&] { return fleet.count("engine-0", "finished") > before + 20; },
--- a/tests/process/steady_load.hpp
+++ b/tests/process/steady_load.hpp
@@ -37,6 +37,10 @@
 public:
     steady_load(process_fleet& fleet, load_plan plan);
 
+    std::size_t under_way() const
+    {
+        return open_.size();
+    }
     // Changes how many requests are under way.
     void set_concurrency(std::size_t n)
     {
