--- a/src/entry/admission_controller.hpp
+++ b/src/entry/admission_controller.hpp
@@ -40,7 +40,7 @@
 
     // All references outlive this.
     admission_controller(
-        entry_state& state, live_entries const& live, peer_calls& calls);
+        entry_state& state, live_entries& live, peer_calls& calls);
     admission_controller(admission_controller const&) = delete;
     admission_controller& operator=(admission_controller const&) = delete;
     ~admission_controller() = default;
@@ -74,7 +74,7 @@
         std::vector<waiter> waiting;
     };
 
-    admission_view view(steady_time now) const;
+    admission_view view(steady_time now);
     void decide(
         std::string const& customer, customer_state& s, waiter w, bool is_new);
     void decide_waiting(std::string const& customer, customer_state& s);
@@ -88,23 +88,20 @@
     // The owner's answer; nothing when this entry does not own the customer.
     std::optional<allowance_grant> answer(allowance_request const& r);
     std::optional<std::string> serve(std::string_view body);
-    bool owns(std::string_view customer) const;
+    bool owns(std::string_view customer);
     void count(std::string_view name, std::string_view reason);
 
     entry_state& state_;
-    live_entries const& live_;
+    live_entries& live_;
     peer_calls& calls_;
     std::map<std::string, customer_state, std::less<>> customers_;
     std::map<std::string, owner_allowance, std::less<>> owned_;
     steady_time reported_at_{};
 };
 
-// What the request is expected to cost. Precondition: its version is chosen,
-// if it goes to a model.
-request_cost estimated_cost(entry_request const& r);
-
-// What it has cost: `why` is null when the whole response was delivered. A
-// response that was cut off costs the tokens delivered and no money.
+// What a request has cost its allowance: `why` is null when the whole response
+// was delivered. A response that was cut off costs the tokens delivered and no
+// money; one that never ran, or that replays an earlier outcome, nothing.
 request_cost actual_cost(entry_request const& r, error const* why);
 
 } // namespace marjorambeam
