Run the agent's non-idempotent calls under keys and keep its usage

Cause: the agent ran calls that must not repeat without remembering their keys, and an entry that was lost took its usage records with it.

Change: once_controller fills the hooks reserve and complete with the key window and one keyspace keeper for each service of the upstream; usage_keeper fills on_usage, on_usage_settled and on_entry_gone with usage_holder and ledger_poster. agent_daemon holds what main() wired before, so that tests run the same wiring as the program. A refusal that names an owner is sent as work_refused also after the acceptance, because answer_failed has no owner. A keeper reads again at once after a conflict.

Ruled out: posting when an entry's connection ends; connections are also cut by the network, and each would cost a write. Taking partitions before any other daemon is known; at a start of a large fleet all agents would write all 16 partitions of a service.

--- a/src/agent/agent_admin.cpp
+++ b/src/agent/agent_admin.cpp
@@ -39,6 +39,9 @@
         {"is_shutting_down", c.is_shutting_down},
         {"is_upstream_down", s.is_upstream_down},
         {"attempts", s.attempts.size()},
+        {"owned_partitions", s.owned_partitions},
+        {"keys_in_window", s.remembered_keys},
+        {"held_usage_records", s.held_usage},
         {"load", load_json(current_load(s))}};
 }
 
--- a/src/agent/agent_end.cpp
+++ b/src/agent/agent_end.cpp
@@ -23,7 +23,9 @@
 void agent_controller::refuse(
     attempt& a, error const& e, std::string const& owner)
 {
-    if (a.is_accepted)
+    // Only a refusal can name the owner of the key. It is sent after the
+    // acceptance when the decision about the key took a while.
+    if (a.is_accepted && owner.empty())
         return fail_attempt(a, e);
     state_.cluster.counters.count("refusals_total", to_string(e.kind));
     log_.debug(
--- a/src/agent/agent_state.hpp
+++ b/src/agent/agent_state.hpp
@@ -99,6 +99,10 @@
     steady_time last_report{};
     double tokens_per_slot_second = 0; // moving average of finished attempts
     double first_token_seconds = 0;    // moving average
+    // For the status page.
+    std::size_t owned_partitions = 0; // of key spaces
+    std::size_t remembered_keys = 0;
+    std::size_t held_usage = 0; // records that are not settled
 };
 
 // The configuration's document of the agent's upstream, or null.
--- a/src/agent/main.cpp
+++ b/src/agent/main.cpp
@@ -1,9 +1,5 @@
 // marjorambeam-agent: the process beside one upstream.
-#include "agent/agent_admin.hpp"
-#include "agent/agent_controller.hpp"
-#include "cluster/cluster_controller.hpp"
-#include "event_loop/event_loop.hpp"
-#include "object_store/object_store.hpp"
+#include "agent/agent_daemon.hpp"
 #include "settings/settings.hpp"
 
 #include <csignal>
@@ -14,40 +10,33 @@
 
 using namespace marjorambeam;
 
-constexpr duration tick_interval = std::chrono::milliseconds(20);
-
 struct agent_flags
 {
-    agent_settings agent;
-    std::string admin_listen;
-    std::string upstream;
-    std::string zone;
-    std::string instance;
-    cluster_settings cluster;
+    agent_daemon_settings daemon;
     std::string log_level;
     std::int64_t max_queued = 0;
-    duration drain{};
 };
 
 std::vector<setting> settings_table(agent_flags& f)
 {
-    agent_settings& a = f.agent;
+    agent_daemon_settings& d = f.daemon;
+    agent_settings& a = d.agent;
     std::vector<setting> rows{
         address_setting(
             "listen", "127.0.0.1:0",
             "Address for frames; datagrams use the same port.", a.listen),
         address_setting(
             "admin-listen", "127.0.0.1:0", "Address for operators' HTTP.",
-            f.admin_listen),
+            d.admin_listen),
         text_setting(
-            "upstream", "", "Name of the upstream's document.", f.upstream,
+            "upstream", "", "Name of the upstream's document.", d.upstream,
             false),
         url_setting(
             "upstream-url", "", "Base URL of the upstream.", a.upstream_url),
         text_setting(
-            "zone", "", "Availability zone of this instance.", f.zone, false),
+            "zone", "", "Availability zone of this instance.", d.zone, false),
         text_setting(
-            "instance", "", "Name of this instance.", f.instance, false),
+            "instance", "", "Name of this instance.", d.instance, false),
         choice_setting(
             "log-level", "info", {"debug", "info", "warning", "error", "off"},
             "Lowest level of lines that are logged.", f.log_level),
@@ -77,83 +66,33 @@
             a.connection_silence),
         duration_setting(
             "drain-ms", 30000, 0, 3600000,
-            "Time that admitted requests have at a shutdown.", f.drain)};
-    for (setting& it : cluster_setting_rows(f.cluster))
+            "Time that admitted requests have at a shutdown.", d.drain),
+        duration_setting(
+            "usage-hold-ms", 60000, 100, 3600000,
+            "Time after which the agent posts usage that the entry has not.",
+            d.usage.hold_time),
+        duration_setting(
+            "entry-gone-ms", 3000, 0, 60000,
+            "Time without an entry after which its usage is posted.",
+            d.usage.gone_after),
+        duration_setting(
+            "key-owner-wait-ms", 2000, 0, 10000,
+            "Time that a call waits while its key has no owner.",
+            d.once.owner_wait)};
+    for (setting& it : cluster_setting_rows(d.cluster))
         rows.push_back(std::move(it));
     return rows;
 }
 
-// Passes on what concerns the cluster. No frame arrives before `sync` is set.
-agent_hooks cluster_hooks(std::unique_ptr<cluster_controller>& sync)
-{
-    agent_hooks hooks;
-    hooks.on_generation = [&sync](std::string_view instance, std::uint64_t n)
-    { sync->note_frame(instance, n); };
-    hooks.on_message =
-        [&sync](std::shared_ptr<frame_connection> const& c, message const& m)
-    { return sync->handle(c, m); };
-    return hooks;
-}
-
-int run(agent_flags& flags)
+int run(agent_daemon_settings const& settings)
 {
     ev::dynamic_loop loop;
-    cluster_state cluster;
-    cluster.identity = {
-        .instance = flags.instance,
-        .role = process_role::agent,
-        .availability_zone = flags.zone,
-        .upstream = flags.upstream,
-        .self = random_incarnation()};
-    agent_state state(cluster, flags.agent);
-    http_client http(loop);
-    object_store store(http, flags.cluster.store_url);
-    std::unique_ptr<cluster_controller> sync;
-    agent_controller agent(loop, state, cluster_hooks(sync));
-    flags.cluster.bind_address = agent.address();
-    cluster.identity.address = flags.cluster.advertise.empty()
-                                   ? agent.address()
-                                   : flags.cluster.advertise;
-    sync = std::make_unique<cluster_controller>(
-        loop, cluster, http, store, flags.cluster);
-    sync->on_config_change([&] { agent.tick(steady_now()); });
-    http_server const admin(
-        loop, {.address = flags.admin_listen},
-        [&](std::shared_ptr<http_exchange> const& ex)
-        { answer_admin(state, sync->status_json(steady_now()), *ex); });
-    std::string const host =
-        flags.admin_listen.substr(0, flags.admin_listen.find(':') + 1);
-
-    int exit_code = 0;
-    steady_time drain_end = steady_time::max();
-    loop_timer tick(
-        loop,
-        [&]
-        {
-            steady_time const now = steady_now();
-            agent.tick(now);
-            if (!cluster.is_shutting_down)
-                return;
-            if (now >= drain_end && agent.cut_all(now) > 0)
-                exit_code = 1;
-            if (agent.is_drained() || now >= drain_end + flags.agent.park_time)
-                loop.break_loop(ev::ALL);
-        });
-    tick.start_every(tick_interval);
-    loop_signal const term(
-        loop, SIGTERM,
-        [&]
-        {
-            if (cluster.is_shutting_down)
-                return;
-            drain_end = steady_now() + flags.drain;
-            agent.begin_shutdown(steady_now());
-            sync->tick(steady_now()); // tells the others at once
-        });
-    std::cout << "marjorambeam-agent: listening frames=" << agent.address()
-              << " admin=http://" << host << admin.port() << std::endl;
+    agent_daemon daemon(loop, settings);
+    loop_signal const term(loop, SIGTERM, [&] { daemon.begin_shutdown(); });
+    std::cout << "marjorambeam-agent: listening frames=" << daemon.address()
+              << " admin=" << daemon.admin_url() << std::endl;
     loop.run();
-    return exit_code;
+    return daemon.exit_code();
 }
 
 } // namespace
@@ -167,11 +106,11 @@
         process_environment(), std::cout, std::cerr);
     if (outcome.exit_now)
         return outcome.exit_code;
-    flags.agent.max_queued = static_cast<std::size_t>(flags.max_queued);
-    init_log(parse_log_level(flags.log_level), flags.instance);
+    flags.daemon.agent.max_queued = static_cast<std::size_t>(flags.max_queued);
+    init_log(parse_log_level(flags.log_level), flags.daemon.instance);
     try
     {
-        return run(flags);
+        return run(flags.daemon);
     }
     catch (std::exception const& e)
     {
--- a/src/at_most_once/keyspace_keeper.cpp
+++ b/src/at_most_once/keyspace_keeper.cpp
@@ -190,8 +190,11 @@
     if (!answer)
     {
         // Read the object before the next step: the write may have succeeded,
-        // or another process has written.
+        // or another process has written. After a conflict that is at once:
+        // callers are redirected to the owner as soon as it is known.
         it.is_read = false;
+        if (is_store_up_)
+            next_read_ms_ = std::min(next_read_ms_, sent.steady_ms);
         return;
     }
     it.stored = plan.record;
