Send calls with a key to the owner of the key first

Cause: the entry chose any upstream for a call that must not repeat, so that most calls took a redirect; a refusal about a key marked the upstream as failed for 2 s and made a bill line for work that had not run.

Change: the entry remembers the owners that agents name and that answered, and otherwise computes the same rendezvous preference as the agents. An owner that has failed this call is not asked again when another agent still names it. A key of the entry's own making is replaced once by one without a time when the owner can't judge it, which happens for 4 s after the restart of an agent. Refusals about a key no longer count as work that may have run. A call that waits for an owner makes the keeper read every 200 ms.

Ruled out: replacing the key by one with a later time; the bound after a restart lies up to 4 s ahead, further than a key may.

--- a/src/agent/once_controller.cpp
+++ b/src/agent/once_controller.cpp
@@ -180,11 +180,19 @@
     return names;
 }
 
-bool once_controller::is_owner_live(std::string_view upstream) const
+peer_condition once_controller::owner_condition(std::string_view upstream) const
 {
-    return std::any_of(
-        cluster_.peers.begin(), cluster_.peers.end(), [&](auto const& it)
-        { return it.second.upstream == upstream && is_live_(it.second); });
+    peer_condition found = peer_condition::gone;
+    for (auto const& [instance, p] : cluster_.peers)
+    {
+        if (p.upstream != upstream)
+            continue;
+        if (is_live_(p))
+            return peer_condition::live;
+        if (p.is_leaving)
+            found = peer_condition::leaving;
+    }
+    return found;
 }
 
 void once_controller::follow_services()
@@ -236,18 +244,20 @@
     bool const is_elsewhere = a.step == key_step::refuse &&
                               a.refusal.kind == error_kind::not_keyspace_owner;
     if (is_elsewhere)
-        return redirect(space, p, decide, may_wait);
+        return redirect(space, p, decide, may_wait, now);
     act(r, a, decide);
     return true;
 }
 
 bool once_controller::redirect(
     keyspace& space, std::uint32_t partition, once_handler const& decide,
-    bool may_wait)
+    bool may_wait, clock_reading now)
 {
     std::string const& owner = space.keeper->owner(partition);
     bool const is_other = !owner.empty() && owner != self_.upstream;
-    if (is_other && is_owner_live(owner))
+    peer_condition const condition =
+        is_other ? owner_condition(owner) : peer_condition::leaving;
+    if (condition == peer_condition::live)
     {
         refuse(
             decide,
@@ -256,11 +266,16 @@
             owner);
         return true;
     }
-    // Nobody can become the owner while the store is down.
+    // An owner that leaves releases the partition soon; after one that is gone
+    // the rest of its lease has to pass. Nobody can become the owner while the
+    // store is down.
     bool const is_store_down =
         space.was_store_up && !space.keeper->is_store_up();
-    if (may_wait && !is_other && !is_store_down)
+    if (may_wait && condition == peer_condition::leaving && !is_store_down)
+    {
+        space.keeper->expect_change(now);
         return false;
+    }
     refuse(
         decide, make_error(
                     error_kind::keyspace_unavailable,
--- a/src/agent/once_controller.hpp
+++ b/src/agent/once_controller.hpp
@@ -18,6 +18,7 @@
 #include "at_most_once/key_window.hpp"
 #include "at_most_once/keyspace_keeper.hpp"
 #include "cluster/cluster_state.hpp"
+#include "membership/membership.hpp"
 
 #include <functional>
 #include <list>
@@ -60,8 +61,7 @@
     // Decides on a non-idempotent call; `decide` is called once, now or later.
     // Refusals: not_keyspace_owner with the owner, keyspace_unavailable, and
     // those of key_window; none of them lets the call run.
-    void
-    reserve(work_request const& r, once_handler decide, clock_reading now);
+    void reserve(work_request const& r, once_handler decide, clock_reading now);
 
     // Takes the end of a call that was told to run.
     void complete(work_request const& r, once_outcome const& outcome);
@@ -101,7 +101,7 @@
     bool may_start(clock_reading now);
     std::vector<std::string> own_services() const;
     std::vector<std::string> live_upstreams(std::string_view service) const;
-    bool is_owner_live(std::string_view upstream) const;
+    peer_condition owner_condition(std::string_view upstream) const;
     void follow_services();
     // Returns false when the call has to wait for an owner.
     bool consider(
@@ -109,9 +109,9 @@
         clock_reading now);
     bool redirect(
         keyspace& space, std::uint32_t partition, once_handler const& decide,
-        bool may_wait);
-    void act(
-        key_request const& r, key_admission const& a,
+        bool may_wait, clock_reading now);
+    void
+    act(key_request const& r, key_admission const& a,
         once_handler const& decide);
     void create_reservation(
         key_request const& r, key_admission const& a,
@@ -119,8 +119,8 @@
     void read_reservation(
         key_request const& r, key_admission const& a,
         once_handler const& decide);
-    void refuse(
-        once_handler const& decide, error why, std::string owner = {}) const;
+    void
+    refuse(once_handler const& decide, error why, std::string owner = {}) const;
 
     cluster_state& cluster_;
     object_store& store_;
--- a/src/agent/usage_keeper.cpp
+++ b/src/agent/usage_keeper.cpp
@@ -23,8 +23,8 @@
     return prices;
 }
 
-usage_stage find_price(
-    document_map<usage_stage> const& prices, std::string const& target)
+usage_stage
+find_price(document_map<usage_stage> const& prices, std::string const& target)
 {
     auto const it = prices.find(target);
     return it == prices.end() ? usage_stage{} : it->second;
--- a/src/at_most_once/keyspace_keeper.cpp
+++ b/src/at_most_once/keyspace_keeper.cpp
@@ -12,6 +12,7 @@
 
 // One read for all partitions of a service: half a read a second per agent.
 constexpr std::int64_t read_period_ms = 2000;
+constexpr std::int64_t urgent_read_ms = 200;
 
 } // namespace
 
@@ -35,6 +36,11 @@
         step(p, now);
 }
 
+void keyspace_keeper::expect_change(clock_reading now)
+{
+    next_read_ms_ = std::min(next_read_ms_, now.steady_ms + urgent_read_ms);
+}
+
 void keyspace_keeper::begin_stop()
 {
     is_stopping_ = true;
--- a/src/at_most_once/keyspace_keeper.hpp
+++ b/src/at_most_once/keyspace_keeper.hpp
@@ -37,6 +37,10 @@
     // `live_upstreams` are those of the service, this one included.
     void tick(clock_reading now, std::span<std::string const> live_upstreams);
 
+    // Reads the partitions within 200 ms; call it while a request waits for an
+    // owner.
+    void expect_change(clock_reading now);
+
     // Releases every partition, for a planned stop, and takes none any more.
     void begin_stop();
 
--- a/src/entry/caller_api.cpp
+++ b/src/entry/caller_api.cpp
@@ -405,6 +405,7 @@
                 "\" needs the header Idempotency-Key");
     }
     r.work.key = make_uuid7(to_unix_ms(wall_now()), random_incarnation());
+    r.has_own_key = true;
     return {};
 }
 
--- a/src/entry/entry_state.hpp
+++ b/src/entry/entry_state.hpp
@@ -68,6 +68,9 @@
     std::vector<std::string> tried;     // upstreams of earlier attempts
     std::vector<std::string> instances; // agents that received an attempt
     std::string owner; // upstream that owns the key, when an agent named it
+    std::string lost_owner;       // an upstream that failed this call
+    bool has_own_key = false;     // the entry made the key
+    bool is_key_replaced = false; // by a second one
     run_state earlier_run = run_state::not_run; // combined
     bool is_replay = false; // answered with the outcome of an earlier request
     std::uint64_t tokens_in = 0;
--- a/src/entry/request_controller.cpp
+++ b/src/entry/request_controller.cpp
@@ -5,6 +5,21 @@
 
 namespace marjorambeam
 {
+namespace
+{
+
+// Refusals that speak of the key: their run state is that of an earlier
+// request with the key, while this one has not run.
+bool is_about_key(error_kind kind)
+{
+    return kind == error_kind::key_expired ||
+           kind == error_kind::key_in_progress ||
+           kind == error_kind::key_reused ||
+           kind == error_kind::key_outcome_unknown ||
+           kind == error_kind::key_time_invalid;
+}
+
+} // namespace
 
 request_controller::request_controller(
     entry_state& state, agent_links& links, routing_controller& routing,
@@ -133,7 +148,20 @@
     error why = make_error(m.kind, m.text);
     why.run = m.run;
     why.retry_after = std::chrono::milliseconds(m.retry_after_ms);
-    r.owner = m.owner;
+    if (m.kind == error_kind::not_keyspace_owner)
+    {
+        routing_.note_owner(r, m.owner);
+        r.owner = m.owner == r.upstream ? std::string() : m.owner;
+    }
+    // An agent learns late that the owner is gone; without this, the request
+    // would go back and forth between them.
+    if (!r.owner.empty() && r.owner == r.lost_owner)
+    {
+        why = make_error(
+            error_kind::keyspace_unavailable,
+            "the owner of the key can't be reached");
+        why.run = m.run;
+    }
     fail_attempt(r, why, now);
 }
 
@@ -195,6 +223,8 @@
     r.tokens_in = m.tokens_in;
     r.earlier_run = run_state::ran;
     r.is_replay = m.is_replay;
+    if (!r.work.key.empty())
+        routing_.note_owner(r, r.upstream);
     r.tokens_out =
         r.work.is_stream ? r.answer->delivered().tokens : m.tokens_out;
     if (r.exchange->is_started())
@@ -254,22 +284,61 @@
     q.attempts = r.work.attempt;
     q.remaining = r.deadline - now;
     q.retry_after = why.retry_after;
-    q.has_other = !r.owner.empty() || routing_.has_other(r, now);
+    // Only the owner queues a call with a key.
+    bool const is_owner_busy =
+        !r.work.is_idempotent && (why.kind == error_kind::queue_full ||
+                                  why.kind == error_kind::deadline_unreachable);
+    q.has_other =
+        !is_owner_busy && (!r.owner.empty() || routing_.has_other(r, now));
     return q;
 }
 
+void request_controller::forget_owner(entry_request& r, error const& why)
+{
+    if (r.work.key.empty() || why.kind == error_kind::not_keyspace_owner)
+        return;
+    r.lost_owner = r.upstream;
+    r.owner.clear();
+    routing_.note_owner(r, {});
+}
+
+bool request_controller::replace_key(entry_request& r, error const& why)
+{
+    // The owner has lost its memory or its clock differs. Only this request
+    // has the key, so it has not run if no attempt has.
+    bool const is_refused = why.kind == error_kind::key_expired ||
+                            why.kind == error_kind::key_time_invalid;
+    if (!is_refused || !r.has_own_key || r.is_key_replaced ||
+        r.earlier_run != run_state::not_run || r.work.attempt >= max_attempts)
+        return false;
+    r.is_key_replaced = true;
+    // Without a time, so that it is reserved in the object API and no bound
+    // of the owner excludes it.
+    r.work.key = r.id + "-" + to_hex(random_incarnation());
+    r.tried.clear();
+    r.lost_owner.clear();
+    state_.cluster.counters.count("keys_replaced_total", to_string(why.kind));
+    return true;
+}
+
 void request_controller::fail_attempt(
     entry_request& r, error const& why, steady_time now)
 {
     explain(
         r, "Attempt " + std::to_string(r.work.attempt) + " failed: " +
                std::string(to_string(why.kind)) + ", " + why.message + ".");
-    if (why.run != run_state::not_run)
+    bool const may_have_run =
+        why.run != run_state::not_run && !is_about_key(why.kind);
+    if (may_have_run)
         routing_.note_failed(r.upstream, now);
+    forget_owner(r, why);
     leave_attempt(r);
+    if (replace_key(r, why))
+        return start_attempt(r, now);
     retry_decision const d =
         decide_retry(state_.retries, question_after(r, why, now));
-    r.earlier_run = combine(r.earlier_run, why.run);
+    if (may_have_run)
+        r.earlier_run = combine(r.earlier_run, why.run);
     if (d.action == retry_action::give_up)
     {
         state_.cluster.counters.count("given_up_total", to_string(d.reason));
--- a/src/entry/request_controller.hpp
+++ b/src/entry/request_controller.hpp
@@ -65,6 +65,11 @@
     question_after(entry_request const& r, error const& why, steady_time now);
     void give_up(entry_request& r, error const& why, steady_time now);
     void leave_attempt(entry_request& r);
+    // After a failed attempt with a key: the owner may be another by now.
+    void forget_owner(entry_request& r, error const& why);
+    // Replaces a key of the entry's own making that the owner can't judge;
+    // returns whether the request is to be sent again.
+    bool replace_key(entry_request& r, error const& why);
     void finish(entry_request& r, error const* why, steady_time now);
     void explain(entry_request const& r, std::string sentence);
     http_headers response_headers(entry_request const& r) const;
--- a/src/entry/routing_controller.cpp
+++ b/src/entry/routing_controller.cpp
@@ -1,5 +1,6 @@
 #include "entry/routing_controller.hpp"
 
+#include "at_most_once/keyspace.hpp"
 #include "base/hash.hpp"
 
 #include <algorithm>
@@ -15,6 +16,11 @@
     return a.last_heard > b.last_heard;
 }
 
+std::string partition_name(work_request const& w)
+{
+    return keyspace_name(w.target, partition_of(w.customer, w.target, w.key));
+}
+
 } // namespace
 
 routing_controller::routing_controller(
@@ -139,17 +145,66 @@
     return choose_upstream(table_, in, now, random_);
 }
 
+bool routing_controller::is_routable(std::string_view upstream) const
+{
+    upstream_index const u = find_upstream(table_, upstream);
+    return u != no_index && table_.status[u].is_routable;
+}
+
+std::string routing_controller::likely_owner(entry_request const& r) const
+{
+    if (r.work.key.empty())
+        return {};
+    auto const is_candidate = [&](std::string const& name)
+    {
+        return is_routable(name) &&
+               std::find(r.tried.begin(), r.tried.end(), name) == r.tried.end();
+    };
+    std::string const partition = partition_name(r.work);
+    auto const known = owners_.find(partition);
+    if (known != owners_.end() && is_candidate(known->second))
+        return known->second;
+    // The agents prefer the same upstream; see keyspace_keeper.
+    pool_index const pool = find_pool(table_, r.work.target);
+    std::uint64_t best_score = 0;
+    std::string best;
+    for (upstream_slot const& slot : table_.slots)
+    {
+        bool const is_member =
+            std::find(slot.pools.begin(), slot.pools.end(), pool) !=
+            slot.pools.end();
+        if (!is_member || !is_routable(slot.name))
+            continue;
+        std::uint64_t const score = rendezvous_score(partition, slot.name);
+        if (!best.empty() && score <= best_score)
+            continue;
+        best_score = score;
+        best = slot.name;
+    }
+    return is_candidate(best) ? best : std::string();
+}
+
+void routing_controller::note_owner(
+    entry_request const& r, std::string_view owner)
+{
+    std::string const partition = partition_name(r.work);
+    if (owner.empty())
+        owners_.erase(partition);
+    else
+        owners_[partition] = owner;
+}
+
 result<route>
 routing_controller::choose(entry_request const& r, steady_time now)
 {
-    if (!r.owner.empty())
+    bool const is_named = is_routable(r.owner);
+    std::string const owner = is_named ? r.owner : likely_owner(r);
+    if (!owner.empty())
     {
-        upstream_index const u = find_upstream(table_, r.owner);
-        if (u != no_index && table_.status[u].is_routable)
-        {
-            upstream_slot const& slot = table_.slots[u];
-            return route{slot.name, slot.instance, "owner of the key"};
-        }
+        upstream_slot const& slot = table_.slots[find_upstream(table_, owner)];
+        return route{
+            slot.name, slot.instance,
+            is_named ? "owner of the key" : "likely owner of the key"};
     }
     route_choice const c = choose_index(r, now);
     if (c.upstream == no_index)
--- a/src/entry/routing_controller.hpp
+++ b/src/entry/routing_controller.hpp
@@ -55,12 +55,18 @@
         contract const& c, std::string_view model, std::string_view pin,
         prompt_features const& features, steady_time now);
 
-    // Chooses the upstream of the next attempt. Error: no_upstream.
+    // Chooses the upstream of the next attempt: for a call that may not repeat
+    // the owner of its key, as far as it is known or can be guessed. Error:
+    // no_upstream.
     result<route> choose(entry_request const& r, steady_time now);
 
     // Whether an upstream that was not tried can be had.
     bool has_other(entry_request const& r, steady_time now);
 
+    // Remembers the owner of the partition of the request's key; empty forgets
+    // it. Precondition: the request has a key.
+    void note_owner(entry_request const& r, std::string_view owner);
+
     void note_load(
         std::string_view instance, upstream_load const& load, steady_time now);
     void note_sent(std::string_view upstream);
@@ -74,6 +80,8 @@
     std::uint64_t live_set_hash() const;
     std::vector<upstream_index> tried_indexes(entry_request const& r) const;
     route_choice choose_index(entry_request const& r, steady_time now);
+    bool is_routable(std::string_view upstream) const;
+    std::string likely_owner(entry_request const& r) const;
 
     entry_state& state_;
     live_test is_live_;
@@ -81,6 +89,8 @@
     routing_table table_;
     std::uint64_t built_for_ = 0;
     std::map<std::string, cascade_state, std::less<>> cascades_;
+    // Upstreams by the name of the partition; 16 for each service.
+    document_map<std::string> owners_;
 };
 
 } // namespace marjorambeam
