Pass the path and query of a service call as the caller sent them

Cause: the entry rebuilt the path from libmicrohttpd's decoded form, which drops the query and turns %2F into a slash. Found by calling the local fleet with "?x=1": the service saw "GET /a". An error after an attempt carried X-Request-Id twice.

Change: http_request has the raw target; the entry, the agent and the HTTP client pass it on unchanged (the client no longer removes dot segments). One X-Request-Id per response.

Ruled out: encoding the decoded parts again, which can't restore what was lost.

Before: query lost.

--- a/fakes/service/fake_service.cpp
+++ b/fakes/service/fake_service.cpp
@@ -27,7 +27,7 @@
         {{"Content-Type", type},
          {"X-Echo-Method", r.method},
          {"X-Echo-Path", r.path}},
-        r.body.empty() ? r.method + " " + r.path + "\n" : r.body);
+        r.body.empty() ? r.method + " " + r.target + "\n" : r.body);
 }
 
 } // namespace
--- a/src/agent/upstream_calls.cpp
+++ b/src/agent/upstream_calls.cpp
@@ -23,8 +23,8 @@
     return json.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
-// Returns the path with the characters escaped that no URL may contain; the
-// entry's HTTP server has decoded them.
+// Returns the path and query as the caller sent them, with the characters
+// escaped that no URL may contain.
 std::string escaped(std::string_view path)
 {
     constexpr std::string_view digits = "0123456789ABCDEF";
--- a/src/entry/caller_api.cpp
+++ b/src/entry/caller_api.cpp
@@ -208,7 +208,7 @@
     r->work.weight = c.weight;
     r->work.method = in.method;
     r->work.content_type = in.header("content-type");
-    r->work.fingerprint = hash64(in.body, hash64(in.path));
+    r->work.fingerprint = hash64(in.body, hash64(in.target));
     entry_request& held = *r;
     held_[held.id] = std::move(r);
     return held;
@@ -364,7 +364,7 @@
 caller_api::read_service_request(contract const& c, entry_request& r)
 {
     http_request const& in = r.exchange->request();
-    service_path const path = parse_service_path(in.path);
+    service_path const path = parse_service_path(in.target);
     if (path.name.empty())
         return fail(error_kind::not_found, "there is nothing at this path");
     auto const it = r.config->services.find(path.name);
--- a/src/entry/chat_request.cpp
+++ b/src/entry/chat_request.cpp
@@ -100,11 +100,13 @@
     if (!path.starts_with(prefix))
         return {};
     path.remove_prefix(prefix.size());
-    std::size_t const slash = path.find('/');
-    if (slash == std::string_view::npos)
+    std::size_t const end = path.find_first_of("/?");
+    if (end == std::string_view::npos)
         return {std::string(path), "/"};
-    return {
-        std::string(path.substr(0, slash)), std::string(path.substr(slash))};
+    std::string rest(path.substr(end));
+    if (rest.front() == '?')
+        rest.insert(rest.begin(), '/');
+    return {std::string(path.substr(0, end)), std::move(rest)};
 }
 
 std::string_view bearer_key(std::string_view authorization)
--- a/src/entry/chat_request.hpp
+++ b/src/entry/chat_request.hpp
@@ -34,12 +34,12 @@
 // Precondition: parse_chat_request accepted `body`.
 std::string with_model(std::string_view body, std::string_view model);
 
-// Name and rest of "/v1/services/NAME/PATH"; an empty name when the path is
-// not of this form.
+// Name and rest of the target "/v1/services/NAME/PATH?QUERY"; an empty name
+// when the target is not of this form.
 struct service_path
 {
     std::string name;
-    std::string rest; // starts with a slash
+    std::string rest; // starts with a slash; as the caller escaped it
 };
 service_path parse_service_path(std::string_view path);
 
--- a/src/http_client/http_client.cpp
+++ b/src/http_client/http_client.cpp
@@ -125,6 +125,7 @@
     curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, t.call.method.c_str());
     curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http");
     curl_easy_setopt(easy, CURLOPT_NOPROXY, "*");
+    curl_easy_setopt(easy, CURLOPT_PATH_AS_IS, 1L);
     curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
     curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
     curl_easy_setopt(easy, CURLOPT_PRIVATE, &t);
--- a/src/http_client/http_client_test.cpp
+++ b/src/http_client/http_client_test.cpp
@@ -59,6 +59,21 @@
     CHECK(reply->body == "PUT/a1" + body);
 }
 
+// Guards against a path or query that is decoded or shortened on its way to a
+// plain service.
+TEST_CASE("the target of a request arrives as it was sent")
+{
+    ev::dynamic_loop loop;
+    http_server server(
+        loop, {},
+        [](std::shared_ptr<http_exchange> const& ex)
+        { ex->respond(200, {}, ex->request().target); });
+    std::string const target = "/a%2Fb/../c?x=1&y=%20z";
+    result<http_reply> reply = call(loop, {.url = url_of(server, target)});
+    REQUIRE(reply);
+    CHECK(reply->body == target);
+}
+
 // Guards against a response that is sent from a later turn of the loop and
 // never reaches the caller, and against a stream that ends silently.
 TEST_CASE("a stream written later arrives whole, and a cut is an error")
--- a/src/http_server/http_server.cpp
+++ b/src/http_server/http_server.cpp
@@ -77,15 +77,28 @@
             ex.request_.body.append(data, n);
     }
 
+    // Called first for each request, with the target as it was sent. The result
+    // is the context of the calls that follow.
+    static void*
+    open_request(void* cls, char const* target, MHD_Connection* /*connection*/)
+    {
+        auto& server = *static_cast<http_server*>(cls);
+        auto ex = std::make_shared<http_exchange>();
+        ex->request_.target = target;
+        server.open_[ex.get()] = ex;
+        return ex.get();
+    }
+
     static MHD_Result access(
         void* cls, MHD_Connection* connection, char const* url,
         char const* method, char const* /*version*/, char const* data,
         std::size_t* size, void** context)
     {
         auto& server = *static_cast<http_server*>(cls);
-        if (*context == nullptr)
+        auto ex = static_cast<http_exchange*>(*context)->shared_from_this();
+        if (!ex->is_begun_)
         {
-            auto ex = std::make_shared<http_exchange>();
+            ex->is_begun_ = true;
             ex->connection_ = connection;
             ex->server_ = &server;
             ex->request_.method = method;
@@ -96,13 +109,10 @@
             MHD_get_connection_values(
                 connection, MHD_GET_ARGUMENT_KIND, add_parameter,
                 &ex->request_.query);
-            server.open_[ex.get()] = ex;
-            *context = ex.get();
             std::string const length(ex->request_.header("content-length"));
             begin(server, *ex, std::strtoull(length.c_str(), nullptr, 10));
             return MHD_YES;
         }
-        auto ex = static_cast<http_exchange*>(*context)->shared_from_this();
         if (*size > 0)
         {
             take_body(server, *ex, data, *size);
@@ -319,6 +329,7 @@
         &http_server_callbacks::completed, this, MHD_OPTION_CONNECTION_TIMEOUT,
         timeout, MHD_OPTION_CONNECTION_LIMIT, settings_.max_connections,
         MHD_OPTION_CONNECTION_MEMORY_LIMIT, settings_.max_header_bytes,
+        MHD_OPTION_URI_LOG_CALLBACK, &http_server_callbacks::open_request, this,
         MHD_OPTION_LISTEN_BACKLOG_SIZE, 1024U, MHD_OPTION_END);
     if (daemon_ == nullptr)
     {
@@ -395,7 +406,10 @@
     http_headers headers)
 {
     headers.emplace_back("Content-Type", "application/json");
-    if (!request_id.empty())
+    bool const has_id = std::any_of(
+        headers.begin(), headers.end(),
+        [](auto const& it) { return it.first == "X-Request-Id"; });
+    if (!request_id.empty() && !has_id)
         headers.emplace_back("X-Request-Id", request_id);
     if (e.retry_after > duration(0))
     {
--- a/src/http_server/http_server.hpp
+++ b/src/http_server/http_server.hpp
@@ -35,7 +35,8 @@
 struct http_request
 {
     std::string method;
-    std::string path; // percent-decoded, without the query
+    std::string path;   // percent-decoded, without the query
+    std::string target; // path and query as the caller sent them
     std::map<std::string, std::string, std::less<>> query;
     std::map<std::string, std::string, std::less<>> headers;
     std::string body;
@@ -113,6 +114,7 @@
     steady_time started_at_{};
     error_kind refusal_ = error_kind::internal;
     bool is_refused_ = false;
+    bool is_begun_ = false;
     bool is_dispatched_ = false;
     bool is_started_ = false;
     bool is_stream_ = false;
