Test keys, owners and usage across entries and agents in one process

Cause: the libraries for keys and billing were tested alone, their wiring was not.

Change: entries, agent_daemons, plain services and the platform's fakes on one loop; 11 cases for keys and 5 for usage.

--- /dev/null
+++ b/src/entry/once_test.cpp
@@ -0,0 +1,245 @@
+#include "entry/once_test_support.hpp"
+
+using namespace marjorambeam;
+using namespace marjorambeam::test;
+
+namespace
+{
+
+std::string timed_key(std::uint64_t n)
+{
+    return make_uuid7(to_unix_ms(wall_now()), n);
+}
+
+double redirects(service_fleet const& f, std::string const& entry)
+{
+    return f.entries.at(entry)->state().cluster.counters.counter(
+        "retries_total", "refused_owner");
+}
+
+} // namespace
+
+// Guards against a second execution when a caller repeats its call at another
+// entry, and against a repetition that doesn't hear the outcome (I9).
+TEST_CASE("one key at two entries runs once and both hear the outcome")
+{
+    service_fleet f(2, 3);
+    for (std::string const& key : {timed_key(1), std::string("charge-1")})
+    {
+        std::uint64_t const before = f.executions();
+        service_answer const first = f.ask("e0", key);
+        INFO(first.body);
+        CHECK(first.status == 200);
+        service_answer const second = f.ask("e1", key);
+        INFO(second.body);
+        CHECK(second.status == 200);
+        CHECK(second.body == first.body);
+        CHECK(f.executions() == before + 1);
+    }
+}
+
+// Guards against two executions of calls that arrive at the same moment, and
+// against a refusal that denies the one that runs.
+TEST_CASE("one key at two entries at the same moment runs once")
+{
+    service_fleet f(2, 3);
+    REQUIRE(f.wait_for_owners());
+    for (auto const& it : f.services)
+        it->set_faults({.delay = milliseconds(200)});
+    for (std::string const& key : {timed_key(2), std::string("charge-2")})
+    {
+        std::uint64_t const before = f.executions();
+        auto const a = f.send("e0", key);
+        auto const b = f.send("e1", key);
+        bool const is_over = f.run_until([&] { return *a && *b; });
+        REQUIRE(is_over);
+        CHECK(f.executions() == before + 1);
+        CHECK(((*a)->status == 200) != ((*b)->status == 200));
+        service_answer const& refused = (*a)->status == 200 ? **b : **a;
+        CHECK(refused.kind == "key_in_progress");
+        CHECK(refused.run == "unknown");
+    }
+}
+
+// Guards against a first call after a start that is refused because nobody
+// owns its key yet, or that waits for the delays of other ranks.
+TEST_CASE("the first call after a start is answered within two seconds")
+{
+    for (std::size_t const agents : {1U, 4U})
+    {
+        service_fleet f(1, agents);
+        steady_time const start = steady_now();
+        service_answer const a = f.ask("e0", "");
+        INFO(a.body);
+        CHECK(a.status == 200);
+        CHECK(steady_now() - start < std::chrono::seconds(2));
+        REQUIRE(f.wait_for_owners());
+        CHECK(steady_now() - start < std::chrono::seconds(3));
+    }
+}
+
+// Guards against a redirect for each call, which doubles its latency.
+TEST_CASE("calls go to the owner of their key first")
+{
+    service_fleet f(1, 4);
+    REQUIRE(f.wait_for_owners());
+    constexpr std::uint64_t calls = 64;
+    for (std::uint64_t i = 0; i < calls; ++i)
+        CHECK(f.ask("e0", timed_key(i)).status == 200);
+    INFO("redirects " << redirects(f, "e0"));
+    // Each partition may have another owner than the preferred one until it
+    // is handed over, which the entry learns by one redirect.
+    CHECK(redirects(f, "e0") <= keyspace_partitions);
+    CHECK(f.executions() == calls);
+}
+
+// Guards against a second execution after the owner's memory was lost, and
+// against an answer that denies the first (I8, I9).
+TEST_CASE("a key runs at most once across a restart of its owner")
+{
+    service_fleet f(1, 1);
+    for (std::string const& key : {timed_key(3), std::string("charge-3")})
+    {
+        std::uint64_t const before = f.executions();
+        REQUIRE(f.ask("e0", key).status == 200);
+        f.restart_agent(0);
+        service_answer late;
+        bool const is_judged = f.run_until(
+            [&]
+            {
+                late = f.ask("e0", key);
+                return late.run != "not_run";
+            });
+        REQUIRE(is_judged);
+        INFO(late.body);
+        CHECK(f.executions() == before + 1);
+        CHECK(late.status == 409);
+        CHECK(late.run == "unknown");
+    }
+}
+
+// Guards against calls without a key that fail for the 4 s in which a
+// restarted owner refuses every key that carries its time.
+TEST_CASE("a call without a key runs right after a restart of the owner")
+{
+    service_fleet f(1, 1);
+    REQUIRE(f.ask("e0", "").status == 200);
+    f.restart_agent(0);
+    REQUIRE(f.wait_for_owners());
+    steady_time const start = steady_now();
+    service_answer a;
+    bool const is_run = f.run_until(
+        [&]
+        {
+            a = f.ask("e0", "");
+            return a.status == 200;
+        });
+    REQUIRE(is_run);
+    CHECK(steady_now() - start < std::chrono::seconds(3));
+    CHECK(f.executions() == 2);
+    auto const& counters = f.entries.at("e0")->state().cluster.counters;
+    CHECK(counters.counter("keys_replaced_total", "key_expired") == 1);
+}
+
+// Guards against a run without a durable reservation, and against refusals of
+// keys that the owner can judge without the store.
+TEST_CASE("a key without a time is refused while the store is down")
+{
+    service_fleet f(1, 2);
+    REQUIRE(f.wait_for_owners());
+    f.api.set_faults({.down = true});
+    service_answer const a = f.ask("e0", "charge-4");
+    CHECK(a.status == 503);
+    CHECK(a.kind == "keyspace_unavailable");
+    CHECK(a.run == "not_run");
+    CHECK(f.executions() == 0);
+    CHECK(f.ask("e0", timed_key(4)).status == 200);
+    f.api.set_faults({});
+    service_answer b;
+    bool const is_run = f.run_until(
+        [&]
+        {
+            b = f.ask("e0", "charge-4");
+            return b.status == 200;
+        });
+    CHECK(is_run);
+    CHECK(f.executions() == 2);
+}
+
+// Guards against a lost answer of the store that makes a reservation look like
+// another's, or lets the call run twice.
+TEST_CASE("a reservation whose answer was lost runs at most once")
+{
+    service_fleet f(1, 1);
+    REQUIRE(f.wait_for_owners());
+    f.api.set_faults({.lose_answers = 1});
+    service_answer const a = f.ask("e0", "charge-5");
+    CHECK(a.run == "not_run");
+    CHECK(f.executions() == 0);
+    service_answer const b = f.ask("e0", "charge-5");
+    INFO(b.body);
+    CHECK(b.status == 200);
+    CHECK(f.executions() == 1);
+}
+
+// Guards against the outcome of one request as the answer to another.
+TEST_CASE("a key that comes with another request is refused")
+{
+    service_fleet f(1, 1);
+    std::string const key = timed_key(6);
+    REQUIRE(f.ask("e0", key).status == 200);
+    f.amount = "4";
+    service_answer const a = f.ask("e0", key);
+    CHECK(a.kind == "key_reused");
+    CHECK(f.executions() == 1);
+}
+
+// Guards against a request that goes back and forth between agents while the
+// owner of its key is gone, and against a refusal that is not final.
+TEST_CASE("a key whose owner is gone is refused as not run")
+{
+    service_fleet f(1, 3);
+    REQUIRE(f.wait_for_owners());
+    std::string const key = timed_key(7);
+    REQUIRE(f.ask("e0", key).status == 200);
+    std::size_t lost = 0;
+    while (f.services[lost]->total() == 0)
+        ++lost;
+    f.agents.erase("a" + std::to_string(lost));
+    steady_time const start = steady_now();
+    service_answer a = f.ask("e0", key);
+    INFO(a.body);
+    CHECK(a.kind == "keyspace_unavailable");
+    CHECK(a.run == "not_run");
+    CHECK(steady_now() - start < std::chrono::seconds(3));
+    CHECK(f.executions() == 1);
+}
+
+// Guards against partitions without an owner for the rest of a lease after a
+// planned stop, and against a stop before the admitted call has ended.
+TEST_CASE("a planned stop ends its calls and hands its partitions over")
+{
+    service_fleet f(1, 2);
+    REQUIRE(f.wait_for_owners());
+    for (auto const& it : f.services)
+        it->set_faults({.delay = milliseconds(300)});
+    std::string const key = timed_key(8);
+    auto const first = f.send("e0", key);
+    bool const is_running = f.run_until([&] { return f.executions() == 1; });
+    REQUIRE(is_running);
+    std::string const name = f.services[0]->total() == 1 ? "a0" : "a1";
+    agent_daemon& leaving = *f.agents.at(name);
+    leaving.begin_shutdown();
+    bool const is_stopped = f.run_until([&] { return leaving.is_stopped(); });
+    REQUIRE(is_stopped);
+    CHECK(leaving.exit_code() == 0);
+    bool const is_answered = f.run_until([&] { return first->has_value(); });
+    REQUIRE(is_answered);
+    CHECK((*first)->status == 200);
+    f.agents.erase(name);
+    f.list.erase(name);
+    REQUIRE(f.wait_for_owners());
+    service_answer const again = f.ask("e0", key);
+    CHECK(again.run == "unknown");
+    CHECK(f.executions() == 1);
+}
--- /dev/null
+++ b/src/entry/usage_test.cpp
@@ -0,0 +1,116 @@
+#include "entry/once_test_support.hpp"
+
+using namespace marjorambeam;
+using namespace marjorambeam::test;
+
+namespace
+{
+
+constexpr micro_credits price = 7;
+
+// The agent posts soon after the entry is gone.
+usage_keeper_settings quick_posts()
+{
+    usage_keeper_settings s;
+    s.gone_after = milliseconds(100);
+    s.posting.quiet_period = milliseconds(20);
+    s.posting.first_retry = milliseconds(50);
+    s.posting.last_retry = milliseconds(50);
+    return s;
+}
+
+} // namespace
+
+// Guards against a call that is never billed because its entry ended before
+// it had posted (I4).
+TEST_CASE("the agent bills a call whose entry is gone")
+{
+    service_fleet f(2, 1, quick_posts());
+    REQUIRE(f.ask("e0", "").status == 200);
+    REQUIRE(f.segments() == 0);
+    f.end_entry("e0");
+    bool const is_posted = f.run_until([&] { return f.segments() == 1; });
+    REQUIRE(is_posted);
+    bill const b = f.ledger();
+    REQUIRE(b.lines().size() == 1);
+    CHECK(b.lines().begin()->second.poster == process_role::agent);
+    CHECK(b.total("havbris").cost == price);
+    bool const is_free = f.run_until(
+        [&] { return f.agents.at("a0")->state().held_usage == 0; });
+    CHECK(is_free);
+}
+
+// Guards against a second line when the agent posts before the entry's
+// confirmation arrives.
+TEST_CASE("a call that both bill has one line")
+{
+    usage_keeper_settings s = quick_posts();
+    s.hold_time = milliseconds(1);
+    service_fleet f(1, 1, s);
+    REQUIRE(f.ask("e0", "").status == 200);
+    bool const is_posted = f.run_until([&] { return f.segments() == 2; });
+    REQUIRE(is_posted);
+    bill const b = f.ledger();
+    REQUIRE(b.lines().size() == 1);
+    CHECK(b.lines().begin()->second.poster == process_role::entry);
+    CHECK(b.total("havbris").cost == price);
+}
+
+// Guards against records that agents keep and post although the entry has
+// posted them, and against a bill line for a replayed outcome.
+TEST_CASE("a settled call and its replay leave one line and no record")
+{
+    service_fleet f(2, 1, quick_posts());
+    REQUIRE(f.ask("e0", "charge-1").status == 200);
+    REQUIRE(f.agents.at("a0")->state().held_usage <= 1);
+    REQUIRE(f.ask("e1", "charge-1").status == 200);
+    bool const is_settled = f.run_until(
+        [&]
+        {
+            return f.segments() > 0 &&
+                   f.agents.at("a0")->state().held_usage == 0;
+        });
+    REQUIRE(is_settled);
+    CHECK(f.segments() == 1);
+    CHECK(f.ledger().lines().size() == 1);
+    CHECK(f.ledger().total("havbris").cost == price);
+}
+
+// Guards against records that are dropped while the store can't take them.
+TEST_CASE("an outage of the store loses no record")
+{
+    usage_keeper_settings s = quick_posts();
+    s.hold_time = milliseconds(50);
+    service_fleet f(2, 2, s);
+    REQUIRE(f.wait_for_owners());
+    f.api.set_faults({.down = true});
+    constexpr std::size_t calls = 8;
+    for (std::size_t i = 0; i < calls; ++i)
+        REQUIRE(f.ask("e0", "").status == 200);
+    f.end_entry("e0");
+    // Each agent has tried to post.
+    std::uint64_t const refused = f.api.counts().refused_down;
+    bool const is_tried = f.run_until(
+        [&] { return f.api.counts().refused_down >= refused + 10; });
+    REQUIRE(is_tried);
+    CHECK(f.segments() == 0);
+    f.api.set_faults({});
+    bool const is_billed =
+        f.run_until([&] { return f.ledger().lines().size() == calls; });
+    CHECK(is_billed);
+    CHECK(f.ledger().total("havbris").cost == price * calls);
+}
+
+// Guards against records that a planned stop throws away.
+TEST_CASE("an agent that stops posts what it holds")
+{
+    service_fleet f(1, 1, quick_posts());
+    REQUIRE(f.ask("e0", "").status == 200);
+    agent_daemon& agent = *f.agents.at("a0");
+    agent.begin_shutdown();
+    bool const is_stopped = f.run_until([&] { return agent.is_stopped(); });
+    REQUIRE(is_stopped);
+    CHECK(agent.exit_code() == 0);
+    CHECK(f.segments() >= 1);
+    CHECK(f.ledger().lines().size() == 1);
+}
