--- a/tests/process/crash_test.cpp
+++ b/tests/process/crash_test.cpp
@@ -68,6 +68,55 @@
     CHECK(!load.failed_tries().empty());
 }
 
+// Guards against answered requests that are not billed, or billed for a part
+// only, because their entry was killed before it posted their usage (I4). The
+// agents' hold time is shortened from 60 s; the entry is not known to be gone
+// any sooner, because its silence could be the network's.
+TEST_CASE("requests answered by a killed entry are billed once")
+{
+    constexpr int tokens = 20;
+    process_fleet fleet(
+        {.entries = 2,
+         .upstreams = {slow_engine, slow_engine},
+         .agent_flags = {"--usage-hold-ms", "5000"}});
+    steady_load load(
+        fleet, {.concurrency = 8, .entries = 2, .call = {.tokens = tokens}});
+    REQUIRE(fleet.wait([&] { return load.answered() >= 50; }, 10s));
+    fleet.process("entry-0").signal(SIGKILL);
+    REQUIRE(load.finish(10s));
+    std::map<std::string, nlohmann::json> lines;
+    std::vector<std::string> missing;
+    CHECK(fleet.wait(
+        [&]
+        {
+            auto const bill = fleet.ctl({"bill", "havbris"});
+            REQUIRE(fleet.wait([&] { return bill->exit_code() == 0; }, 10s));
+            lines.clear();
+            for (auto const& it :
+                 nlohmann::json::parse(bill->output())["lines"])
+                lines[it["request_id"]] = it;
+            missing.clear();
+            for (load_request const& it : load.done())
+            {
+                std::string const id = it.call->header("x-request-id");
+                if (!lines.contains(id))
+                    missing.push_back(id);
+            }
+            return missing.empty();
+        },
+        15s));
+    CHECK(missing == none);
+    for (load_request const& it : load.done())
+    {
+        auto const& line = lines[it.call->header("x-request-id")];
+        CHECK(line.value("whole", false));
+        CHECK(line.value("tokens_out", 0) == tokens);
+        CHECK(line.value("cost_micro_credits", 0) > 0);
+    }
+    // What the killed entry did not deliver whole is no answer.
+    CHECK(lines.size() <= load.answered() + load.failed_tries().size());
+}
+
 // Guards against requests that wait for a frozen agent beyond the silence limit
 // of 3 s, and against its late frames in an answer (I7).
 TEST_CASE("a frozen agent holds up nothing and its late frames are dropped")
