Read the bill without a dangling reference in the process test

The loop ranged over a part of a temporary JSON value, so that the test saw lines that did not exist.

--- a/tests/process/crash_test.cpp
+++ b/tests/process/crash_test.cpp
@@ -91,9 +91,9 @@
         {
             auto const bill = fleet.ctl({"bill", "havbris"});
             REQUIRE(fleet.wait([&] { return bill->exit_code() == 0; }, 10s));
+            auto const read = nlohmann::json::parse(bill->output());
             lines.clear();
-            for (auto const& it :
-                 nlohmann::json::parse(bill->output())["lines"])
+            for (auto const& it : read["lines"])
                 lines[it["request_id"]] = it;
             missing.clear();
             for (load_request const& it : load.done())
