--- a/fakes/relay/fake_relay.cpp
+++ b/fakes/relay/fake_relay.cpp
@@ -59,7 +59,7 @@
     {
         std::string const why = std::strerror(errno);
         close(fd);
-        throw std::runtime_error("can't bind " + address + ": " + why);
+        throw std::runtime_error("can't listen on " + address + ": " + why);
     }
     return fd;
 }
