Retry a refusal because the agent's upstream is down

Cause: an agent refuses with no_upstream and run state not_run while its upstream restarts. The retry decision took that kind as final, so innocent requests that were sent to a crashed upstream ended with 503 although other upstreams served the version.

Change: no_upstream after an attempt counts as refused_out, free of the retry budget when the work did not run, bounded by the attempts as before. The entry's own no_upstream (nothing routable) does not pass through the retry decision and stays final.

--- a/src/retry/retry.cpp
+++ b/src/retry/retry.cpp
@@ -20,6 +20,7 @@
     case error_kind::shutting_down:
     case error_kind::not_ready:
     case error_kind::isolated:
+    case error_kind::no_upstream: // of an agent whose upstream is down
         return retry_reason::refused_out;
     case error_kind::not_keyspace_owner:
         return retry_reason::refused_owner;
--- a/src/retry/retry_test.cpp
+++ b/src/retry/retry_test.cpp
@@ -147,6 +147,17 @@
     }
 }
 
+// Guards against requests that end with the upstream of one agent down while
+// others serve the same version.
+TEST_CASE("a refusal because the agent's upstream is down is retried")
+{
+    retry_budget b;
+    retry_question q = question(error_kind::no_upstream, run_state::not_run);
+    REQUIRE(decide_retry(b, q).action == retry_action::retry_elsewhere);
+    q.has_other = false;
+    REQUIRE(decide_retry(b, q).action == retry_action::give_up);
+}
+
 // Guards against an evacuated zone using up the budget of real failures.
 TEST_CASE("a refusal for being out of service costs no budget")
 {
