Wire quarantine, ratings and rollouts into the entry

Cause: the libraries for crash attribution, cascades and rollouts had no caller in the entry: a crashing request took down as many upstreams as its retries allowed, ratings were never collected and no rollout was judged.

Change: three controllers, each with a narrow interface. - quarantine_controller gathers the failures of one crash, attributes them, tells all live entries, and lets a suspect run only as a trial that the owner of its fingerprint grants, one at a time across entries. - cascade_controller takes the cascade states over from the routing controller; rating_controller sends chosen answers to the rating service (--rating-service) and feeds the ratings back. - rollout_controller holds the lease `rollout`, pulls the counts of all live entries, judges each rolling version and writes generations by a generation_writer that asks the lease before each create. A version that reached all stays rolling at share 1, so that the active one can take over. crash_report names the upstream, so that two entries that report one crash are told from two crashes. The judge's time per step is part of its state.

Ruled out: a push of evidence from every entry to every other (n squared messages); the holder pulls instead. A trial without an owner: two entries with copies of a suspect each took an upstream down.

--- a/src/entry/caller_api.cpp
+++ b/src/entry/caller_api.cpp
@@ -34,12 +34,15 @@
 caller_api::caller_api(
     entry_state& state, request_controller& requests,
     routing_controller& routing, session_controller& sessions,
-    admission_controller& admission)
+    admission_controller& admission, cascade_controller& cascades,
+    rating_controller& ratings)
     : state_(state)
     , requests_(requests)
     , routing_(routing)
     , sessions_(sessions)
     , admission_(admission)
+    , cascades_(cascades)
+    , ratings_(ratings)
     , ids_(state.cluster.identity.self)
 {
 }
@@ -240,8 +243,21 @@
             error_kind::session_invalid,
             "the session is pinned to " + r.pin + ", not to \"" + asked + "\"");
     }
+    std::string model = asked;
+    r.cascade.reset();
+    if (asked == "auto" && r.pin.empty())
+    {
+        result<cascade_pick> pick = cascades_.choose(
+            *state_.cluster.config, c, r.features,
+            routing_.live_entries().size(), r.admitted_at);
+        if (!pick)
+            return tl::unexpected<error>(pick.error());
+        model = pick->model;
+        r.cascade = std::move(*pick);
+        state_.traces.add(r.id, wall_now(), r.cascade->reason);
+    }
     result<version_choice> const choice =
-        routing_.choose_version(c, asked, r.pin, r.features, r.admitted_at);
+        routing_.choose_version(c, model, r.pin);
     if (!choice)
         return tl::unexpected<error>(choice.error());
     r.model = choice->document->model;
@@ -334,6 +350,7 @@
         return;
     }
     r->ticket = *ticket;
+    r->is_rated = ratings_.wants(*r, steady_now());
     state_.cluster.counters.count("requests_admitted_total");
     on_admitted(state_.retries, r->admitted_at);
     state_.traces.add(
--- a/src/entry/caller_api.hpp
+++ b/src/entry/caller_api.hpp
@@ -12,7 +12,9 @@
 
 #include "base/id.hpp"
 #include "entry/admission_controller.hpp"
+#include "entry/cascade_controller.hpp"
 #include "entry/entry_state.hpp"
+#include "entry/rating_controller.hpp"
 #include "entry/request_controller.hpp"
 #include "entry/session_controller.hpp"
 #include "http_server/http_server.hpp"
@@ -31,7 +33,8 @@
     caller_api(
         entry_state& state, request_controller& requests,
         routing_controller& routing, session_controller& sessions,
-        admission_controller& admission);
+        admission_controller& admission, cascade_controller& cascades,
+        rating_controller& ratings);
 
     // Handles one request of a caller.
     void handle(std::shared_ptr<http_exchange> const& exchange);
@@ -78,6 +81,8 @@
     routing_controller& routing_;
     session_controller& sessions_;
     admission_controller& admission_;
+    cascade_controller& cascades_;
+    rating_controller& ratings_;
     std::unordered_map<std::string, std::unique_ptr<entry_request>> held_;
     id_source ids_;
 };
--- a/src/entry/entry_daemon.cpp
+++ b/src/entry/entry_daemon.cpp
@@ -66,14 +66,31 @@
           [this](peer const& p) { return cluster_.is_live(p, steady_now()); },
           state_.cluster.identity.self)
     , usage_(state_, store_, links_)
+    , quarantine_(state_.cluster, live_, calls_)
+    , cascades_(state_.cluster.identity.self)
+    , rollouts_(loop, state_.cluster, store_, live_, calls_, settings_.rollout)
+    , ratings_(
+          state_.cluster, client_, settings_.rating,
+          [this](rated_answer const& a, double rating)
+          {
+              rollouts_.note_rating(a.version_id, rating);
+              if (a.cascade)
+                  cascades_.note_rating(*a.cascade, a.version_id, rating);
+          })
     , requests_(
-          state_, links_, routing_,
+          state_, links_, routing_, quarantine_,
+          [this](std::string_view version_id, bool has_failed)
+          { rollouts_.note_request(version_id, has_failed); },
           [this](entry_request const& r, error const* why)
           {
               usage_.on_end(r, why);
+              if (why == nullptr)
+                  ratings_.on_answered(r, steady_now());
               admission_.settle(r.ticket, actual_cost(r, why));
           })
-    , api_(state_, requests_, routing_, sessions_, admission_)
+    , api_(
+          state_, requests_, routing_, sessions_, admission_, cascades_,
+          ratings_)
     , caller_server_(
           loop, caller_limits(settings_),
           [this](std::shared_ptr<http_exchange> const& ex) { api_.handle(ex); },
@@ -193,6 +210,11 @@
         exchange->respond(200, json, cluster_.status_json(steady_now()));
         return;
     }
+    if (path == "/admin/rollouts")
+    {
+        exchange->respond(200, json, rollouts_.status_json());
+        return;
+    }
     if (path.starts_with(explain_path))
     {
         std::string const id = path.substr(explain_path.size());
@@ -215,6 +237,7 @@
 void entry_daemon::tick()
 {
     steady_time const now = steady_now();
+    quarantine_.tick(now);
     requests_.tick(now);
     admission_.tick(now);
     if (state_.cluster.is_shutting_down)
@@ -228,6 +251,7 @@
     calls_.tick(now);
     routing_.tick();
     usage_.tick(now);
+    ratings_.tick(now);
 }
 
 void entry_daemon::begin_shutdown()
@@ -236,6 +260,7 @@
         return;
     state_.cluster.is_shutting_down = true;
     shutdown_at_ = steady_now();
+    rollouts_.release();
     log_.info(
         "Shutdown began; no new work is admitted.",
         {{"requests", std::to_string(state_.requests.size())}});
--- a/src/entry/entry_daemon.hpp
+++ b/src/entry/entry_daemon.hpp
@@ -17,7 +17,10 @@
 #include "entry/entry_state.hpp"
 #include "entry/live_entries.hpp"
 #include "entry/peer_calls.hpp"
+#include "entry/quarantine_controller.hpp"
+#include "entry/rating_controller.hpp"
 #include "entry/request_controller.hpp"
+#include "entry/rollout_controller.hpp"
 #include "entry/routing_controller.hpp"
 #include "entry/session_controller.hpp"
 #include "entry/usage_controller.hpp"
@@ -61,6 +64,18 @@
     {
         return sessions_;
     }
+    quarantine_controller const& quarantine() const
+    {
+        return quarantine_;
+    }
+    rollout_controller& rollouts()
+    {
+        return rollouts_;
+    }
+    rating_controller const& ratings() const
+    {
+        return ratings_;
+    }
     // URL for callers and URL for operators.
     std::string caller_url() const;
     std::string admin_url() const;
@@ -98,6 +113,10 @@
     agent_links links_;
     routing_controller routing_;
     usage_controller usage_;
+    quarantine_controller quarantine_;
+    cascade_controller cascades_;
+    rollout_controller rollouts_;
+    rating_controller ratings_;
     request_controller requests_;
     caller_api api_;
     http_server caller_server_;
--- a/src/entry/entry_settings.hpp
+++ b/src/entry/entry_settings.hpp
@@ -8,6 +8,8 @@
 
 #include "base/time.hpp"
 #include "cluster/cluster_settings.hpp"
+#include "entry/rating_controller.hpp"
+#include "entry/rollout_controller.hpp"
 #include "settings/settings.hpp"
 
 #include <cstdint>
@@ -36,6 +38,8 @@
     duration drain_limit{};
     duration heartbeat_interval{};
     duration silence_limit{};
+    rating_settings rating;
+    rollout_settings rollout;
 };
 
 // The table that fills `s`, which outlives it.
@@ -91,6 +95,10 @@
             "silence-ms", 3000, 30, 600000,
             "Silence after which a connection to an agent is given up",
             s.silence_limit),
+        url_setting(
+            "rating-service", "",
+            "Base URL of the rating service; empty: answers are not rated",
+            s.rating.url, true),
     };
     for (setting& it : cluster_setting_rows(s.cluster))
         rows.push_back(std::move(it));
--- a/src/entry/entry_state.hpp
+++ b/src/entry/entry_state.hpp
@@ -13,6 +13,7 @@
 #include "base/id.hpp"
 #include "base/time.hpp"
 #include "cluster/cluster_state.hpp"
+#include "entry/cascade_controller.hpp"
 #include "entry/chat_request.hpp"
 #include "entry/trace_log.hpp"
 #include "http_server/http_server.hpp"
@@ -21,6 +22,7 @@
 #include "wire/message.hpp"
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -51,7 +53,10 @@
     std::string version_id; // "model@version"
     std::string original_body;
     chat_request chat;
-    std::string pin; // "model@version" of the session, empty for none
+    std::optional<cascade_pick> cascade; // of a request for "auto"
+    bool is_rated = false;  // its answer goes to the rating service
+    std::string rated_text; // of a stream to be rated
+    std::string pin;        // "model@version" of the session, empty for none
     admission_ticket ticket;
     std::string session_token; // returned to the caller when not empty
 
@@ -68,6 +73,7 @@
     std::vector<std::string> tried;     // upstreams of earlier attempts
     std::vector<std::string> instances; // agents that received an attempt
     std::string owner; // upstream that owns the key, when an agent named it
+    bool is_waiting = false; // for the quarantine's ruling, between attempts
     run_state earlier_run = run_state::not_run; // combined
     bool is_replay = false; // answered with the outcome of an earlier request
     std::uint64_t tokens_in = 0;
--- a/src/entry/entry_test_support.hpp
+++ b/src/entry/entry_test_support.hpp
@@ -7,6 +7,7 @@
 #include "fakes/engine/fake_engine.hpp"
 #include "fakes/instance_list/instance_list.hpp"
 #include "fakes/object_api/fake_object_api.hpp"
+#include "fakes/rating_service/fake_rating_service.hpp"
 
 #include <catch2/catch.hpp>
 #include <deque>
@@ -34,17 +35,20 @@
 // An agent beside a fake engine.
 struct test_agent
 {
-    test_agent(ev::loop_ref loop, cluster_settings const& settings)
+    // Instance "agent-N" beside upstream "up-N".
+    test_agent(
+        ev::loop_ref loop, cluster_settings const& settings,
+        std::uint64_t number = 1)
         : engine(loop, {})
         , http(loop)
         , store(http, settings.store_url)
     {
         cluster.identity = {
-            .instance = "agent-1",
+            .instance = "agent-" + std::to_string(number),
             .role = process_role::agent,
             .availability_zone = "hitra",
-            .upstream = "up-1",
-            .self = 99};
+            .upstream = "up-" + std::to_string(number),
+            .self = 98 + number};
         agent_settings a;
         a.upstream_url = engine.url();
         state.emplace(cluster, a);
@@ -85,7 +89,10 @@
 class entry_fleet
 {
 public:
-    explicit entry_fleet(std::size_t entries)
+    // `tune` changes the settings of each entry.
+    explicit entry_fleet(
+        std::size_t entries, std::function<void(entry_settings&)> tune = {})
+        : tune_(std::move(tune))
     {
         put_generation(
             {{document_kind::availability_zone, "hitra",
@@ -139,6 +146,12 @@
     // Creates the next generation.
     void put_generation(std::vector<document_edit> edits)
     {
+        // The entries write generations, too.
+        for (auto const& [name, e] : entries)
+        {
+            generation_ =
+                std::max(generation_, e->state().cluster.config->number);
+        }
         generation g{.number = ++generation_, .edit_id = "e", .author = "test"};
         g.edits = std::move(edits);
         object_store store(http, api.url());
@@ -194,14 +207,17 @@
 
     void post(
         std::string const& entry, std::string const& key,
-        std::string const& session, std::function<void(caller_answer)> done)
+        std::string const& session, std::function<void(caller_answer)> done,
+        std::string const& prompt = "seam")
     {
         http_call call{
             .method = "POST",
             .url = entries.at(entry)->caller_url() + "/v1/chat/completions",
             .headers = {{"Authorization", "Bearer " + key}},
-            .body = R"({"model":"tagger","max_tokens":2,"messages":)"
-                    R"([{"role":"user","content":"seam"}]})"};
+            .body = R"({"model":")" + model +
+                    R"(","max_tokens":2,"messages":)"
+                    R"([{"role":"user","content":")" +
+                    prompt + R"("}]})"};
         if (!session.empty())
             call.headers.emplace_back("X-Session-Id", session);
         http.send(
@@ -230,10 +246,12 @@
 
     caller_answer
     ask(std::string const& entry, std::string const& key,
-        std::string const& session = "")
+        std::string const& session = "", std::string const& prompt = "seam")
     {
         std::optional<caller_answer> out;
-        post(entry, key, session, [&](caller_answer a) { out = std::move(a); });
+        post(
+            entry, key, session, [&](caller_answer a) { out = std::move(a); },
+            prompt);
         REQUIRE(run_until([&] { return out.has_value(); }));
         return *out;
     }
@@ -244,6 +262,50 @@
         REQUIRE(run_until([&] { return is_everywhere(generation_); }));
     }
 
+    // Agents "agent-2" to "agent-N" beside engines of their own.
+    void add_agents(std::uint64_t last)
+    {
+        std::vector<document_edit> edits;
+        for (std::uint64_t n = 2; n <= last; ++n)
+        {
+            std::string const upstream = "up-" + std::to_string(n);
+            test_agent& a = more_agents.emplace_back(
+                loop, fast_cluster(api.url(), list.url()), n);
+            list.put(
+                "agent-" + std::to_string(n), {.role = "agent",
+                                               .zone = "hitra",
+                                               .upstream = upstream,
+                                               .address = a.agent->address()});
+            edits.push_back(
+                {document_kind::upstream, upstream,
+                 R"({"kind":"engine","zone":"hitra","state":"in",
+                     "serves":["tagger@v1","tagger@v2"],
+                     "cold_concurrency":64,"warm_concurrency":64})"});
+        }
+        change(std::move(edits));
+        REQUIRE(run_until(
+            [&]
+            {
+                return std::all_of(
+                    entries.begin(), entries.end(),
+                    [&](auto const& it)
+                    {
+                        return it.second->state().cluster.peers.size() >=
+                               last + entries.size() - 1;
+                    });
+            }));
+        // The routing table follows the live set within its own tick.
+        run_for(milliseconds(300));
+    }
+
+    std::uint64_t crashes() const
+    {
+        std::uint64_t n = agent_->engine.counts().crashed;
+        for (test_agent const& it : more_agents)
+            n += it.engine.counts().crashed;
+        return n;
+    }
+
     // The entry's process ends; the instance list still names it.
     void kill(std::string const& entry)
     {
@@ -261,8 +323,11 @@
     ev::dynamic_loop loop;
     fake_object_api api{loop, {}};
     fake_instance_list list{loop, "127.0.0.1:0"};
+    fake_rating_service ratings{loop, {}};
     http_client http{loop};
     std::map<std::string, std::unique_ptr<entry_daemon>> entries;
+    std::deque<test_agent> more_agents;
+    std::string model = "tagger"; // that is asked for
 
 private:
     void start_entry(std::string const& name)
@@ -280,11 +345,15 @@
         s.heartbeat_interval = std::chrono::seconds(1);
         s.silence_limit = std::chrono::seconds(3);
         s.cluster = fast_cluster(api.url(), list.url());
+        s.rating.url = ratings.url();
+        if (tune_)
+            tune_(s);
         auto& e = entries[name];
         e = std::make_unique<entry_daemon>(loop, std::move(s));
         list.put(name, {.zone = "hitra", .address = e->peer_address()});
     }
 
+    std::function<void(entry_settings&)> tune_;
     std::optional<test_agent> agent_;
     std::uint64_t generation_ = 0;
 };
--- /dev/null
+++ b/src/entry/quarantine_controller.cpp
@@ -0,0 +1,360 @@
+#include "entry/quarantine_controller.hpp"
+
+#include "base/hash.hpp"
+#include "base/id.hpp"
+
+#include <algorithm>
+#include <cereal/archives/portable_binary.hpp>
+#include <cereal/types/string.hpp>
+#include <sstream>
+
+namespace marjorambeam
+{
+namespace
+{
+
+constexpr std::string_view trial_call = "crash_trial";
+constexpr std::string_view trial_end_call = "crash_trial_end";
+// An agent reports all attempts of a crash within a few milliseconds; the rest
+// is for the reports of other entries.
+constexpr duration gathering_time = std::chrono::milliseconds(30);
+constexpr duration owner_timeout = std::chrono::milliseconds(100);
+// Upper bound for a trial that another entry asks for.
+constexpr duration longest_trial = std::chrono::minutes(10);
+constexpr std::size_t max_remembered = 10'000;
+
+struct trial_question
+{
+    std::string request_id;
+    std::uint64_t fingerprint = 0;
+    std::int64_t remaining_ms = 0;
+
+    template <class Archive>
+    void serialize(Archive& ar)
+    {
+        ar(request_id, fingerprint, remaining_ms);
+    }
+};
+
+std::string encode(trial_question const& q)
+{
+    std::ostringstream out;
+    cereal::PortableBinaryOutputArchive ar(out);
+    ar(q);
+    return std::move(out).str();
+}
+
+std::optional<trial_question> decode(std::string_view body)
+{
+    std::istringstream in{std::string(body)};
+    trial_question q;
+    try
+    {
+        cereal::PortableBinaryInputArchive ar(in);
+        ar(q);
+    }
+    catch (std::exception const&)
+    {
+        return std::nullopt;
+    }
+    return q;
+}
+
+} // namespace
+
+quarantine_controller::quarantine_controller(
+    cluster_state& cluster, live_entries const& live, peer_calls& calls)
+    : cluster_(cluster)
+    , live_(live)
+    , calls_(calls)
+{
+    calls_.serve(
+        std::string(crash_report_call),
+        [this](std::string_view, std::string_view body)
+        {
+            serve_report(body, steady_now());
+            return std::optional<std::string>();
+        });
+    calls_.serve(
+        std::string(trial_call), [this](std::string_view, std::string_view body)
+        { return serve_trial(body); });
+    calls_.serve(
+        std::string(trial_end_call),
+        [this](std::string_view, std::string_view body)
+        {
+            serve_trial_end(body);
+            return std::optional<std::string>();
+        });
+}
+
+bool quarantine_controller::is_gathered(std::uint64_t fingerprint) const
+{
+    return std::any_of(
+        crashes_.begin(), crashes_.end(),
+        [&](auto const& it)
+        {
+            auto const& all = it.second.fingerprints;
+            return std::find(all.begin(), all.end(), fingerprint) != all.end();
+        });
+}
+
+crash_ruling quarantine_controller::judge(
+    std::string const& request_id, std::uint64_t fingerprint,
+    steady_time deadline, steady_time now)
+{
+    if (is_gathered(fingerprint))
+        return {.must_wait = true};
+    run_permission p = table_.judge(fingerprint, now);
+    if (p.refusal)
+        return {.refusal = std::move(p.refusal)};
+    if (!p.run_alone)
+        return {};
+    if (granted_.count(request_id) == 0 && asked_.insert(request_id).second)
+        ask_owner(request_id, fingerprint, deadline, now);
+    if (granted_.count(request_id) == 0)
+        return {.must_wait = true};
+    return {.run_alone = true};
+}
+
+std::string const&
+quarantine_controller::owner_of(std::uint64_t fingerprint) const
+{
+    std::span<std::string const> const names = live_.names();
+    return names[rendezvous_order(to_hex(fingerprint), names, 1).front()];
+}
+
+void quarantine_controller::ask_owner(
+    std::string const& request_id, std::uint64_t fingerprint,
+    steady_time deadline, steady_time now)
+{
+    std::string const& owner = owner_of(fingerprint);
+    if (live_.is_self(owner))
+    {
+        asked_.erase(request_id);
+        if (grant(fingerprint, request_id, deadline, now))
+            granted_.insert(request_id);
+        return;
+    }
+    auto const remaining =
+        std::chrono::ceil<std::chrono::milliseconds>(deadline - now);
+    calls_.call(
+        owner, trial_call, encode({request_id, fingerprint, remaining.count()}),
+        owner_timeout,
+        [this, request_id, fingerprint,
+         alive = std::weak_ptr<int>(alive_)](result<std::string> const& reply)
+        {
+            if (alive.expired())
+                return;
+            bool const is_waiting = asked_.erase(request_id) > 0;
+            if (!reply)
+                return;
+            if (!reply->empty())
+                serve_report(*reply, steady_now());
+            else if (is_waiting)
+                granted_.insert(request_id);
+            else
+                end_trial(request_id, fingerprint);
+        });
+}
+
+bool quarantine_controller::grant(
+    std::uint64_t fingerprint, std::string const& request_id, steady_time until,
+    steady_time now)
+{
+    auto const it = trials_.find(fingerprint);
+    bool const is_taken = it != trials_.end() && now < it->second.until &&
+                          it->second.request_id != request_id;
+    if (!is_taken)
+        trials_[fingerprint] = {request_id, until};
+    return !is_taken;
+}
+
+// The reply is empty when the trial is granted, a crash report when the owner
+// knows better, and a suspect report when the asking entry has to wait.
+std::optional<std::string>
+quarantine_controller::serve_trial(std::string_view body)
+{
+    std::optional<trial_question> const q = decode(body);
+    if (!q)
+    {
+        cluster_.counters.count(
+            "peer_calls_refused_total", to_string(error_kind::frame_corrupt));
+        return std::nullopt;
+    }
+    steady_time const now = steady_now();
+    crash_report known{.fingerprint = q->fingerprint};
+    if (std::optional<error> const e =
+            table_.judge(q->fingerprint, now).refusal)
+    {
+        known.standing = crash_standing::quarantined;
+        known.remaining_ms =
+            std::chrono::ceil<std::chrono::milliseconds>(e->retry_after)
+                .count();
+        return encode_crash_report(known);
+    }
+    duration const length = std::min<duration>(
+        std::chrono::milliseconds(std::clamp<std::int64_t>(
+            q->remaining_ms, 0, longest_trial / std::chrono::milliseconds(1))),
+        longest_trial);
+    if (grant(q->fingerprint, q->request_id, now + length, now))
+        return std::string();
+    return encode_crash_report(known);
+}
+
+void quarantine_controller::serve_trial_end(std::string_view body)
+{
+    std::optional<trial_question> const q = decode(body);
+    if (!q)
+        return;
+    auto const it = trials_.find(q->fingerprint);
+    if (it != trials_.end() && it->second.request_id == q->request_id)
+        trials_.erase(it);
+}
+
+void quarantine_controller::end_trial(
+    std::string const& request_id, std::uint64_t fingerprint)
+{
+    std::string const body = encode({request_id, fingerprint, 0});
+    std::string const& owner = owner_of(fingerprint);
+    if (live_.is_self(owner))
+        serve_trial_end(body);
+    else
+        calls_.send(owner, trial_end_call, body);
+}
+
+void quarantine_controller::forget(
+    std::string const& request_id, std::uint64_t fingerprint)
+{
+    asked_.erase(request_id);
+    if (granted_.erase(request_id) == 0)
+        return;
+    // The owner has to learn of a crash before it gives the next trial.
+    if (is_gathered(fingerprint))
+        ending_.emplace_back(request_id, fingerprint);
+    else
+        end_trial(request_id, fingerprint);
+}
+
+void quarantine_controller::serve_report(std::string_view body, steady_time now)
+{
+    result<crash_report> const r = decode_crash_report(body);
+    if (!r)
+    {
+        cluster_.counters.count(
+            "peer_calls_refused_total", to_string(r.error().kind));
+        return;
+    }
+    // The same fingerprint made upstreams crash at two entries that did not
+    // yet know of each other.
+    auto const first = first_upstream_.find(r->fingerprint);
+    bool const is_second =
+        r->standing == crash_standing::suspect && !r->upstream.empty() &&
+        first != first_upstream_.end() && first->second != r->upstream &&
+        table_.judge(r->fingerprint, now).run_alone;
+    if (is_second)
+    {
+        attribute(r->upstream, {{r->fingerprint}, true, now}, now);
+        return;
+    }
+    if (r->standing == crash_standing::suspect && !r->upstream.empty() &&
+        first_upstream_.size() < max_remembered)
+        first_upstream_.emplace(r->fingerprint, r->upstream);
+    if (r->standing != crash_standing::suspect)
+        first_upstream_.erase(r->fingerprint);
+    table_.merge(*r, now);
+}
+
+void quarantine_controller::note_crash(
+    std::string_view upstream, std::uint64_t fingerprint, bool was_alone,
+    steady_time now)
+{
+    auto it = crashes_.find(upstream);
+    if (it == crashes_.end())
+    {
+        it = crashes_.emplace(std::string(upstream), crash{}).first;
+        it->second.began = now;
+    }
+    it->second.fingerprints.push_back(fingerprint);
+    it->second.was_alone &= was_alone;
+}
+
+void quarantine_controller::note_answered(std::uint64_t fingerprint)
+{
+    if (auto const r = table_.on_finished(fingerprint))
+    {
+        first_upstream_.erase(fingerprint);
+        tell_all(*r);
+    }
+}
+
+void quarantine_controller::tick(steady_time now)
+{
+    for (auto it = crashes_.begin(); it != crashes_.end();)
+    {
+        if (now - it->second.began < gathering_time)
+        {
+            ++it;
+            continue;
+        }
+        attribute(it->first, it->second, now);
+        it = crashes_.erase(it);
+    }
+    std::erase_if(
+        ending_,
+        [&](auto const& it)
+        {
+            if (is_gathered(it.second))
+                return false;
+            end_trial(it.first, it.second);
+            return true;
+        });
+    std::erase_if(
+        trials_, [&](auto const& it) { return now >= it.second.until; });
+}
+
+void quarantine_controller::attribute(
+    std::string const& upstream, crash const& c, steady_time now)
+{
+    // A report of the same crash by another entry may have made these
+    // suspects; it is still the first crash.
+    std::vector<std::uint64_t> fresh;
+    for (std::uint64_t const it : c.fingerprints)
+    {
+        auto const first = first_upstream_.find(it);
+        bool const is_same = first != first_upstream_.end() &&
+                             first->second == upstream && !c.was_alone;
+        if (!is_same)
+            fresh.push_back(it);
+    }
+    for (crash_report& it : table_.on_crash(fresh, c.was_alone, now))
+    {
+        it.upstream = upstream;
+        if (it.standing == crash_standing::quarantined)
+        {
+            first_upstream_.erase(it.fingerprint);
+            cluster_.counters.count("quarantined_total");
+            log_.warning(
+                "A request is quarantined; it crashes upstreams.",
+                {{"fingerprint", to_hex(it.fingerprint)},
+                 {"upstream", upstream}});
+        }
+        else if (first_upstream_.size() < max_remembered)
+        {
+            first_upstream_[it.fingerprint] = upstream;
+            cluster_.counters.count("crash_suspects_total");
+        }
+        tell_all(it);
+    }
+}
+
+void quarantine_controller::tell_all(crash_report const& r)
+{
+    std::string const body = encode_crash_report(r);
+    for (std::string const& it : live_.names())
+    {
+        if (!live_.is_self(it))
+            calls_.send(it, crash_report_call, body);
+    }
+}
+
+} // namespace marjorambeam
--- /dev/null
+++ b/src/entry/quarantine_controller_test.cpp
@@ -0,0 +1,81 @@
+#include "entry/entry_test_support.hpp"
+
+namespace marjorambeam::test
+{
+namespace
+{
+
+constexpr char const* crashing = "CRASH-ENGINE please";
+
+} // namespace
+
+// Guards against a request that takes one upstream after another down, by its
+// retries, by resends and by a second entry that does not know of the first,
+// and against a refusal that keeps the caller waiting.
+TEST_CASE("a crashing request takes down at most two of four upstreams")
+{
+    entry_fleet f(2);
+    f.add_agents(4);
+    caller_answer const first = f.ask("e0", "havbris", "", crashing);
+    CHECK(first.status == 422);
+    CHECK(first.error_kind == "quarantined");
+    CHECK(first.retry_after_ms > 0);
+    CHECK(f.crashes() == 2);
+    for (int i = 0; i < 3; ++i)
+    {
+        for (char const* entry : {"e0", "e1"})
+        {
+            steady_time const began = steady_now();
+            caller_answer const again = f.ask(entry, "havbris", "", crashing);
+            CHECK(again.error_kind == "quarantined");
+            CHECK(steady_now() - began < std::chrono::seconds(1));
+        }
+    }
+    CHECK(f.crashes() == 2);
+    CHECK(f.ask("e1", "havbris").status == 200);
+}
+
+// Guards against trials of one suspect at two entries at the same time, each
+// of which would take an upstream down.
+TEST_CASE("copies of a suspect at two entries are tried one at a time")
+{
+    entry_fleet f(2);
+    f.add_agents(4);
+    int ended = 0;
+    int innocent = 0;
+    auto const on_end = [&](caller_answer const& a)
+    {
+        CHECK(a.error_kind == "quarantined");
+        ++ended;
+    };
+    // The first copy makes the fingerprint a suspect at both entries.
+    f.post("e0", "havbris", "", on_end, crashing);
+    REQUIRE(f.run_until(
+        [&]
+        {
+            return f.entries.at("e1")->quarantine().table().suspects() > 0 ||
+                   f.entries.at("e1")->quarantine().table().quarantined() > 0;
+        }));
+    for (int i = 0; i < 3; ++i)
+    {
+        for (char const* entry : {"e0", "e1"})
+        {
+            f.post(entry, "havbris", "", on_end, crashing);
+            f.post(
+                entry, "stor", "",
+                [&](caller_answer const& a)
+                {
+                    CAPTURE(a.error_kind, a.retry_after_ms);
+                    CHECK(a.status == 200);
+                    ++innocent;
+                },
+                "innocent " + std::to_string(i));
+        }
+    }
+    REQUIRE(f.run_until([&] { return ended == 7 && innocent == 6; }));
+    CHECK(f.crashes() == 2);
+    for (auto const& [name, e] : f.entries)
+        CHECK(e->quarantine().table().quarantined() == 1);
+}
+
+} // namespace marjorambeam::test
--- /dev/null
+++ b/src/entry/rating_controller.hpp
@@ -0,0 +1,104 @@
+// Sends chosen answers to the rating service and collects the ratings.
+//
+// Example:
+//   rating_controller ratings(cluster, client, {.url = "http://..."},
+//       [&](rated_answer const& a, double rating) { ... });
+//   request.is_rated = ratings.wants(request, now); // when it is admitted
+//   ratings.on_answered(request, now);              // its whole answer is here
+//   ratings.tick(now);                              // every 250 ms
+//
+// Rated are the answers that the cascade asks for and, of a model with a
+// rolling version, a bounded rate of answers of each of its versions. A rating
+// that fails is dropped: the service never delays a request. Counters:
+// ratings_sent_total, ratings_received_total, ratings_failed_total by error.
+//
+// Used on the loop's thread only; not thread-safe.
+#pragma once
+
+#include "base/time.hpp"
+#include "cluster/cluster_state.hpp"
+#include "entry/entry_state.hpp"
+#include "http_client/http_client.hpp"
+#include "log/log.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+
+namespace marjorambeam
+{
+
+struct rating_settings
+{
+    std::string url; // of the rating service; empty: no ratings
+    duration poll_period = std::chrono::milliseconds(500);
+    // Of each version of a model with a rolling one, at this entry.
+    double rollout_ratings_per_second = 10;
+};
+
+// What is kept of an answer until its rating arrives.
+struct rated_answer
+{
+    std::string version_id;
+    std::optional<cascade_pick> cascade;
+    steady_time sent_at{};
+};
+
+class rating_controller
+{
+public:
+    using rating_handler =
+        std::function<void(rated_answer const&, double rating)>;
+
+    // The references outlive this.
+    rating_controller(
+        cluster_state& cluster, http_client& client, rating_settings settings,
+        rating_handler on_rating);
+
+    // Whether the answer to a request whose version was chosen is to be rated.
+    bool wants(entry_request const& r, steady_time now);
+
+    // Sends the answer for rating if the request is marked.
+    void on_answered(entry_request const& r, steady_time now);
+
+    // Polls the ratings and drops those that did not come.
+    void tick(steady_time now);
+
+    // Answers whose rating is awaited.
+    std::size_t pending() const
+    {
+        return pending_.size();
+    }
+
+private:
+    struct rate_limit
+    {
+        double tokens = 0;
+        steady_time updated{};
+    };
+
+    bool is_compared(version const& v) const;
+    bool take_token(std::string const& version_id, steady_time now);
+    void on_sent(std::string const& id, result<http_reply> const& reply);
+    void on_page(result<http_reply> const& reply);
+    void note_failure(error_kind kind);
+
+    cluster_state& cluster_;
+    http_client& client_;
+    rating_settings settings_;
+    rating_handler on_rating_;
+    std::unordered_map<std::string, rated_answer> pending_; // by request id
+    std::map<std::string, rate_limit, std::less<>> limits_; // by version
+    std::uint64_t last_sequence_ = 0;
+    bool is_polling_ = false;
+    steady_time next_poll_{};
+    steady_time failed_at_{}; // last failure of the service
+    logger log_{"rating"};
+    std::shared_ptr<int> alive_ = std::make_shared<int>(0);
+};
+
+} // namespace marjorambeam
--- a/src/entry/request_controller.cpp
+++ b/src/entry/request_controller.cpp
@@ -5,13 +5,24 @@
 
 namespace marjorambeam
 {
+namespace
+{
+
+// The rest of a longer stream is not rated.
+constexpr int first_server_error = 500;
+constexpr std::size_t max_rated_bytes = std::size_t{256} << 10U;
+
+} // namespace
 
 request_controller::request_controller(
     entry_state& state, agent_links& links, routing_controller& routing,
+    quarantine_controller& quarantine, attempt_handler on_attempt,
     end_handler on_end)
     : state_(state)
     , links_(links)
     , routing_(routing)
+    , quarantine_(quarantine)
+    , on_attempt_(std::move(on_attempt))
     , on_end_(std::move(on_end))
 {
 }
@@ -67,8 +78,24 @@
     start_attempt(r, now);
 }
 
+bool request_controller::may_start(entry_request& r, steady_time now)
+{
+    crash_ruling const ruling =
+        quarantine_.judge(r.id, r.work.fingerprint, r.deadline, now);
+    r.is_waiting = ruling.must_wait;
+    r.work.run_alone = ruling.run_alone;
+    if (!ruling.refusal)
+        return !r.is_waiting;
+    error why = *ruling.refusal;
+    why.run = combine(r.earlier_run, why.run);
+    give_up(r, why, now);
+    return false;
+}
+
 void request_controller::start_attempt(entry_request& r, steady_time now)
 {
+    if (!may_start(r, now))
+        return;
     result<route> const to = routing_.choose(r, now);
     if (!to)
     {
@@ -183,9 +210,17 @@
         headers.emplace_back("Cache-Control", "no-cache");
         r.exchange->start_stream(200, headers);
     }
+    if (r.is_rated && r.rated_text.size() < max_rated_bytes)
+        r.rated_text += m.bytes;
     r.exchange->write(m.bytes);
 }
 
+void request_controller::note_attempt(entry_request const& r, bool has_failed)
+{
+    if (!r.version_id.empty())
+        on_attempt_(r.version_id, has_failed);
+}
+
 void request_controller::on_end(
     entry_request& r, answer_end const& m, steady_time now)
 {
@@ -207,6 +242,8 @@
         r.exchange->respond(
             m.status, headers, r.work.is_stream ? "" : r.answer->body());
     }
+    note_attempt(r, m.status >= first_server_error);
+    quarantine_.note_answered(r.work.fingerprint);
     explain(
         r, "Answered with status " + std::to_string(m.status) + " and " +
                std::to_string(r.tokens_out) + " tokens.");
@@ -218,6 +255,15 @@
 {
     error why = make_error(m.kind, m.text);
     why.run = m.run;
+    bool const is_fault = m.is_crash || m.kind == error_kind::upstream_failed ||
+                          m.kind == error_kind::upstream_silent;
+    if (is_fault)
+        note_attempt(r, true);
+    if (m.is_crash)
+    {
+        quarantine_.note_crash(
+            r.upstream, r.work.fingerprint, r.work.run_alone, now);
+    }
     fail_attempt(r, why, now);
 }
 
@@ -309,6 +355,7 @@
     if (!r.instance.empty() && why != nullptr)
         links_.send_cancel(r.instance, {r.id, r.work.attempt});
     leave_attempt(r);
+    quarantine_.forget(r.id, r.work.fingerprint);
     state_.cluster.counters.observe(
         "request_seconds",
         to_string(why == nullptr ? error_kind::internal : why->kind),
@@ -330,11 +377,16 @@
 void request_controller::tick(steady_time now)
 {
     std::vector<entry_request*> expired;
+    std::vector<entry_request*> waiting;
     for (auto const& [id, r] : state_.requests)
     {
         if (now >= r->deadline)
             expired.push_back(r.get());
+        else if (r->is_waiting)
+            waiting.push_back(r.get());
     }
+    for (entry_request* it : waiting)
+        start_attempt(*it, now);
     for (entry_request* it : expired)
     {
         error const why = make_error(
--- a/src/entry/request_controller.hpp
+++ b/src/entry/request_controller.hpp
@@ -10,6 +10,7 @@
 
 #include "entry/agent_links.hpp"
 #include "entry/entry_state.hpp"
+#include "entry/quarantine_controller.hpp"
 #include "entry/routing_controller.hpp"
 #include "log/log.hpp"
 
@@ -29,8 +30,14 @@
     using end_handler =
         std::function<void(entry_request const&, error const* why)>;
 
+    // Called for each attempt at a model version that ended with an answer or
+    // a failure of the upstream.
+    using attempt_handler =
+        std::function<void(std::string_view version_id, bool has_failed)>;
+
     request_controller(
         entry_state& state, agent_links& links, routing_controller& routing,
+        quarantine_controller& quarantine, attempt_handler on_attempt,
         end_handler on_end);
 
     // Starts an admitted request. Precondition: nothing was sent on its
@@ -55,9 +62,12 @@
     entry_request* find(std::string_view id, std::uint32_t attempt);
     bool check(entry_request& r, frame_verdict verdict, steady_time now);
     void begin_answer(entry_request& r, incarnation sender);
+    // False when the request was ended or has to wait.
+    bool may_start(entry_request& r, steady_time now);
     void start_attempt(entry_request& r, steady_time now);
     void on_refused(entry_request& r, work_refused const& m, steady_time now);
     void on_chunk(entry_request& r, answer_chunk const& m, steady_time now);
+    void note_attempt(entry_request const& r, bool has_failed);
     void on_end(entry_request& r, answer_end const& m, steady_time now);
     void on_failed(entry_request& r, answer_failed const& m, steady_time now);
     void fail_attempt(entry_request& r, error const& why, steady_time now);
@@ -72,6 +82,8 @@
     entry_state& state_;
     agent_links& links_;
     routing_controller& routing_;
+    quarantine_controller& quarantine_;
+    attempt_handler on_attempt_;
     end_handler on_end_;
     logger log_{"request"};
 };
--- a/src/entry/routing_controller.cpp
+++ b/src/entry/routing_controller.cpp
@@ -89,26 +89,10 @@
 }
 
 result<version_choice> routing_controller::choose_version(
-    contract const& c, std::string_view model, std::string_view pin,
-    prompt_features const& features, steady_time now)
+    contract const& c, std::string_view model, std::string_view pin)
 {
-    std::string chosen(model);
-    if (model == "auto" && !pin.empty())
-        chosen = pin.substr(0, pin.find('@'));
-    else if (model == "auto")
-    {
-        std::vector<cascade_stage> const stages = stages_of(*table_.config, c);
-        if (stages.empty())
-        {
-            return fail(
-                error_kind::model_not_allowed,
-                "the contract allows no model with an active version");
-        }
-        cascade_choice const stage = choose_stage(
-            cascades_[c.customer], stages, limits_of(c, live_entries().size()),
-            kind_of(features), now, random_);
-        chosen = stages[stage.stage].model;
-    }
+    std::string_view const chosen =
+        model == "auto" ? pin.substr(0, pin.find('@')) : model;
     std::uniform_real_distribution<double> uniform(0, 1);
     return marjorambeam::choose_version(
         table_, c, chosen, pin, uniform(random_));
--- a/src/entry/routing_controller.hpp
+++ b/src/entry/routing_controller.hpp
@@ -3,13 +3,12 @@
 // Example:
 //   routing_controller routing(state, is_live, random_incarnation());
 //   routing.rebuild();
-//   result<version_choice> v = routing.choose_version(c, "auto", pin, chat);
+//   result<version_choice> v = routing.choose_version(c, "tagger", pin);
 //   result<route> r = routing.choose(request, now);
 //
 // Used on the loop's thread only; not thread-safe.
 #pragma once
 
-#include "cascade/cascade.hpp"
 #include "entry/entry_state.hpp"
 #include "routing/routing.hpp"
 
@@ -48,12 +47,11 @@
     // second.
     void tick();
 
-    // Chooses model and version. `model` may be "auto"; `pin` is the session's
-    // "model@version" or empty. Errors: those of routing's choose_version, and
-    // model_not_allowed when the contract permits no model at all.
+    // Chooses the version. `pin` is the session's "model@version" or empty;
+    // `model` may be "auto" with a pin. Errors: those of routing's
+    // choose_version.
     result<version_choice> choose_version(
-        contract const& c, std::string_view model, std::string_view pin,
-        prompt_features const& features, steady_time now);
+        contract const& c, std::string_view model, std::string_view pin);
 
     // Chooses the upstream of the next attempt. Error: no_upstream.
     result<route> choose(entry_request const& r, steady_time now);
@@ -80,7 +78,6 @@
     std::mt19937_64 random_;
     routing_table table_;
     std::uint64_t built_for_ = 0;
-    std::map<std::string, cascade_state, std::less<>> cascades_;
 };
 
 } // namespace marjorambeam
--- a/src/quarantine/quarantine.hpp
+++ b/src/quarantine/quarantine.hpp
@@ -16,6 +16,7 @@
 #include "base/time.hpp"
 #include "error/error.hpp"
 
+#include <cereal/types/string.hpp>
 #include <cstdint>
 #include <list>
 #include <optional>
@@ -52,11 +53,12 @@
     std::uint64_t fingerprint = 0;
     crash_standing standing = crash_standing::suspect;
     std::int64_t remaining_ms = 0; // of the quarantine
+    std::string upstream;          // that crashed; may be empty
 
     template <class Archive>
     void serialize(Archive& ar)
     {
-        ar(fingerprint, standing, remaining_ms);
+        ar(fingerprint, standing, remaining_ms, upstream);
     }
 
     bool operator==(crash_report const&) const = default;
--- a/src/rollout/rollout.cpp
+++ b/src/rollout/rollout.cpp
@@ -153,7 +153,7 @@
         return hold(s, "too few ratings to rule out a loss of quality");
     version_counts const in_step = difference(candidate, s.at_step);
     if (in_step.requests < step_requests || in_step.ratings < step_ratings ||
-        now - s.step_started < step_time)
+        now - s.step_started < s.min_step_time)
         return hold(s, "gathering evidence at this share");
     ++s.step;
     s.step_started = now;
@@ -239,7 +239,9 @@
         return {rollout_action::halt, 0, "halted before"};
     if (!s.is_started)
     {
+        duration const least = s.min_step_time;
         s = resume(first_share, candidate, now);
+        s.min_step_time = least;
         return {
             rollout_action::advance, first_share, "first step of the rollout"};
     }
--- a/src/rollout/rollout.hpp
+++ b/src/rollout/rollout.hpp
@@ -140,6 +140,7 @@
     std::uint64_t batches = 0;
     double recent_quality = 0; // cumulative sums
     double recent_failures = 0;
+    duration min_step_time = step_time;
 };
 
 // The state of a judge that takes over a rollout at `share`, 1 when the version
