Bound a suspect's wait and start a repeated rollout without old evidence

Cause: copies of a suspect each asked the owner every 10 ms and could wait until their deadline for a trial elsewhere; a version that an operator rolled out again after a halt would be halted at once by its old counts.

Change: one question per fingerprint and entry, repeated every 50 ms; a copy that has waited 2 s is refused as quarantined with a time to come back. The judge subtracts the counts from before an edit that this holder saw; a new holder goes on with all counts. /admin/status shows the rollouts with share, evidence and last decision.

--- a/src/entry/entry_daemon.cpp
+++ b/src/entry/entry_daemon.cpp
@@ -1,6 +1,7 @@
 #include "entry/entry_daemon.hpp"
 
 #include <csignal>
+#include <nlohmann/json.hpp>
 
 namespace marjorambeam
 {
@@ -207,12 +208,10 @@
     std::string const& path = exchange->request().path;
     if (path == "/admin/status")
     {
-        exchange->respond(200, json, cluster_.status_json(steady_now()));
-        return;
-    }
-    if (path == "/admin/rollouts")
-    {
-        exchange->respond(200, json, rollouts_.status_json());
+        nlohmann::json status =
+            nlohmann::json::parse(cluster_.status_json(steady_now()));
+        status["rollouts"] = nlohmann::json::parse(rollouts_.status_json());
+        exchange->respond(200, json, status.dump());
         return;
     }
     if (path.starts_with(explain_path))
--- a/src/entry/quarantine_controller.cpp
+++ b/src/entry/quarantine_controller.cpp
@@ -18,6 +18,8 @@
 // An agent reports all attempts of a crash within a few milliseconds; the rest
 // is for the reports of other entries.
 constexpr duration gathering_time = std::chrono::milliseconds(30);
+// Between two questions whether a trial elsewhere has ended.
+constexpr duration ask_interval = std::chrono::milliseconds(50);
 constexpr duration owner_timeout = std::chrono::milliseconds(100);
 // Upper bound for a trial that another entry asks for.
 constexpr duration longest_trial = std::chrono::minutes(10);
@@ -98,22 +100,42 @@
         });
 }
 
+crash_ruling
+quarantine_controller::wait(std::string const& request_id, steady_time now)
+{
+    auto const since = waiting_.try_emplace(request_id, now).first->second;
+    if (now - since < longest_wait)
+        return {.must_wait = true};
+    error e = make_error(
+        error_kind::quarantined,
+        "a request like this one is tried for crashing upstreams");
+    e.retry_after = longest_wait;
+    return {.refusal = std::move(e)};
+}
+
 crash_ruling quarantine_controller::judge(
     std::string const& request_id, std::uint64_t fingerprint,
     steady_time deadline, steady_time now)
 {
     if (is_gathered(fingerprint))
-        return {.must_wait = true};
+        return wait(request_id, now);
     run_permission p = table_.judge(fingerprint, now);
     if (p.refusal)
         return {.refusal = std::move(p.refusal)};
-    if (!p.run_alone)
-        return {};
-    if (granted_.count(request_id) == 0 && asked_.insert(request_id).second)
-        ask_owner(request_id, fingerprint, deadline, now);
-    if (granted_.count(request_id) == 0)
-        return {.must_wait = true};
-    return {.run_alone = true};
+    if (p.run_alone)
+    {
+        own_trial& t =
+            own_trials_.try_emplace(fingerprint, own_trial{request_id})
+                .first->second;
+        if (t.request_id != request_id)
+            return wait(request_id, now);
+        if (!t.is_granted && !t.is_asked && now >= t.ask_after)
+            ask_owner(fingerprint, deadline, now);
+        if (!t.is_granted)
+            return wait(request_id, now);
+    }
+    waiting_.erase(request_id);
+    return {.run_alone = p.run_alone};
 }
 
 std::string const&
@@ -124,39 +146,49 @@
 }
 
 void quarantine_controller::ask_owner(
-    std::string const& request_id, std::uint64_t fingerprint,
-    steady_time deadline, steady_time now)
+    std::uint64_t fingerprint, steady_time deadline, steady_time now)
 {
+    own_trial& t = own_trials_.at(fingerprint);
+    t.ask_after = now + ask_interval;
     std::string const& owner = owner_of(fingerprint);
     if (live_.is_self(owner))
     {
-        asked_.erase(request_id);
-        if (grant(fingerprint, request_id, deadline, now))
-            granted_.insert(request_id);
+        t.is_granted = grant(fingerprint, t.request_id, deadline, now);
         return;
     }
+    t.is_asked = true;
     auto const remaining =
         std::chrono::ceil<std::chrono::milliseconds>(deadline - now);
     calls_.call(
-        owner, trial_call, encode({request_id, fingerprint, remaining.count()}),
-        owner_timeout,
-        [this, request_id, fingerprint,
+        owner, trial_call,
+        encode({t.request_id, fingerprint, remaining.count()}), owner_timeout,
+        [this, id = t.request_id, fingerprint,
          alive = std::weak_ptr<int>(alive_)](result<std::string> const& reply)
         {
-            if (alive.expired())
-                return;
-            bool const is_waiting = asked_.erase(request_id) > 0;
-            if (!reply)
-                return;
-            if (!reply->empty())
-                serve_report(*reply, steady_now());
-            else if (is_waiting)
-                granted_.insert(request_id);
-            else
-                end_trial(request_id, fingerprint);
+            if (!alive.expired())
+                on_owner_reply(id, fingerprint, reply, steady_now());
         });
 }
 
+void quarantine_controller::on_owner_reply(
+    std::string const& request_id, std::uint64_t fingerprint,
+    result<std::string> const& reply, steady_time now)
+{
+    bool const is_granted = reply && reply->empty();
+    if (reply && !is_granted)
+        serve_report(*reply, now);
+    auto const it = own_trials_.find(fingerprint);
+    if (it != own_trials_.end() && it->second.request_id == request_id)
+    {
+        it->second.is_asked = false;
+        it->second.is_granted = is_granted;
+    }
+    else if (is_granted)
+    {
+        end_trial(request_id, fingerprint);
+    }
+}
+
 bool quarantine_controller::grant(
     std::uint64_t fingerprint, std::string const& request_id, steady_time until,
     steady_time now)
@@ -225,8 +257,13 @@
 void quarantine_controller::forget(
     std::string const& request_id, std::uint64_t fingerprint)
 {
-    asked_.erase(request_id);
-    if (granted_.erase(request_id) == 0)
+    waiting_.erase(request_id);
+    auto const it = own_trials_.find(fingerprint);
+    if (it == own_trials_.end() || it->second.request_id != request_id)
+        return;
+    bool const is_granted = it->second.is_granted;
+    own_trials_.erase(it);
+    if (!is_granted)
         return;
     // The owner has to learn of a crash before it gives the next trial.
     if (is_gathered(fingerprint))
--- a/src/entry/quarantine_controller.hpp
+++ b/src/entry/quarantine_controller.hpp
@@ -20,8 +20,8 @@
 //
 // A suspect runs only as a trial. The entry that owns the fingerprint by
 // rendezvous hash grants one trial of it at a time, so that copies of a request
-// at several entries can't each take an upstream down. While the owner does not
-// answer, suspects wait.
+// at several entries can't each take an upstream down. Other copies wait for
+// its end, for at most `longest_wait`.
 //
 // Used on the loop's thread only; not thread-safe.
 #pragma once
@@ -37,14 +37,17 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace marjorambeam
 {
 
+// A suspect that waits longer for another one's trial is refused.
+constexpr duration longest_wait = std::chrono::seconds(2);
+
 // How a request may go on now.
 struct crash_ruling
 {
@@ -99,10 +102,22 @@
         steady_time until{};
     };
 
+    // A trial of a request of this entry; its other copies wait.
+    struct own_trial
+    {
+        std::string request_id;
+        bool is_granted = false;
+        bool is_asked = false;
+        steady_time ask_after{};
+    };
+
+    crash_ruling wait(std::string const& request_id, steady_time now);
     bool is_gathered(std::uint64_t fingerprint) const;
-    void ask_owner(
+    void
+    ask_owner(std::uint64_t fingerprint, steady_time deadline, steady_time now);
+    void on_owner_reply(
         std::string const& request_id, std::uint64_t fingerprint,
-        steady_time deadline, steady_time now);
+        result<std::string> const& reply, steady_time now);
     bool grant(
         std::uint64_t fingerprint, std::string const& request_id,
         steady_time until, steady_time now);
@@ -123,8 +138,8 @@
     // The upstream that made a fingerprint a suspect here.
     std::map<std::uint64_t, std::string> first_upstream_;
     std::map<std::uint64_t, trial> trials_; // of fingerprints owned here
-    std::set<std::string> asked_;           // request ids
-    std::set<std::string> granted_;         // request ids
+    std::map<std::uint64_t, own_trial> own_trials_; // by fingerprint
+    std::map<std::string, steady_time> waiting_;    // by request id, since
     // Trials to end after their crash was attributed.
     std::vector<std::pair<std::string, std::uint64_t>> ending_;
     logger log_{"quarantine"};
--- a/src/entry/rollout_controller.cpp
+++ b/src/entry/rollout_controller.cpp
@@ -231,9 +231,13 @@
     }
     if (text == r.text)
         return r.written.empty() || now >= r.wait_until;
+    // What the last holder began goes on with all counts.
+    bool const is_taken_over = r.text.empty() && rounds_ == 1;
     r.text = text;
     r.written.clear();
-    r.state = start_at(v.share, counts, settings_.step_time, now);
+    r.base = is_taken_over ? version_counts{} : counts;
+    r.state =
+        start_at(v.share, difference(counts, r.base), settings_.step_time, now);
     return true;
 }
 
@@ -246,7 +250,8 @@
     if (!is_current(r, v, text_of(*cluster_.config, id), counts, now))
         return;
     rollout_state const before = r.state;
-    r.last = judge(r.state, total(pool_, active.id()), counts, now);
+    r.last = judge(
+        r.state, total(pool_, active.id()), difference(counts, r.base), now);
     if (r.last.action != rollout_action::hold)
         act(id, r, before, now);
 }
--- a/src/entry/rollout_controller.hpp
+++ b/src/entry/rollout_controller.hpp
@@ -82,6 +82,9 @@
         std::string text; // of the document that `state` belongs to
         std::string written;
         steady_time wait_until{}; // for `written` to come into force
+        // Counts before the operator's edit that began the rollout, as far as
+        // this holder saw it.
+        version_counts base;
         rollout_state state;
         rollout_decision last;
     };
--- a/src/entry/rollout_controller_test.cpp
+++ b/src/entry/rollout_controller_test.cpp
@@ -120,8 +120,9 @@
             f.ask(i % 2 == 0 ? "e0" : "e1", "havbris").version == "tagger@v1");
 }
 
-// Guards against a rollout that never ends, and against a version that turns
-// bad after it has reached all and stays.
+// Guards against a rollout that never ends, against a version that turns bad
+// after it has reached all and stays, and against a judge that overrides an
+// operator who rolls the version out again after a repair.
 TEST_CASE("a good version reaches share 1 and is halted when it turns bad")
 {
     entry_fleet f(2, use_short_periods);
@@ -133,6 +134,10 @@
     feed.start_every(milliseconds(10));
     CHECK(f.run_until(
         [&] { return version_at(f, "e0").state == version_state::withdrawn; }));
+    feed.stop();
+    f.change({f.version_edit("v2", "rolling", 0, 10)});
+    CHECK(reaches_share(f, "e0", 0.04));
+    CHECK(version_at(f, "e0").state == version_state::rolling);
 }
 
 // Guards against a rollout that stops with the entry that judges it, and
