--- a/src/at_most_once/keyspace_keeper.cpp
+++ b/src/at_most_once/keyspace_keeper.cpp
@@ -12,6 +12,7 @@
 
 // One read for all partitions of a service: half a read a second per agent.
 constexpr std::int64_t read_period_ms = 2000;
+constexpr std::int64_t urgent_read_ms = 200;
 
 } // namespace
 
@@ -35,6 +36,11 @@
         step(p, now);
 }
 
+void keyspace_keeper::expect_change(clock_reading now)
+{
+    next_read_ms_ = std::min(next_read_ms_, now.steady_ms + urgent_read_ms);
+}
+
 void keyspace_keeper::begin_stop()
 {
     is_stopping_ = true;
@@ -190,8 +196,11 @@
     if (!answer)
     {
         // Read the object before the next step: the write may have succeeded,
-        // or another process has written.
+        // or another process has written. After a conflict that is at once:
+        // callers are redirected to the owner as soon as it is known.
         it.is_read = false;
+        if (is_store_up_)
+            next_read_ms_ = std::min(next_read_ms_, sent.steady_ms);
         return;
     }
     it.stored = plan.record;
