--- a/src/entry/admission_controller_test.cpp
+++ b/src/entry/admission_controller_test.cpp
@@ -153,7 +153,7 @@
     CHECK(last.status == 402);
     CHECK(last.error_kind == "spend_limit_reached");
     CHECK(last.retry_after_ms > 0);
-    CHECK(last.retry_after_ms <= 24 * 3600 * 1000);
+    CHECK(last.retry_after_ms <= std::int64_t{24} * 3600 * 1000);
 }
 
 // Guards against a peer's broken message that ends the process or a grant.
