Bind datagrams to the listening address when another is announced

Cause: the daemons' constructors passed identify(), which set the bind address, and a copy of the settings as arguments of one call. Their order is unspecified; with an announced address the datagram socket was bound to that one, and an agent behind a relay ended with "can't listen".

Change: bound_settings() returns the settings with the bind address.

--- a/src/agent/agent_daemon.cpp
+++ b/src/agent/agent_daemon.cpp
@@ -27,7 +27,7 @@
     , http_(loop)
     , store_(http_, settings_.cluster.store_url)
     , agent_(loop, state_, make_hooks())
-    , sync_(loop, identify(), http_, store_, settings_.cluster)
+    , sync_(loop, identify(), http_, store_, bound_settings())
     , once_(
           cluster_, store_, agent_.address(),
           [this](peer const& p) { return is_live(p); }, settings_.once)
@@ -51,7 +51,6 @@
 
 cluster_state& agent_daemon::identify()
 {
-    settings_.cluster.bind_address = agent_.address();
     std::string const& advertised = settings_.cluster.advertise;
     cluster_.identity = {
         .instance = settings_.instance,
@@ -63,6 +62,13 @@
     return cluster_;
 }
 
+cluster_settings agent_daemon::bound_settings() const
+{
+    cluster_settings out = settings_.cluster;
+    out.bind_address = agent_.address();
+    return out;
+}
+
 agent_hooks agent_daemon::make_hooks()
 {
     agent_hooks hooks;
--- a/src/agent/agent_daemon.hpp
+++ b/src/agent/agent_daemon.hpp
@@ -79,6 +79,10 @@
 
 private:
     cluster_state& identify();
+    // The settings with the address for datagrams, which may differ from the
+    // one that is announced. Not set by identify(), whose call as another
+    // argument has no order with the copy of the settings.
+    cluster_settings bound_settings() const;
     agent_hooks make_hooks();
     bool is_live(peer const& p) const;
     void tick();
--- a/src/entry/entry_daemon.cpp
+++ b/src/entry/entry_daemon.cpp
@@ -62,7 +62,7 @@
     , listener_(
           loop, settings_.peer_listen,
           [this](std::shared_ptr<frame_connection> const& c) { on_peer(c); })
-    , cluster_(loop, identify(), client_, store_, settings_.cluster)
+    , cluster_(loop, identify(), client_, store_, bound_settings())
     , live_(
           state_.cluster,
           [this](peer const& p) { return cluster_.is_live(p, steady_now()); },
@@ -104,10 +104,16 @@
     cluster_.on_config_change([this] { routing_.rebuild(); });
 }
 
+cluster_settings entry_daemon::bound_settings() const
+{
+    cluster_settings out = settings_.cluster;
+    out.bind_address = listener_.address();
+    return out;
+}
+
 cluster_state& entry_daemon::identify()
 {
     std::string const& advertised = settings_.cluster.advertise;
-    settings_.cluster.bind_address = listener_.address();
     state_.cluster.identity = make_identity(
         settings_, advertised.empty() ? listener_.address() : advertised);
     return state_.cluster;
--- a/src/entry/entry_daemon.hpp
+++ b/src/entry/entry_daemon.hpp
@@ -79,6 +79,9 @@
     void continue_shutdown(steady_time now);
     // Fills in who this daemon is; the listener is already bound.
     cluster_state& identify();
+    // The settings with the address for datagrams, which may differ from the
+    // one that is announced.
+    cluster_settings bound_settings() const;
     agent_links::handlers link_handlers();
     peer_call_settings call_settings();
 
