--- a/tests/process/child_process.cpp
+++ b/tests/process/child_process.cpp
@@ -20,7 +20,6 @@
 
 // Processes to end when the test itself is ended by a signal.
 constexpr std::size_t max_children = 128;
-constexpr int max_port_retries = 5;
 std::array<pid_t volatile, max_children> running{};
 
 void end_children(int number)
@@ -142,17 +141,7 @@
     if (!fields_.empty())
         return true;
     if (exit_code())
-    {
-        // The kernel chose a free TCP port whose number another process uses
-        // for datagrams, of which many run beside each other in these tests.
-        bool const is_port_taken =
-            errors().find("can't listen") != std::string::npos;
-        if (!is_port_taken || ++port_retries_ > max_port_retries)
-            throw std::runtime_error(path_ + " has ended: " + errors());
-        exit_code_.reset();
-        start();
-        return false;
-    }
+        throw std::runtime_error(path_ + " has ended: " + errors());
     std::string const text = output();
     std::size_t const at = text.find("listening ");
     if (at == std::string::npos || text.back() != '\n')
--- a/tests/process/child_process.hpp
+++ b/tests/process/child_process.hpp
@@ -44,9 +44,8 @@
     // The exit code, 128 + N after signal N, or nothing while it runs.
     std::optional<int> exit_code();
 
-    // Whether the line with its addresses was written. Starts the process
-    // again when it could not bind a port. Throws std::runtime_error when it
-    // has ended for another reason.
+    // Whether the line with its addresses was written. Throws
+    // std::runtime_error when the process has ended.
     bool is_listening();
     // An address of that line, such as "frames", without a scheme.
     std::string const& field(std::string_view key) const;
@@ -62,7 +61,6 @@
     std::map<std::string, std::string, std::less<>> fields_;
     pid_t pid_ = -1;
     std::optional<int> exit_code_;
-    int port_retries_ = 0;
 };
 
 } // namespace marjorambeam
--- a/tests/process/process_fleet.cpp
+++ b/tests/process/process_fleet.cpp
@@ -97,7 +97,7 @@
     std::replace_if(
         name.begin(), name.end(),
         [](unsigned char c) { return std::isalnum(c) == 0; }, '-');
-    std::string const path = std::string(process_logs) + "/" + name;
+    std::string path = std::string(process_logs) + "/" + name;
     std::filesystem::remove_all(path);
     std::filesystem::create_directories(path);
     return path;
@@ -207,7 +207,8 @@
         std::string const kind = u.is_service ? "service" : "engine";
         std::vector<std::string> command{"fake-" + kind};
         command.insert(command.end(), u.flags.begin(), u.flags.end());
-        names.push_back(kind + "-" + number);
+        names.push_back(kind);
+        names.back().append("-").append(number);
         start(names.back(), std::move(command));
         if (!u.has_relay)
             continue;
@@ -501,7 +502,7 @@
 std::string
 process_fleet::write_file(std::string const& name, json const& content)
 {
-    std::string const path = directory_ + "/" + name;
+    std::string path = directory_ + "/" + name;
     std::ofstream(path) << content.dump();
     return path;
 }
