--- a/src/entry/caller_api.cpp
+++ b/src/entry/caller_api.cpp
@@ -36,12 +36,15 @@
 caller_api::caller_api(
     entry_state& state, request_controller& requests,
     routing_controller& routing, session_controller& sessions,
-    admission_controller& admission)
+    admission_controller& admission, cascade_controller& cascades,
+    rating_controller& ratings)
     : state_(state)
     , requests_(requests)
     , routing_(routing)
     , sessions_(sessions)
     , admission_(admission)
+    , cascades_(cascades)
+    , ratings_(ratings)
     , ids_(state.cluster.identity.self)
 {
 }
@@ -208,7 +211,7 @@
     r->work.weight = c.weight;
     r->work.method = in.method;
     r->work.content_type = in.header("content-type");
-    r->work.fingerprint = hash64(in.body, hash64(in.path));
+    r->work.fingerprint = hash64(in.body, hash64(in.target));
     entry_request& held = *r;
     held_[held.id] = std::move(r);
     return held;
@@ -238,8 +241,21 @@
     auto const c = r.config->contracts.find(r.customer);
     if (c == r.config->contracts.end())
         return fail(error_kind::unauthorized, "the contract no longer exists");
-    result<version_choice> const choice = routing_.choose_version(
-        c->second, r.chat.model, r.pin, r.features, r.admitted_at);
+    std::string model = r.chat.model;
+    r.cascade.reset();
+    if (model == "auto" && r.pin.empty())
+    {
+        result<cascade_pick> pick = cascades_.choose(
+            *r.config, c->second, r.features, routing_.live_entries().size(),
+            r.admitted_at);
+        if (!pick)
+            return tl::unexpected<error>(pick.error());
+        model = pick->model;
+        state_.traces.add(r.id, wall_now(), pick->reason + ".");
+        r.cascade = std::move(*pick);
+    }
+    result<version_choice> const choice =
+        routing_.choose_version(c->second, model, r.pin);
     if (!choice)
         return tl::unexpected<error>(choice.error());
     version const& v = *choice->document;
@@ -334,6 +350,7 @@
         return;
     }
     r->ticket = *ticket;
+    r->is_rated = ratings_.wants(*r, steady_now());
     state_.cluster.counters.count("requests_admitted_total");
     on_admitted(state_.retries, r->admitted_at);
     state_.traces.add(
@@ -364,7 +381,7 @@
 caller_api::read_service_request(contract const& c, entry_request& r)
 {
     http_request const& in = r.exchange->request();
-    service_path const path = parse_service_path(in.path);
+    service_path const path = parse_service_path(in.target);
     if (path.name.empty())
         return fail(error_kind::not_found, "there is nothing at this path");
     auto const it = r.config->services.find(path.name);
