Choose another version when the first is withdrawn on the way

Cause: an agent may learn of a withdrawal before the entry does.

Change: a request whose version neither caller nor session named is given a version anew. While the entry does not know of the withdrawal, it waits for at most 1 s and then answers with the refusal. Named versions are refused at once as before. The session token that is returned names the new version.

--- a/src/entry/caller_api.cpp
+++ b/src/entry/caller_api.cpp
@@ -274,6 +274,29 @@
     return {};
 }
 
+second_choice caller_api::choose_again(entry_request& r)
+{
+    http_request const& in = r.exchange->request();
+    bool const is_named = !r.pin.empty() ||
+                          !in.header(session_header).empty() ||
+                          r.chat.model.find('@') != std::string::npos;
+    if (is_named || r.exchange->is_started())
+        return second_choice::none;
+    std::string const before = r.version_id;
+    // The allowance was charged by the first estimate.
+    request_cost const charged = r.ticket.estimate;
+    result<void> const chosen = choose(r);
+    r.ticket.estimate = charged;
+    if (!chosen)
+        return second_choice::none;
+    if (r.version_id == before)
+        return second_choice::later;
+    r.session_token = sessions_.token(r.customer, {}, r.version_id);
+    r.work.body = with_model(in.body, r.version_id);
+    r.is_rated = ratings_.wants(r, steady_now());
+    return second_choice::chosen;
+}
+
 void caller_api::on_pin(std::string const& id, result<std::string> const& pin)
 {
     entry_request* const r = find(id);
--- a/src/entry/caller_api.hpp
+++ b/src/entry/caller_api.hpp
@@ -43,6 +43,12 @@
     // Handles /healthz, /readyz and /metrics; anything else is not found.
     void handle_probe(std::shared_ptr<http_exchange> const& exchange);
 
+    // Chooses another version for an admitted request whose version was
+    // withdrawn before it ran: `none` when the caller or a session named the
+    // version, or there is no other; `later` when this entry does not know of
+    // the withdrawal yet.
+    second_choice choose_again(entry_request& r);
+
     // Counts a request that broke a limit of the HTTP server.
     void count_refusal(error_kind kind);
 
--- a/src/entry/entry_daemon.cpp
+++ b/src/entry/entry_daemon.cpp
@@ -116,6 +116,8 @@
     , terminate_(loop, SIGTERM, [this] { begin_shutdown(); })
     , interrupt_(loop, SIGINT, [this] { begin_shutdown(); })
 {
+    requests_.on_withdrawn([this](entry_request& r)
+                           { return api_.choose_again(r); });
     ticker_.start_every(tick_interval);
     slow_ticker_.start_every(slow_tick_interval);
     live_ticker_.start_every(live_interval);
--- a/src/entry/entry_state.hpp
+++ b/src/entry/entry_state.hpp
@@ -73,6 +73,9 @@
     std::vector<std::string> tried;     // upstreams of earlier attempts
     std::vector<std::string> instances; // agents that received an attempt
     std::string owner; // upstream that owns the key, when an agent named it
+    // When an agent first refused the version as withdrawn, until another one
+    // is chosen.
+    std::optional<steady_time> withdrawn_at;
     bool is_waiting = false;  // for the quarantine's ruling, between attempts
     std::string lost_owner;   // an upstream that failed this call
     bool has_own_key = false; // the entry made the key
--- a/src/entry/entry_test_support.hpp
+++ b/src/entry/entry_test_support.hpp
@@ -298,6 +298,15 @@
         run_for(milliseconds(300));
     }
 
+    // The agent is ahead of the entries: it knows v2 as withdrawn.
+    void withdraw_at_agent()
+    {
+        config_snapshot next = *agent_->cluster.config;
+        next.versions.at("tagger@v2").state = version_state::withdrawn;
+        agent_->cluster.config =
+            std::make_shared<config_snapshot const>(std::move(next));
+    }
+
     std::uint64_t crashes() const
     {
         std::uint64_t n = agent_->engine.counts().crashed;
--- a/src/entry/request_controller.cpp
+++ b/src/entry/request_controller.cpp
@@ -8,6 +8,8 @@
 namespace
 {
 
+// The agent may know of a withdrawal before this entry does.
+constexpr duration version_wait = std::chrono::seconds(1);
 constexpr int first_server_error = 500;
 // The rest of a longer stream is not rated.
 constexpr std::size_t max_rated_bytes = std::size_t{256} << 10U;
@@ -89,8 +91,45 @@
     start_attempt(r, now);
 }
 
+bool request_controller::wait_for_version(
+    entry_request& r, work_refused const& m, steady_time now)
+{
+    bool const may_choose = choose_again_ && m.run == run_state::not_run &&
+                            r.work.attempt < max_attempts;
+    second_choice const choice =
+        may_choose ? choose_again_(r) : second_choice::none;
+    if (choice == second_choice::none)
+        return false;
+    leave_attempt(r);
+    r.tried.clear();
+    state_.cluster.counters.count("versions_chosen_again_total");
+    explain(r, "The version was withdrawn; another one is chosen.");
+    if (choice == second_choice::later)
+        r.withdrawn_at = now;
+    start_attempt(r, now);
+    return true;
+}
+
 bool request_controller::may_start(entry_request& r, steady_time now)
 {
+    if (r.withdrawn_at)
+    {
+        second_choice const choice = choose_again_(r);
+        bool const is_late = now - *r.withdrawn_at >= version_wait;
+        r.is_waiting = choice == second_choice::later && !is_late;
+        if (r.is_waiting)
+            return false;
+        if (choice != second_choice::chosen)
+        {
+            error why = make_error(
+                error_kind::version_withdrawn,
+                "the version " + r.version_id + " is withdrawn");
+            why.run = combine(r.earlier_run, run_state::not_run);
+            give_up(r, why, now);
+            return false;
+        }
+        r.withdrawn_at.reset();
+    }
     crash_ruling const ruling =
         quarantine_.judge(r.id, r.work.fingerprint, r.deadline, now);
     r.is_waiting = ruling.must_wait;
@@ -168,6 +207,8 @@
 void request_controller::on_refused(
     entry_request& r, work_refused const& m, steady_time now)
 {
+    if (m.kind == error_kind::version_withdrawn && wait_for_version(r, m, now))
+        return;
     error why = make_error(m.kind, m.text);
     why.run = m.run;
     why.retry_after = std::chrono::milliseconds(m.retry_after_ms);
--- a/src/entry/request_controller.hpp
+++ b/src/entry/request_controller.hpp
@@ -22,6 +22,14 @@
 namespace marjorambeam
 {
 
+// Outcome of choosing another version for a request.
+enum class second_choice : std::uint8_t
+{
+    none,  // it ends with the refusal
+    later, // ask again in a moment
+    chosen
+};
+
 class request_controller
 {
 public:
@@ -35,11 +43,20 @@
     using attempt_handler =
         std::function<void(std::string_view version_id, bool has_failed)>;
 
+    // Chooses another version after the first was withdrawn.
+    using version_chooser = std::function<second_choice(entry_request&)>;
+
     request_controller(
         entry_state& state, agent_links& links, routing_controller& routing,
         quarantine_controller& quarantine, attempt_handler on_attempt,
         end_handler on_end);
 
+    // Without it, a withdrawn version ends the request.
+    void on_withdrawn(version_chooser choose_again)
+    {
+        choose_again_ = std::move(choose_again);
+    }
+
     // Starts an admitted request. Precondition: nothing was sent on its
     // exchange, and its target is set.
     void begin(std::unique_ptr<entry_request> request, steady_time now);
@@ -62,6 +79,10 @@
     entry_request* find(std::string_view id, std::uint32_t attempt);
     bool check(entry_request& r, frame_verdict verdict, steady_time now);
     void begin_answer(entry_request& r, incarnation sender);
+    // Takes a refusal because the version was withdrawn; false when the
+    // request ends with it.
+    bool
+    wait_for_version(entry_request& r, work_refused const& m, steady_time now);
     // False when the request was ended or has to wait.
     bool may_start(entry_request& r, steady_time now);
     void start_attempt(entry_request& r, steady_time now);
@@ -90,6 +111,7 @@
     quarantine_controller& quarantine_;
     attempt_handler on_attempt_;
     end_handler on_end_;
+    version_chooser choose_again_;
     logger log_{"request"};
 };
 
--- a/src/entry/rollout_controller_test.cpp
+++ b/src/entry/rollout_controller_test.cpp
@@ -157,6 +157,28 @@
     CHECK(holder_of(f) == second);
 }
 
+// Guards against callers that see a withdrawal when their request was under way
+// to the rolling version, although the active one could take it.
+TEST_CASE("a request for a version withdrawn on its way gets another")
+{
+    entry_fleet f(1);
+    f.change({f.version_edit("v2", "rolling", 1, 10)});
+    f.withdraw_at_agent();
+    std::optional<caller_answer> out;
+    f.post("e0", "havbris", "", [&](caller_answer a) { out = std::move(a); });
+    metrics const& counters = f.entries.at("e0")->state().cluster.counters;
+    REQUIRE(f.run_until(
+        [&] { return counters.counter("versions_chosen_again_total") == 1; }));
+    CHECK_FALSE(out);
+    f.change({f.version_edit("v2", "withdrawn", 0, 10)});
+    REQUIRE(f.run_until([&] { return out.has_value(); }));
+    CHECK(out->status == 200);
+    CHECK(out->version == "tagger@v1");
+    // A version that the caller names is refused at once.
+    f.model = "tagger@v2";
+    CHECK(f.ask("e0", "havbris").error_kind == "version_withdrawn");
+}
+
 // Guards against a holder that was paused before its write: its lease is over,
 // or another entry or an operator has changed the version meanwhile.
 TEST_CASE("a late act is not written")
