End the children when a process test dies of a closed pipe

Cause: a run piped into head was ended by SIGPIPE and left nine processes; the handler covered other signals only. After: the same run leaves none.

--- a/src/entry/once_test_support.hpp
+++ b/src/entry/once_test_support.hpp
@@ -34,8 +34,8 @@
             start_entry("e" + std::to_string(i));
         for (std::size_t i = 0; i < agents; ++i)
         {
-            services.push_back(std::make_unique<fake_service>(
-                loop, fake_service_settings{}));
+            services.push_back(
+                std::make_unique<fake_service>(loop, fake_service_settings{}));
             start_agent(i);
         }
         bool const is_up = run_until([&] { return is_ready(); });
@@ -207,8 +207,7 @@
         g.edits = {
             {document_kind::availability_zone, "hitra",
              R"({"region":"trondelag","state":"in"})"},
-            {document_kind::service, "credits",
-             R"({"price":7})"},
+            {document_kind::service, "credits", R"({"price":7})"},
             {document_kind::contract, "havbris",
              R"({"customer":"havbris","key_hashes":[")" +
                  secret_hash("havbris") +
@@ -221,8 +220,8 @@
                      "serves":["credits"],"cold_concurrency":64,
                      "warm_concurrency":64})"});
         }
-        REQUIRE(api.data().create(
-            "generations", generation_name(1), to_json(g)));
+        REQUIRE(
+            api.data().create("generations", generation_name(1), to_json(g)));
     }
 
     bool is_ready() const
@@ -231,14 +230,15 @@
         auto const is_up = [&](cluster_state const& c)
         {
             return c.is_ready() && c.config->refused.empty() &&
-                   c.config->number == 1 &&
-                   c.peers.size() == others;
+                   c.config->number == 1 && c.peers.size() == others;
         };
         return std::all_of(
-                   entries.begin(), entries.end(), [&](auto const& it)
+                   entries.begin(), entries.end(),
+                   [&](auto const& it)
                    { return is_up(it.second->state().cluster); }) &&
                std::all_of(
-                   agents.begin(), agents.end(), [&](auto const& it)
+                   agents.begin(), agents.end(),
+                   [&](auto const& it)
                    { return is_up(it.second->state().cluster); });
     }
 
--- a/src/entry/usage_test.cpp
+++ b/src/entry/usage_test.cpp
@@ -35,8 +35,8 @@
     REQUIRE(b.lines().size() == 1);
     CHECK(b.lines().begin()->second.poster == process_role::agent);
     CHECK(b.total("havbris").cost == price);
-    bool const is_free = f.run_until(
-        [&] { return f.agents.at("a0")->state().held_usage == 0; });
+    bool const is_free =
+        f.run_until([&] { return f.agents.at("a0")->state().held_usage == 0; });
     CHECK(is_free);
 }
 
@@ -65,8 +65,7 @@
     REQUIRE(f.agents.at("a0")->state().held_usage <= 1);
     REQUIRE(f.ask("e1", "charge-1").status == 200);
     bool const is_settled = f.run_until(
-        [&]
-        {
+        [&] {
             return f.segments() > 0 &&
                    f.agents.at("a0")->state().held_usage == 0;
         });
--- a/tests/process/child_process.cpp
+++ b/tests/process/child_process.cpp
@@ -37,7 +37,7 @@
 {
     static bool const is_installed = []
     {
-        for (int const it : {SIGTERM, SIGINT, SIGSEGV, SIGABRT})
+        for (int const it : {SIGTERM, SIGINT, SIGPIPE, SIGSEGV, SIGABRT})
             std::signal(it, end_children);
         return true;
     }();
