--- a/src/entry/routing_controller.cpp
+++ b/src/entry/routing_controller.cpp
@@ -67,6 +67,7 @@
             best = &p;
     }
     std::vector<agent_view> agents;
+    agents.reserve(by_upstream.size());
     for (auto const& [name, p] : by_upstream)
         agents.push_back({std::string(name), p->instance, p->is_leaving});
     routing_inputs const in{
