Bind the datagram socket before the advertised address is used

Cause: identify() sets the address to bind in the settings that the same call copies, and the order of a call's arguments is unspecified.

Change: brace initialisation in both daemons, which orders the arguments.

--- a/src/agent/agent_daemon.cpp
+++ b/src/agent/agent_daemon.cpp
@@ -27,7 +27,8 @@
     , http_(loop)
     , store_(http_, settings_.cluster.store_url)
     , agent_(loop, state_, make_hooks())
-    , sync_(loop, identify(), http_, store_, settings_.cluster)
+    // Braces: identify() changes the settings that are copied after it.
+    , sync_{loop, identify(), http_, store_, settings_.cluster}
     , once_(
           cluster_, store_, agent_.address(),
           [this](peer const& p) { return is_live(p); }, settings_.once)
--- a/src/entry/entry_daemon.cpp
+++ b/src/entry/entry_daemon.cpp
@@ -62,7 +62,8 @@
     , listener_(
           loop, settings_.peer_listen,
           [this](std::shared_ptr<frame_connection> const& c) { on_peer(c); })
-    , cluster_(loop, identify(), client_, store_, settings_.cluster)
+    // Braces: identify() changes the settings that are copied after it.
+    , cluster_{loop, identify(), client_, store_, settings_.cluster}
     , live_(
           state_.cluster,
           [this](peer const& p) { return cluster_.is_live(p, steady_now()); },
