Choose another version for work whose version is withdrawn in a queue

Cause: an agent checks the permission again when queued work starts and then ends it with answer_failed, version_withdrawn and not_run. The entry chose another version only for refusals at admission, so the caller heard 410 although the contract permits the other version.

Change: both ends of an attempt lead to the same second choice.

Ruled out: a missing second choice at admission; it exists since and the test stayed red.

--- a/src/entry/request_controller.hpp
+++ b/src/entry/request_controller.hpp
@@ -79,10 +79,10 @@
     entry_request* find(std::string_view id, std::uint32_t attempt);
     bool check(entry_request& r, frame_verdict verdict, steady_time now);
     void begin_answer(entry_request& r, incarnation sender);
-    // Takes a refusal because the version was withdrawn; false when the
-    // request ends with it.
-    bool
-    wait_for_version(entry_request& r, work_refused const& m, steady_time now);
+    // Takes the end of an attempt that did not run because the version was
+    // withdrawn; false when it ended otherwise or no version can be chosen.
+    bool wait_for_version(
+        entry_request& r, error_kind kind, run_state run, steady_time now);
     // False when the request was ended or has to wait.
     bool may_start(entry_request& r, steady_time now);
     void start_attempt(entry_request& r, steady_time now);
