--- a/bench/policy_model/main.cpp
+++ b/bench/policy_model/main.cpp
@@ -1,34 +1,67 @@
-// Prints the latency of each policy at Sømfast's sizes, and whether routing
-// reaches its targets: p99 at most half of round robin's and within 1.3 times
-// of the oracle's.
-#include "bench/policy_model/model.hpp"
+// policy_measures [NAME [SEED]]: runs one measure, or all, with one seed or
+// each of its seeds. Exit codes: 0 all bounds reached, 1 not, 2 usage.
+#include "bench/policy_model/measure.hpp"
 
 #include <cstdio>
+#include <cstdlib>
+#include <exception>
+#include <string_view>
 
 using namespace marjorambeam;
 
-int main()
+namespace
 {
-    std::printf("load  policy         p50 s   p99 s  mean s  requests  far\n");
-    for (double load : {0.3, 0.5, 0.7})
+
+struct named_measure
+{
+    std::string_view name;
+    measure (*run)(seed_list const&);
+    seed_list seeds;
+};
+
+int run(int argc, char** argv)
+{
+    std::vector<named_measure> const all{
+        {"cost", measure_cost, {1, 2, 3, 4, 5}},
+        {"exposure", measure_exposure, {1, 2, 3, 4, 5}},
+        {"small_customer", measure_small_customer, {1, 2, 3, 4, 5}},
+        {"zone", measure_zone, {1, 2, 3, 4, 5}},
+        {"overload", measure_overload, {1, 2, 3, 4, 5}},
+        {"latency", measure_latency, {1, 2, 3, 4, 5}},
+        {"config", measure_config, {1, 2}}};
+    std::string_view const name = argc > 1 ? argv[1] : "";
+    bool has_passed = true;
+    bool has_run = false;
+    for (named_measure const& it : all)
+    {
+        if (!name.empty() && it.name != name)
+            continue;
+        seed_list seeds = it.seeds;
+        if (argc > 2)
+            seeds = {std::strtoull(argv[2], nullptr, 10)};
+        has_passed &= it.run(seeds).print();
+        has_run = true;
+    }
+    if (has_run)
+        return has_passed ? 0 : 1;
+    std::fprintf(stderr, "usage: policy_measures [NAME [SEED]]; NAME is");
+    for (named_measure const& it : all)
+        std::fprintf(stderr, " %s", std::string(it.name).c_str());
+    std::fprintf(stderr, "\n");
+    return 2;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    try
+    {
+        return run(argc, argv);
+    }
+    catch (std::exception const& e)
     {
-        double p99[4] = {};
-        for (policy p :
-             {policy::routed, policy::round_robin, policy::least_loaded,
-              policy::oracle})
-        {
-            model_result const r = run_latency({.load = load}, p);
-            p99[static_cast<int>(p)] = r.p99;
-            std::printf(
-                "%.1f   %-12.*s %7.2f %7.2f %7.2f %9llu %4.2f\n", load,
-                static_cast<int>(to_string(p).size()), to_string(p).data(),
-                r.p50, r.p99, r.mean,
-                static_cast<unsigned long long>(r.requests),
-                static_cast<double>(r.far) / static_cast<double>(r.requests));
-        }
-        std::printf(
-            "%.1f   p99 of round robin: %.2f (target 0.5), of the oracle: "
-            "%.2f (target 1.3)\n",
-            load, p99[0] / p99[1], p99[0] / p99[3]);
+        std::fprintf(stderr, "policy_measures: %s\n", e.what());
+        return 2;
     }
 }
