Charge an upper bound of the tokens in the customer measure

The model's admission charged a guess that was up to 30% too low and corrected it at the end, so a customer that kept to its allowance could be refused for the late correction. The entry estimates by max_tokens, which no response exceeds.

--- a/bench/policy_model/fleet_callers.cpp
+++ b/bench/policy_model/fleet_callers.cpp
@@ -89,11 +89,12 @@
     r.work = r.answer.tokens;
     double const error = estimate_error * (2 * uniform(random) - 1);
     r.estimate = r.work * (1 + error);
+    r.charged = std::max(r.estimate, r.work);
     r.deadline = now_ + classes.at(kind).deadline;
     r.answer.is_idempotent = uniform(random) >= settings_.not_idempotent;
     r.resends = settings_.customers[c].resends;
     std::uint64_t const draw_entry = random();
-    if (!conforms(c, std::max(r.estimate, r.work)))
+    if (!conforms(c, r.charged))
         return;
     start(std::move(r), draw_entry);
 }
@@ -161,7 +162,7 @@
     if (r.was_admitted)
         settle(
             entries_[r.entry].customers[r.answer.customer].allowance,
-            {r.estimate, 0},
+            {r.charged, 0},
             {kind == answer_kind::answered ? r.answer.tokens : 0, 0});
     if (kind != answer_kind::refused || r.resends == 0)
         return;
--- a/bench/policy_model/fleet_entries.cpp
+++ b/bench/policy_model/fleet_entries.cpp
@@ -19,7 +19,7 @@
         return;
     }
     customer_state& s = entries_[r.entry].customers[c];
-    request_cost const cost{r.estimate, 0};
+    request_cost const cost{r.charged, 0};
     admission_decision const d = admit(s.allowance, *limits, cost, view());
     if (d.should_ask)
         ask(r.entry, c, make_request(s.allowance, *limits, cost, view()));
--- a/bench/policy_model/fleet_simulation.hpp
+++ b/bench/policy_model/fleet_simulation.hpp
@@ -50,6 +50,9 @@
     fleet_answer answer;
     double work = 0;
     double estimate = 0;
+    // Admission charges at least the true cost: no engine generates more than
+    // the `max_tokens` by which the entry estimates.
+    double charged = 0;
     double deadline = 0;
     std::size_t entry = 0;
     std::size_t worker = 0;
