Take no batch of an allowance at an entry with few requests

Cause: after each request an entry asked ahead for 1.5 times its recent use, half of the bucket at most. With about one request per second over four entries, that part lay unused at one entry for its lease of 1 s while the next request came to another.

An entry with fewer than 4 recent requests per lease now asks for what one request needs and never ahead; this also saves the question ahead and the report of the unused batch per request.

Ruled out: the neighbour's load and the agents' queues, as the same requests were refused without a neighbour, before any attempt.

--- a/src/admission/admission.cpp
+++ b/src/admission/admission.cpp
@@ -14,6 +14,10 @@
 // A batch covers somewhat more than the recent use, so that a growing load
 // does not wait for each grant.
 constexpr double batch_growth = 1.5;
+// Requests per lease at an entry from which on it takes batches. With fewer, a
+// batch saves few questions, but holds a part of a small allowance that the
+// customer's next request may need at another entry.
+constexpr double min_batch_requests = 4;
 // The part of a bucket that one batch may take beyond what is needed; leaves
 // something for the other entries.
 constexpr double max_batch_share = 0.5;
@@ -100,8 +104,15 @@
     return s.left.requests >= 1 && s.left.tokens >= cost.tokens && has_spend;
 }
 
+bool takes_batches(entry_allowance const& s)
+{
+    return s.recent.requests >= min_batch_requests;
+}
+
 bool is_low(entry_allowance const& s, steady_time now)
 {
+    if (!takes_batches(s))
+        return false;
     return s.left.requests < s.recent.requests * ask_ahead_share ||
            s.left.tokens < s.recent.tokens * ask_ahead_share ||
            s.lease_end - now < ask_ahead_time;
@@ -191,6 +202,16 @@
     return r;
 }
 
+// Raises what is wanted to a batch that covers the recent use.
+void add_recent(amounts& wanted, amounts const& recent)
+{
+    wanted.requests = std::max(wanted.requests, recent.requests * batch_growth);
+    wanted.tokens = std::max(wanted.tokens, recent.tokens * batch_growth);
+    wanted.spend = std::max(
+        wanted.spend, static_cast<micro_credits>(
+                          static_cast<double>(recent.spend) * batch_growth));
+}
+
 double batch(double needed, double wanted, double level)
 {
     return std::max(needed, std::min(wanted, level * max_batch_share));
@@ -273,11 +294,9 @@
 {
     allowance_request r = start_request(s, view);
     r.needed = {1, cost.tokens, cost.spend};
-    r.wanted.requests = std::max(1.0, s.recent.requests * batch_growth);
-    r.wanted.tokens = std::max(cost.tokens, s.recent.tokens * batch_growth);
-    r.wanted.spend = std::max(
-        cost.spend, static_cast<micro_credits>(
-                        static_cast<double>(s.recent.spend) * batch_growth));
+    r.wanted = r.needed;
+    if (takes_batches(s))
+        add_recent(r.wanted, s.recent);
     if (limits.spend_limit_per_day == 0)
         r.needed.spend = r.wanted.spend = 0;
     s.asked_at = view.now;
--- a/src/admission/admission.hpp
+++ b/src/admission/admission.hpp
@@ -61,8 +61,9 @@
 // How long an entry refuses by itself after the spending limit was reached;
 // unused batches of other entries may come back in between.
 constexpr duration spend_denial = std::chrono::seconds(1);
-// An entry asks ahead when its batch falls below this part of its recent use
-// or the lease ends within this time.
+// An entry with several requests per lease takes batches and asks ahead; one
+// with fewer asks for each request what it needs. It asks ahead when its batch
+// falls below this part of its recent use or the lease ends within this time.
 constexpr double ask_ahead_share = 0.3;
 constexpr duration ask_ahead_time = std::chrono::milliseconds(200);
 
--- a/src/admission/admission_test.cpp
+++ b/src/admission/admission_test.cpp
@@ -200,6 +200,37 @@
     }
 }
 
+// Guards against batches that hold a small allowance at entries where its
+// customer's next request does not arrive.
+TEST_CASE("a customer that uses its whole burst is not refused at any entry")
+{
+    fleet f(4);
+    f.limits = {2, 300, 5, 0};
+    std::mt19937_64 random(11);
+    double requests = 10;
+    double tokens = 1500;
+    int sent = 0;
+    int admitted = 0;
+    for (int i = 1; i <= 40000; ++i)
+    {
+        f.advance(milliseconds(10));
+        if (i % 20 == 0)
+            f.report_all();
+        requests = std::min(10.0, requests + 0.02);
+        tokens = std::min(1500.0, tokens + 3);
+        double const cost = random() % 4 == 0 ? 600 : 5;
+        if (random() % 60 != 0 || requests < 1 || tokens < cost)
+            continue;
+        requests -= 1;
+        tokens -= cost;
+        ++sent;
+        admitted += is_admitted(f.ask(random() % 4, {cost, 0})) ? 1 : 0;
+    }
+    CAPTURE(sent);
+    REQUIRE(sent > 500);
+    REQUIRE(admitted == sent);
+}
+
 // Guards against a refusal whose Retry-After leads to a second refusal, or is
 // longer than needed.
 TEST_CASE("a refusal tells the time at which the request passes")
