Let the large customers of the cost measure explore 5% of their requests

The contract's default of 2% finds 12 ratings an hour per entry for four kinds of requests; half of the budget of ratings, which is kept for exploration, would allow 40.

--- a/bench/policy_model/cost_measure.cpp
+++ b/bench/policy_model/cost_measure.cpp
@@ -29,6 +29,9 @@
 constexpr double large_per_second = 0.5;  // each, during its batch
 constexpr double small_per_second = 0.02; // each, all day
 constexpr std::int64_t large_ratings_per_hour = 240;
+// Of 1,800 requests an hour at three entries; uses less than the half of the
+// ratings that is kept for exploration.
+constexpr double large_explore_rate = 0.05;
 constexpr double rating_noise = 0.1;
 constexpr double missing_ratings = 0.05;
 constexpr duration rating_delay = seconds(60);
@@ -95,7 +98,10 @@
     contract c;
     c.quality_floor = quality_target * stages.back().declared_quality;
     if (customer < large_customers)
+    {
         c.ratings_per_hour = large_ratings_per_hour;
+        c.explore_rate = large_explore_rate;
+    }
     return c;
 }
 
