Judge a cascade's stage by its ratings alone and with hysteresis

Two causes in src/cascade: - The declared quality kept the weight of two ratings after they had replaced it. A small model declared at 0.6 whose ratings had a mean of 0.93 was below a floor of 0.9 by its upper bound after 8 ratings, and an insufficient stage is not tried again. - A sufficient stage near the bound was left and taken again with the noise of each rating, at 3 to 12 times the price. Now the mean of the ratings alone decides, a stage is insufficient only 2 standard errors below the floor, and a sufficient one stays so until its mean is below the floor.

--- a/src/cascade/cascade.cpp
+++ b/src/cascade/cascade.cpp
@@ -27,19 +27,30 @@
     double error = 0; // standard error
 };
 
+double variance_of(cascade_cell const& cell)
+{
+    if (cell.ratings == 0)
+        return min_variance;
+    double const raw = cell.rating_sum / cell.ratings;
+    return std::max(
+        min_variance, cell.rating_squares / cell.ratings - raw * raw);
+}
+
+// By ratings and the declared quality.
 estimate estimate_of(cascade_cell const& cell, cascade_stage const& stage)
 {
     double const n = cell.ratings + prior_weight;
     double const m =
         (cell.rating_sum + prior_weight * stage.declared_quality) / n;
-    double variance = min_variance;
-    if (cell.ratings > 0)
-    {
-        double const raw = cell.rating_sum / cell.ratings;
-        variance =
-            std::max(variance, cell.rating_squares / cell.ratings - raw * raw);
-    }
-    return {m, std::sqrt(variance / n)};
+    return {m, std::sqrt(variance_of(cell) / n)};
+}
+
+// By ratings alone. Precondition: there are some.
+estimate rated(cascade_cell const& cell)
+{
+    return {
+        cell.rating_sum / cell.ratings,
+        std::sqrt(variance_of(cell) / cell.ratings)};
 }
 
 double budget_limit(cascade_limits const& limits)
@@ -167,10 +178,13 @@
     if (cell.ratings < min_ratings)
         return stage.declared_quality >= quality_floor ? stage_state::sufficient
                                                        : stage_state::uncertain;
-    estimate const e = estimate_of(cell, stage);
-    if (e.quality - bound_width * e.error >= quality_floor)
+    estimate const e = rated(cell);
+    // Without this, the noise of each rating near the bound moves requests to
+    // a costlier stage and back.
+    double const margin = cell.was_sufficient ? 0 : bound_width;
+    if (e.quality - margin * e.error >= quality_floor)
         return stage_state::sufficient;
-    if (e.quality + bound_width * e.error < quality_floor)
+    if (e.quality + reject_width * e.error < quality_floor)
         return stage_state::insufficient;
     return stage_state::uncertain;
 }
@@ -182,6 +196,11 @@
 {
     refill(s, limits, now);
     std::span<cascade_cell> const cells = cells_of(s, stages, kind);
+    for (std::size_t i = 0; i < stages.size(); ++i)
+        cells[i].was_sufficient =
+            cells[i].ratings >= min_ratings &&
+            state_of(cells[i], stages[i], limits.quality_floor) ==
+                stage_state::sufficient;
     std::uniform_real_distribution<double> uniform(0, 1);
     cascade_choice c;
     c.stage = stages.size();
--- a/src/cascade/cascade.hpp
+++ b/src/cascade/cascade.hpp
@@ -13,8 +13,9 @@
 // Per customer and kind of request, each stage of the contract's cascade is
 // sufficient, insufficient or uncertain:
 // - With `min_ratings` ratings, it is sufficient when the lower confidence
-//   bound of its quality reaches the contract's floor and insufficient when
-//   the upper bound is below it.
+//   bound of their mean reaches the contract's floor and insufficient when
+//   the upper bound is below it. The declared quality no longer counts.
+//   Once sufficient, it stays so until the mean is below the floor.
 // - With fewer, it is sufficient when its declared quality reaches the floor.
 // A request goes to the cheapest sufficient stage. At the contract's rate it
 // tries the next cheaper stage that is uncertain, provided that the answer can
@@ -45,10 +46,15 @@
 
 // Ratings of a kind and stage before they replace the declared quality.
 constexpr double min_ratings = 8;
-// The declared quality counts as this many ratings in the estimate.
+// The declared quality counts as this many ratings in the estimate by which
+// the best stage is found when none is sufficient.
 constexpr double prior_weight = 2;
-// Standard errors between the estimate and its bounds.
+// Standard errors by which the mean of the ratings must lie above the floor
+// for a stage to be sufficient, and below it to be insufficient. The second is
+// larger: an insufficient stage is not tried again, while an uncertain one
+// costs only its share of the explorations.
 constexpr double bound_width = 1.0;
+constexpr double reject_width = 2.0;
 // Ratings are forgotten as if only about this many counted, so that a model
 // that changes is noticed.
 constexpr double rating_memory = 200;
@@ -92,6 +98,7 @@
     double rating_squares = 0;
     std::uint32_t pending = 0;
     steady_time last_asked{};
+    bool was_sufficient = false; // by ratings, at the last choice
 };
 
 // What an entry keeps for one customer. Bounded by the kinds and stages.
--- a/src/cascade/cascade_test.cpp
+++ b/src/cascade/cascade_test.cpp
@@ -139,6 +139,36 @@
     REQUIRE(f.choose().stage == 2);
 }
 
+// Guards against a low declared quality that outweighs the first ratings, so
+// that a model that suffices is never tried again.
+TEST_CASE("good ratings outweigh a low declared quality")
+{
+    fixture f;
+    f.limits.quality_floor = 0.9;
+    f.choose();
+    f.rate(0, 0.93, static_cast<int>(min_ratings) + 1);
+    f.choose();
+    CHECK(state_of(f.s.cells[0], three[0], 0.9) != stage_state::insufficient);
+    f.rate(0, 0.93, 12);
+    f.limits.explore_rate = 0;
+    CHECK(f.choose().stage == 0);
+}
+
+// Guards against requests that move to a costlier model and back with the
+// noise of each rating.
+TEST_CASE("a sufficient stage stays so until its mean is below the floor")
+{
+    fixture f;
+    f.limits.explore_rate = 0;
+    f.choose();
+    f.rate(0, 0.95, 20);
+    REQUIRE(f.choose().stage == 0);
+    f.rate(0, 0.7, 6); // mean about 0.89
+    CHECK(f.choose().stage == 0);
+    f.rate(0, 0.7, 12); // mean about 0.83
+    CHECK(f.choose().stage == 2);
+}
+
 // Guards against a late rating of an old version that judges the new one.
 TEST_CASE("a new version starts without ratings")
 {
