--- a/bench/policy_model/fleet_callers.cpp
+++ b/bench/policy_model/fleet_callers.cpp
@@ -250,6 +250,7 @@
         return;
     ++r.attempt;
     r.is_at_worker = false;
+    r.answer.was_resent = true;
     if (r.answer.is_idempotent)
         send_to_entry(id, decisions_());
     else
--- a/bench/policy_model/fleet_measures.cpp
+++ b/bench/policy_model/fleet_measures.cpp
@@ -114,8 +114,10 @@
     {
         o.lost += it.end == 0 ? 1 : 0;
         o.run_twice += !it.is_idempotent && it.runs > 1 ? 1 : 0;
+        // A request that its caller sent again is a new one to the entry.
         bool const is_wrong = it.kind == answer_kind::refused &&
-                              it.run == run_state::not_run && it.runs > 0;
+                              it.run == run_state::not_run && it.runs > 0 &&
+                              !it.was_resent;
         o.wrong += is_wrong ? 1 : 0;
     }
     return o;
--- a/bench/policy_model/fleet_model.hpp
+++ b/bench/policy_model/fleet_model.hpp
@@ -79,7 +79,8 @@
     error_kind why{}; // of a refusal
     run_state run = run_state::not_run;
     bool is_idempotent = true;
-    unsigned runs = 0; // at upstreams
+    unsigned runs = 0;       // at upstreams
+    bool was_resent = false; // by the caller, whose entry was lost
     unsigned attempts = 0;
 };
 
