Lower the refill of the retry budget to 9%

The bucket holds the share of 30 s of traffic, a tenth of the 5 min, so a refill of 9% keeps the sum at 9.9%.

--- a/src/retry/retry.hpp
+++ b/src/retry/retry.hpp
@@ -25,7 +25,10 @@
 namespace marjorambeam
 {
 
-constexpr double retry_ratio = 0.1;
+// Retries add at most 10% during an overload of 5 min. The full bucket holds
+// the share of `retry_burst_seconds`, a tenth of that time, so the refill is
+// lower: 0.09 * (1 + 0.1) = 0.099.
+constexpr double retry_ratio = 0.09;
 // A new entry may retry this often before it has admitted requests.
 constexpr double min_retry_burst = 10;
 // The bucket holds the share of this much recent traffic, so that the requests
