--- a/bench/policy_model/measure.cpp
+++ b/bench/policy_model/measure.cpp
@@ -19,13 +19,13 @@
 }
 
 void measure::at_most(
-    std::uint64_t seed, std::string what, double value, double bound)
+    std::uint64_t seed, std::string_view what, double value, double bound)
 {
     add(seed, what, {.value = value, .bound = bound, .is_upper = true});
 }
 
 void measure::at_least(
-    std::uint64_t seed, std::string what, double value, double bound)
+    std::uint64_t seed, std::string_view what, double value, double bound)
 {
     add(seed, what, {.value = value, .bound = bound, .is_upper = false});
 }
--- a/bench/policy_model/measure.hpp
+++ b/bench/policy_model/measure.hpp
@@ -34,10 +34,10 @@
 
     // Checks one figure of one seed. The name of a check is
     // "MEASURE/SEED/WHAT"; KNOWN-RED.txt lists checks by it.
-    void
-    at_most(std::uint64_t seed, std::string what, double value, double bound);
-    void
-    at_least(std::uint64_t seed, std::string what, double value, double bound);
+    void at_most(
+        std::uint64_t seed, std::string_view what, double value, double bound);
+    void at_least(
+        std::uint64_t seed, std::string_view what, double value, double bound);
 
     // Prints table, checks ("ok" or "FAIL" with the name) and one line of JSON
     // to stdout. Returns whether all checks passed.
