Choose a version again for requests that wait in an agent's queue

Cause: an agent refuses what already waits in its queue by answer_failed, not work_refused, when a version is withdrawn; only the latter led to a new choice.

Change: both messages lead to a new choice when the work did not run.

--- a/src/entry/request_controller.cpp
+++ b/src/entry/request_controller.cpp
@@ -92,9 +92,9 @@
 }
 
 bool request_controller::wait_for_version(
-    entry_request& r, work_refused const& m, steady_time now)
+    entry_request& r, run_state run, steady_time now)
 {
-    bool const may_choose = choose_again_ && m.run == run_state::not_run &&
+    bool const may_choose = choose_again_ && run == run_state::not_run &&
                             r.work.attempt < max_attempts;
     second_choice const choice =
         may_choose ? choose_again_(r) : second_choice::none;
@@ -207,7 +207,8 @@
 void request_controller::on_refused(
     entry_request& r, work_refused const& m, steady_time now)
 {
-    if (m.kind == error_kind::version_withdrawn && wait_for_version(r, m, now))
+    if (m.kind == error_kind::version_withdrawn &&
+        wait_for_version(r, m.run, now))
         return;
     error why = make_error(m.kind, m.text);
     why.run = m.run;
@@ -320,6 +321,10 @@
 void request_controller::on_failed(
     entry_request& r, answer_failed const& m, steady_time now)
 {
+    // An agent refuses in this way what already waits in its queue.
+    if (m.kind == error_kind::version_withdrawn &&
+        wait_for_version(r, m.run, now))
+        return;
     error why = make_error(m.kind, m.text);
     why.run = m.run;
     bool const is_fault = m.is_crash || m.kind == error_kind::upstream_failed ||
--- a/src/entry/request_controller.hpp
+++ b/src/entry/request_controller.hpp
@@ -81,8 +81,7 @@
     void begin_answer(entry_request& r, incarnation sender);
     // Takes a refusal because the version was withdrawn; false when the
     // request ends with it.
-    bool
-    wait_for_version(entry_request& r, work_refused const& m, steady_time now);
+    bool wait_for_version(entry_request& r, run_state run, steady_time now);
     // False when the request was ended or has to wait.
     bool may_start(entry_request& r, steady_time now);
     void start_attempt(entry_request& r, steady_time now);
