--- a/src/cluster/cluster_controller.cpp
+++ b/src/cluster/cluster_controller.cpp
@@ -415,7 +415,8 @@
 
 void cluster_controller::read_instance_list()
 {
-    list_timer_.start(varied(settings_.list_period, random_));
+    list_timer_.start(varied(
+        instance_list_wait(settings_.list_period, list_bytes_), random_));
     if (list_call_ != 0)
         return;
     list_call_ = http_.send(
@@ -437,7 +438,10 @@
         "instance_list_reads_total", list ? "done" : "failed");
     if (!list)
         return;
-    count_bytes(0, reply->body.size());
+    list_bytes_ = reply->body.size();
+    count_bytes(0, list_bytes_);
+    list_timer_.start(varied(
+        instance_list_wait(settings_.list_period, list_bytes_), random_));
     list_seen_ = steady_now();
     merge_list(
         state_.peers, *list, state_.identity.instance, settings_.sync.members,
--- a/src/cluster/cluster_controller.hpp
+++ b/src/cluster/cluster_controller.hpp
@@ -126,7 +126,8 @@
     loop_timer tick_timer_;
     loop_timer list_timer_;
     http_client::call_id list_call_ = 0;
-    steady_time list_seen_{}; // last answer of the instance list
+    std::size_t list_bytes_ = 0; // of the last answer
+    steady_time list_seen_{};    // last answer of the instance list
     steady_time next_watch_choice_{};
     steady_time next_store_call_{}; // after a failure
     steady_time next_checkpoint_{};
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -213,4 +213,11 @@
     return knows_peers && now - last_word >= limit;
 }
 
+duration instance_list_wait(duration period, std::size_t list_bytes)
+{
+    return std::max(
+        period,
+        from_seconds(static_cast<double>(list_bytes) / list_bytes_per_second));
+}
+
 } // namespace marjorambeam
--- a/src/membership/membership.hpp
+++ b/src/membership/membership.hpp
@@ -124,4 +124,14 @@
 bool is_isolated(
     bool knows_peers, steady_time last_word, duration limit, steady_time now);
 
+// Bytes per second that a daemon may read of the instance list. A list of
+// 2,650 daemons has about 450 KB; read every 2 s it would take 225 KB/s of the
+// 5 KB/s that a daemon may spend on control.
+constexpr double list_bytes_per_second = 2000;
+
+// Returns the time between two reads of the instance list: `period`, or longer
+// when the list is long. New daemons also announce themselves by digests.
+// Thread-safe.
+duration instance_list_wait(duration period, std::size_t list_bytes);
+
 } // namespace marjorambeam
--- a/src/membership/membership_test.cpp
+++ b/src/membership/membership_test.cpp
@@ -165,3 +165,16 @@
     CHECK(list->front().is_leaving);
     CHECK_FALSE(parse_instance_list("<html>"));
 }
+
+// Guards against reads of a long instance list that take more than the control
+// budget of 5 KB/s.
+TEST_CASE("a long instance list is read less often")
+{
+    using namespace std::chrono_literals;
+    CHECK(instance_list_wait(2s, 900) == 2s);
+    constexpr std::size_t list_bytes_at_2650_daemons = 450'000;
+    double const seconds =
+        to_seconds(instance_list_wait(2s, list_bytes_at_2650_daemons));
+    CHECK(list_bytes_at_2650_daemons / seconds <= 5000);
+    CHECK(seconds < 600);
+}
