Admit work only when the other daemons are known, and use agents at once

An entry was also ready before it had read the instance list and took itself for the only one. The error of a request that is given up without a route could report not_run although an earlier attempt had an unknown outcome.

Change: routing builds its table again when it finds no upstream and the live set has changed; a daemon is ready after its first read of the list (or 2 s); one place combines the run states of a final answer.

Ruled out: a shorter tick, which leaves a smaller gap.

--- a/fakes/engine/main.cpp
+++ b/fakes/engine/main.cpp
@@ -1,9 +1,6 @@
 // fake-engine: the stand-in for a model engine as a process.
 #include "fakes/engine/fake_engine.hpp"
-#include "settings/settings.hpp"
-
-#include <csignal>
-#include <iostream>
+#include "fakes/support/run_fake.hpp"
 
 namespace
 {
@@ -58,31 +55,16 @@
 int main(int argc, char** argv)
 {
     fake_engine_flags flags;
-    std::vector<std::string> const args(argv + 1, argv + argc);
-    settings_outcome const outcome = parse_settings(
-        "fake-engine", "FAKE_ENGINE", settings_table(flags), args,
-        process_environment(), std::cout, std::cerr);
-    if (outcome.exit_now)
-        return outcome.exit_code;
-    flags.engine.max_running = static_cast<std::size_t>(flags.max_running);
-    flags.engine.token_interval = duration(flags.token_interval_us);
-    flags.engine.first_token = duration(flags.first_token_us);
-    flags.engine.cold_concurrency =
-        static_cast<std::size_t>(flags.cold_concurrency);
-    try
-    {
-        ev::dynamic_loop loop;
-        loop_signal const term(
-            loop, SIGTERM, [&] { loop.break_loop(ev::ALL); });
-        fake_engine const engine(loop, flags.engine);
-        std::cout << "fake-engine: listening http=" << engine.address()
-                  << std::endl;
-        loop.run();
-    }
-    catch (std::exception const& e)
-    {
-        std::cerr << "fake-engine: " << e.what() << "\n";
-        return 1;
-    }
-    return 0;
+    return run_fake(
+        {"fake-engine", "FAKE_ENGINE"}, settings_table(flags), argc, argv,
+        [&](ev::loop_ref loop)
+        {
+            fake_engine_settings& e = flags.engine;
+            e.max_running = static_cast<std::size_t>(flags.max_running);
+            e.token_interval = duration(flags.token_interval_us);
+            e.first_token = duration(flags.first_token_us);
+            e.cold_concurrency =
+                static_cast<std::size_t>(flags.cold_concurrency);
+            return std::make_unique<fake_engine>(loop, flags.engine);
+        });
 }
--- a/fakes/rating_service/main.cpp
+++ b/fakes/rating_service/main.cpp
@@ -1,9 +1,6 @@
 // fake-rating-service: the stand-in for the rating service as a process.
 #include "fakes/rating_service/fake_rating_service.hpp"
-#include "settings/settings.hpp"
-
-#include <csignal>
-#include <iostream>
+#include "fakes/support/run_fake.hpp"
 
 namespace
 {
@@ -25,26 +22,9 @@
 int main(int argc, char** argv)
 {
     fake_rating_service_settings settings;
-    std::vector<std::string> const args(argv + 1, argv + argc);
-    settings_outcome const outcome = parse_settings(
-        "fake-rating-service", "FAKE_RATING_SERVICE", settings_table(settings),
-        args, process_environment(), std::cout, std::cerr);
-    if (outcome.exit_now)
-        return outcome.exit_code;
-    try
-    {
-        ev::dynamic_loop loop;
-        loop_signal const term(
-            loop, SIGTERM, [&] { loop.break_loop(ev::ALL); });
-        fake_rating_service const fake(loop, settings);
-        std::cout << "fake-rating-service: listening http=" << fake.address()
-                  << std::endl;
-        loop.run();
-    }
-    catch (std::exception const& e)
-    {
-        std::cerr << "fake-rating-service: " << e.what() << "\n";
-        return 1;
-    }
-    return 0;
+    return run_fake(
+        {"fake-rating-service", "FAKE_RATING_SERVICE"},
+        settings_table(settings), argc, argv,
+        [&](ev::loop_ref loop)
+        { return std::make_unique<fake_rating_service>(loop, settings); });
 }
--- a/fakes/weight_store/main.cpp
+++ b/fakes/weight_store/main.cpp
@@ -1,9 +1,6 @@
 // fake-weight-store: the stand-in for the weight store as a process.
+#include "fakes/support/run_fake.hpp"
 #include "fakes/weight_store/fake_weight_store.hpp"
-#include "settings/settings.hpp"
-
-#include <csignal>
-#include <iostream>
 
 namespace
 {
@@ -28,26 +25,9 @@
 int main(int argc, char** argv)
 {
     fake_weight_store_settings settings;
-    std::vector<std::string> const args(argv + 1, argv + argc);
-    settings_outcome const outcome = parse_settings(
-        "fake-weight-store", "FAKE_WEIGHT_STORE", settings_table(settings),
-        args, process_environment(), std::cout, std::cerr);
-    if (outcome.exit_now)
-        return outcome.exit_code;
-    try
-    {
-        ev::dynamic_loop loop;
-        loop_signal const term(
-            loop, SIGTERM, [&] { loop.break_loop(ev::ALL); });
-        fake_weight_store const fake(loop, settings);
-        std::cout << "fake-weight-store: listening http=" << fake.address()
-                  << std::endl;
-        loop.run();
-    }
-    catch (std::exception const& e)
-    {
-        std::cerr << "fake-weight-store: " << e.what() << "\n";
-        return 1;
-    }
-    return 0;
+    return run_fake(
+        {"fake-weight-store", "FAKE_WEIGHT_STORE"}, settings_table(settings),
+        argc, argv,
+        [&](ev::loop_ref loop)
+        { return std::make_unique<fake_weight_store>(loop, settings); });
 }
--- a/src/cluster/cluster_controller.cpp
+++ b/src/cluster/cluster_controller.cpp
@@ -10,8 +10,9 @@
 
 using nlohmann::json;
 
-// A daemon that waits this long for the instance list chooses watchers from
-// what it knows. Without the wait, every starting daemon would be a watcher.
+// A daemon that has waited this long for the instance list goes on with what it
+// knows. Without the wait, every starting daemon would be a watcher, and an
+// entry would grant itself the whole allowance of each customer.
 constexpr duration list_wait = std::chrono::seconds(2);
 constexpr duration store_retry = std::chrono::seconds(1);
 constexpr duration checkpoint_retry = std::chrono::seconds(10);
@@ -98,6 +99,7 @@
     sync_.started_at = steady_now();
     sync_.next_digest =
         sync_.started_at + varied(settings_.sync.digest_period, random_);
+    state_.knows_peers = settings_.instance_list_url.empty();
     tick_timer_.start(duration{0});
     if (!settings_.instance_list_url.empty())
         list_timer_.start(duration{0});
@@ -383,6 +385,12 @@
     }
 }
 
+bool cluster_controller::knows_list(steady_time now) const
+{
+    return list_seen_ != steady_time{} || settings_.instance_list_url.empty() ||
+           now - sync_.started_at >= list_wait;
+}
+
 void cluster_controller::tick(steady_time now)
 {
     tick_timer_.start(varied(settings_.tick_period, random_));
@@ -393,10 +401,7 @@
         now - list_seen_ < settings_.sync.members.unlisted_lifetime;
     if (!state_.is_isolated || knows_peers_now)
         remove_gone(state_.peers, settings_.sync.members, now);
-    bool const knows_list = list_seen_ != steady_time{} ||
-                            settings_.instance_list_url.empty() ||
-                            now - sync_.started_at >= list_wait;
-    if (knows_list && now >= next_watch_choice_)
+    if (knows_list(now) && now >= next_watch_choice_)
     {
         next_watch_choice_ = now + settings_.sync.digest_period;
         auto const holders = watch_holders(
@@ -452,6 +457,7 @@
 {
     bool const was_isolated = state_.is_isolated;
     state_.has_config = sync_.has_config;
+    state_.knows_peers = knows_list(now);
     state_.is_isolated = is_isolated(sync_, view(), settings_.sync, now);
     if (state_.is_isolated && !was_isolated)
         log_.warning("Neither the store nor a peer was heard; isolated.");
--- a/src/cluster/cluster_controller.hpp
+++ b/src/cluster/cluster_controller.hpp
@@ -105,6 +105,8 @@
     void tick_store(steady_time now);
     void tick_checkpoint(steady_time now);
     void tick_shutdown(steady_time now);
+    // Whether the instance list was read, or need not be waited for.
+    bool knows_list(steady_time now) const;
     void read_instance_list();
     void take_instance_list(result<http_reply> const& reply);
     void publish(steady_time now);
--- a/src/cluster/cluster_controller_test.cpp
+++ b/src/cluster/cluster_controller_test.cpp
@@ -283,3 +283,17 @@
         [&] { return f.all([](auto const& d) { return d.state.is_ready(); }); },
         in_force_limit));
 }
+
+// Guards against an entry that takes itself for the only one: it would grant
+// itself whole allowances and pin sessions that others hold, or refuse with
+// no_upstream what agents in the list could run.
+TEST_CASE("a daemon is not ready before it has read the instance list")
+{
+    fleet f;
+    f.list.set_faults(duration{0}, true);
+    fleet::daemon& d = f.start();
+    REQUIRE(f.run_until([&] { return d.state.has_config; }, in_force_limit));
+    CHECK_FALSE(d.state.is_ready());
+    f.list.set_faults(duration{0}, false);
+    CHECK(f.run_until([&] { return d.state.is_ready(); }, in_force_limit));
+}
--- a/src/cluster/cluster_state.hpp
+++ b/src/cluster/cluster_state.hpp
@@ -63,13 +63,16 @@
     steady_time store_seen{}; // last answer from the object API
     steady_time peer_seen{};  // last word from any other daemon
     bool has_config = false;  // learnt from the store or a peer
+    // The instance list was read, or there is none to read. Before that an
+    // entry would take itself for the only one.
+    bool knows_peers = true;
     bool is_isolated = false; // knows of peers, hears neither them nor store
     bool is_shutting_down = false;
 
     // Whether new work is admitted.
     bool is_ready() const
     {
-        return has_config && !is_isolated && !is_shutting_down;
+        return has_config && knows_peers && !is_isolated && !is_shutting_down;
     }
 };
 
--- a/src/entry/request_controller.cpp
+++ b/src/entry/request_controller.cpp
@@ -122,11 +122,12 @@
             return false;
         if (choice != second_choice::chosen)
         {
-            error why = make_error(
-                error_kind::version_withdrawn,
-                "the version " + r.version_id + " is withdrawn");
-            why.run = combine(r.earlier_run, run_state::not_run);
-            give_up(r, why, now);
+            give_up(
+                r,
+                make_error(
+                    error_kind::version_withdrawn,
+                    "the version " + r.version_id + " is withdrawn"),
+                now);
             return false;
         }
         r.withdrawn_at.reset();
@@ -137,9 +138,7 @@
     r.work.run_alone = ruling.run_alone;
     if (!ruling.refusal)
         return !r.is_waiting;
-    error why = *ruling.refusal;
-    why.run = combine(r.earlier_run, why.run);
-    give_up(r, why, now);
+    give_up(r, *ruling.refusal, now);
     return false;
 }
 
@@ -441,8 +440,10 @@
 }
 
 void request_controller::give_up(
-    entry_request& r, error const& why, steady_time now)
+    entry_request& r, error const& last, steady_time now)
 {
+    error why = last;
+    why.run = combine(r.earlier_run, last.run);
     state_.cluster.counters.count("refusals_total", to_string(why.kind));
     explain(r, "Gave up: " + std::string(to_string(why.kind)) + ".");
     if (r.exchange->is_started())
@@ -499,8 +500,10 @@
         start_attempt(*it, now);
     for (entry_request* it : expired)
     {
-        error const why = make_error(
+        error why = make_error(
             error_kind::deadline_exceeded, "the request's deadline passed");
+        if (it->instance.empty())
+            why.run = run_state::not_run;
         it->earlier_run = combine(it->earlier_run, why.run);
         give_up(*it, why, now);
     }
--- a/src/entry/request_controller.hpp
+++ b/src/entry/request_controller.hpp
@@ -94,7 +94,8 @@
     void fail_attempt(entry_request& r, error const& why, steady_time now);
     retry_question
     question_after(entry_request const& r, error const& why, steady_time now);
-    void give_up(entry_request& r, error const& why, steady_time now);
+    // Answers with the last error and the run state of all attempts.
+    void give_up(entry_request& r, error const& last, steady_time now);
     void leave_attempt(entry_request& r);
     // After a failed attempt with a key: the owner may be another by now.
     void forget_owner(entry_request& r, error const& why);
--- a/src/entry/routing_controller.cpp
+++ b/src/entry/routing_controller.cpp
@@ -191,7 +191,13 @@
             slot.name, slot.instance,
             is_named ? "owner of the key" : "likely owner of the key"};
     }
-    route_choice const c = choose_index(r, now);
+    route_choice c = choose_index(r, now);
+    if (c.upstream == no_index && live_set_hash() != built_for_)
+    {
+        // An agent that became live since the last tick is used at once.
+        rebuild();
+        c = choose_index(r, now);
+    }
     if (c.upstream == no_index)
     {
         return fail(
