--- a/src/entry/entry_daemon.cpp
+++ b/src/entry/entry_daemon.cpp
@@ -77,6 +77,7 @@
           [this](peer const& p) { return cluster_.is_live(p, steady_now()); },
           state_.cluster.identity.self)
     , usage_(state_, store_, links_)
+    , handover_(state_, usage_, live_, calls_)
     , quarantine_(state_.cluster, live_, calls_)
     , cascades_(state_.cluster.identity.self)
     , rollouts_(loop, state_.cluster, store_, live_, calls_, settings_.rollout)
@@ -280,9 +281,10 @@
 void entry_daemon::continue_shutdown(steady_time now)
 {
     usage_.flush();
-    bool const is_done = state_.requests.empty() &&
-                         caller_server_.open_exchanges() == 0 &&
-                         usage_.held() == 0;
+    bool const has_requests =
+        !state_.requests.empty() || caller_server_.open_exchanges() > 0;
+    bool const is_done =
+        !has_requests && (usage_.held() == 0 || handover_.run(now));
     bool const is_late = now - shutdown_at_ >= settings_.drain_limit;
     if (!is_done && !is_late)
         return;
--- a/src/entry/entry_daemon.hpp
+++ b/src/entry/entry_daemon.hpp
@@ -24,6 +24,7 @@
 #include "entry/routing_controller.hpp"
 #include "entry/session_controller.hpp"
 #include "entry/usage_controller.hpp"
+#include "entry/usage_handover.hpp"
 #include "event_loop/event_loop.hpp"
 #include "http_client/http_client.hpp"
 #include "http_server/http_server.hpp"
@@ -115,6 +116,7 @@
     agent_links links_;
     routing_controller routing_;
     usage_controller usage_;
+    usage_handover handover_;
     quarantine_controller quarantine_;
     cascade_controller cascades_;
     rollout_controller rollouts_;
--- a/src/entry/once_test_support.hpp
+++ b/src/entry/once_test_support.hpp
@@ -199,6 +199,7 @@
         s.body_timeout = s.idle_timeout = std::chrono::seconds(30);
         s.heartbeat_interval = std::chrono::seconds(1);
         s.silence_limit = std::chrono::seconds(3);
+        s.drain_limit = std::chrono::seconds(30);
         s.cluster = cluster();
         auto& e = entries[name];
         e = std::make_unique<entry_daemon>(loop, std::move(s));
--- a/src/entry/usage_controller.cpp
+++ b/src/entry/usage_controller.cpp
@@ -65,6 +65,11 @@
     poster_.decisions().add(std::move(record));
 }
 
+std::vector<usage_record> usage_controller::unsettled()
+{
+    return poster_.decisions().unsettled();
+}
+
 void usage_controller::on_settled(std::vector<std::string> const& request_ids)
 {
     std::map<std::string, usage_settled> by_instance;
--- a/src/entry/usage_controller.hpp
+++ b/src/entry/usage_controller.hpp
@@ -33,6 +33,9 @@
     // Takes a record that another daemon handed over before it stopped.
     void take_over(usage_record record);
 
+    // Copies of the records that are not known to be in the ledger.
+    std::vector<usage_record> unsettled();
+
     // Starts a post when one is due.
     void tick(steady_time now);
 
--- a/src/entry/usage_test.cpp
+++ b/src/entry/usage_test.cpp
@@ -113,3 +113,28 @@
     CHECK(f.segments() >= 1);
     CHECK(f.ledger().lines().size() == 1);
 }
+
+// Guards against usage that a planned stop loses because the object API is
+// down and the agent's copy is the only one left (I4, I11).
+TEST_CASE("an entry that stops without the store hands its usage over")
+{
+    service_fleet f(2, 1);
+    REQUIRE(f.ask("e0", "").status == 200);
+    f.api.set_faults({.down = true});
+    entry_daemon& e0 = *f.entries.at("e0");
+    e0.begin_shutdown();
+    bool const is_over = f.run_until(
+        [&]
+        {
+            return f.entries.at("e1")->state().cluster.counters.render().find(
+                       "usage_records_held 1\n") != std::string::npos;
+        });
+    REQUIRE(is_over);
+    f.api.set_faults({});
+    bool const is_posted = f.run_until([&] { return f.segments() >= 1; });
+    REQUIRE(is_posted);
+    bill const b = f.ledger();
+    REQUIRE(b.lines().size() == 1);
+    CHECK(b.lines().begin()->second.poster == process_role::entry);
+    CHECK(b.total("havbris").cost == price);
+}
--- a/src/http_client/http_client_test.cpp
+++ b/src/http_client/http_client_test.cpp
@@ -134,6 +134,31 @@
     CHECK(refusals == 1);
 }
 
+// Guards against long headers and too many connections that are refused
+// without a name and a counter.
+TEST_CASE("headers and connections over their limits are refused by name")
+{
+    ev::dynamic_loop loop;
+    std::vector<error_kind> refusals;
+    auto const answer = [](std::shared_ptr<http_exchange> const& ex)
+    { ex->respond(200, {}, ""); };
+    auto const note = [&](error_kind kind) { refusals.push_back(kind); };
+    http_server server(loop, {.max_header_bytes = 4096}, answer, note);
+    result<http_reply> reply = call(
+        loop, {.url = url_of(server, "/"),
+               .headers = {{"X-Long", std::string(6000, 'x')}}});
+    REQUIRE(reply);
+    CHECK(reply->status == 431);
+    http_server full(loop, {.max_connections = 0}, answer, note);
+    reply = call(loop, {.url = url_of(full, "/")});
+    REQUIRE(reply);
+    CHECK(reply->status == 503);
+    CHECK(
+        refusals ==
+        std::vector{
+            error_kind::header_too_large, error_kind::too_many_connections});
+}
+
 // Guards against a refused connection that is reported as work that may have
 // run.
 TEST_CASE("a call without a connection did not run")
--- a/src/http_server/http_server.cpp
+++ b/src/http_server/http_server.cpp
@@ -18,6 +18,12 @@
 {
 
 constexpr std::size_t stream_block_bytes = 32U << 10U;
+// Connections over the limit that are answered with a named refusal. Beyond
+// them libmicrohttpd closes new connections without an answer.
+constexpr unsigned refused_connections = 256;
+// Headers up to this multiple of the limit are read, so that the refusal can
+// be named and counted; libmicrohttpd refuses longer ones by itself.
+constexpr std::size_t header_memory_factor = 4;
 
 std::string lower(std::string_view text)
 {
@@ -52,7 +58,19 @@
     static void
     begin(http_server& server, http_exchange& ex, std::size_t content_length)
     {
-        if (content_length > server.settings_.max_body_bytes)
+        http_server_settings const& limits = server.settings_;
+        std::size_t header_bytes = ex.request_.target.size();
+        for (auto const& [name, value] : ex.request_.headers)
+            header_bytes += name.size() + value.size();
+        unsigned const connections =
+            MHD_get_daemon_info(
+                server.daemon_, MHD_DAEMON_INFO_CURRENT_CONNECTIONS)
+                ->num_connections;
+        if (connections > limits.max_connections)
+            refuse(server, ex, error_kind::too_many_connections);
+        else if (header_bytes > limits.max_header_bytes)
+            refuse(server, ex, error_kind::header_too_large);
+        else if (content_length > limits.max_body_bytes)
             refuse(server, ex, error_kind::body_too_large);
     }
 
@@ -126,8 +144,8 @@
             {
                 respond_error(
                     *ex,
-                    make_error(ex->refusal_, "the request is over a limit"),
-                    "");
+                    make_error(ex->refusal_, "the request is over a limit"), "",
+                    {{"Connection", "close"}});
             }
             else
             {
@@ -327,8 +345,10 @@
         nullptr, &http_server_callbacks::access, this, MHD_OPTION_SOCK_ADDR,
         &socket_address, MHD_OPTION_NOTIFY_COMPLETED,
         &http_server_callbacks::completed, this, MHD_OPTION_CONNECTION_TIMEOUT,
-        timeout, MHD_OPTION_CONNECTION_LIMIT, settings_.max_connections,
-        MHD_OPTION_CONNECTION_MEMORY_LIMIT, settings_.max_header_bytes,
+        timeout, MHD_OPTION_CONNECTION_LIMIT,
+        settings_.max_connections + refused_connections,
+        MHD_OPTION_CONNECTION_MEMORY_LIMIT,
+        settings_.max_header_bytes * header_memory_factor,
         MHD_OPTION_URI_LOG_CALLBACK, &http_server_callbacks::open_request, this,
         MHD_OPTION_LISTEN_BACKLOG_SIZE, 1024U, MHD_OPTION_END);
     if (daemon_ == nullptr)
--- a/src/metrics/metrics.cpp
+++ b/src/metrics/metrics.cpp
@@ -1,6 +1,7 @@
 #include "metrics/metrics.hpp"
 
 #include <array>
+#include <ctime>
 
 namespace marjorambeam
 {
@@ -80,6 +81,9 @@
         write_line(out, k.first, reason_label(k.second), acc::sum(value));
     for (auto const& [name, value] : gauges_)
         write_line(out, name, {}, value);
+    write_line(
+        out, "process_cpu_seconds", {},
+        static_cast<double>(std::clock()) / CLOCKS_PER_SEC);
     for (auto const& [k, value] : samples_)
     {
         std::string const label = reason_label(k.second);
--- a/src/metrics/metrics.hpp
+++ b/src/metrics/metrics.hpp
@@ -48,8 +48,8 @@
     double
     quantile(std::string_view name, std::string_view reason, double p) const;
 
-    // Returns all metrics in the Prometheus text format, each name prefixed
-    // with "marjorambeam_".
+    // Returns all metrics and the process's CPU time in the Prometheus text
+    // format, each name prefixed with "marjorambeam_".
     std::string render() const;
 
 private:
