--- a/src/fair_queue/fair_queue.cpp
+++ b/src/fair_queue/fair_queue.cpp
@@ -101,7 +101,7 @@
     return true;
 }
 
-void fair_queue::remove(flow& f, std::deque<queue_entry>::iterator it)
+void fair_queue::remove(flow& f, std::deque<queue_entry>::iterator const& it)
 {
     bool const is_first = it == f.entries.begin();
     f.cost -= it->cost;
--- a/src/fair_queue/fair_queue.hpp
+++ b/src/fair_queue/fair_queue.hpp
@@ -113,7 +113,7 @@
     static active_key key_of(flow& f);
     void activate(flow& f);
     void forget_idle_flows();
-    void remove(flow& f, std::deque<queue_entry>::iterator it);
+    void remove(flow& f, std::deque<queue_entry>::iterator const& it);
 
     std::size_t max_entries_;
     double virtual_time_ = 0;
