Tell the address of an HTTP server in one place

Change: http_server::address(); the fakes and both daemons use it.

Ruled out: a free function, which needs both parts at each call.

--- a/fakes/engine/fake_engine.cpp
+++ b/fakes/engine/fake_engine.cpp
@@ -129,9 +129,7 @@
 
 std::string fake_engine::address() const
 {
-    std::string const& bound = settings_.address;
-    return bound.substr(0, bound.find(':') + 1) +
-           std::to_string(server_.port());
+    return server_.address();
 }
 
 std::string fake_engine::url() const
--- a/fakes/object_api/fake_object_api.cpp
+++ b/fakes/object_api/fake_object_api.cpp
@@ -155,9 +155,7 @@
 
 std::string fake_object_api::address() const
 {
-    std::size_t const colon = settings_.listen.rfind(':');
-    return settings_.listen.substr(0, colon + 1) +
-           std::to_string(server_.port());
+    return server_.address();
 }
 
 std::string fake_object_api::url() const
--- a/fakes/rating_service/fake_rating_service.cpp
+++ b/fakes/rating_service/fake_rating_service.cpp
@@ -49,9 +49,7 @@
 
 std::string fake_rating_service::address() const
 {
-    std::string const& bound = settings_.address;
-    return bound.substr(0, bound.find(':') + 1) +
-           std::to_string(server_.port());
+    return server_.address();
 }
 
 std::string fake_rating_service::url() const
--- a/fakes/relay/fake_relay.cpp
+++ b/fakes/relay/fake_relay.cpp
@@ -258,8 +258,7 @@
 
 std::string fake_relay::admin_address() const
 {
-    std::string const& bound = settings_.admin_listen;
-    return bound.substr(0, bound.find(':') + 1) + std::to_string(admin_.port());
+    return admin_.address();
 }
 
 void fake_relay::listen()
--- a/fakes/service/fake_service.cpp
+++ b/fakes/service/fake_service.cpp
@@ -44,9 +44,7 @@
 
 std::string fake_service::address() const
 {
-    std::string const& bound = settings_.address;
-    return bound.substr(0, bound.find(':') + 1) +
-           std::to_string(server_.port());
+    return server_.address();
 }
 
 std::string fake_service::url() const
--- a/fakes/weight_store/fake_weight_store.cpp
+++ b/fakes/weight_store/fake_weight_store.cpp
@@ -25,9 +25,7 @@
 
 std::string fake_weight_store::address() const
 {
-    std::string const& bound = settings_.address;
-    return bound.substr(0, bound.find(':') + 1) +
-           std::to_string(server_.port());
+    return server_.address();
 }
 
 std::string fake_weight_store::url() const
--- a/src/agent/agent_daemon.cpp
+++ b/src/agent/agent_daemon.cpp
@@ -97,9 +97,7 @@
 
 std::string agent_daemon::admin_url() const
 {
-    std::string const& listen = settings_.admin_listen;
-    return "http://" + listen.substr(0, listen.find(':') + 1) +
-           std::to_string(admin_.port());
+    return "http://" + admin_.address();
 }
 
 void agent_daemon::tick()
--- a/src/entry/entry_daemon.cpp
+++ b/src/entry/entry_daemon.cpp
@@ -37,13 +37,6 @@
     return limits;
 }
 
-// The URL of a server that was told to listen on `address`.
-std::string url_of(std::string const& address, std::uint16_t port)
-{
-    return "http://" + address.substr(0, address.find(':') + 1) +
-           std::to_string(port);
-}
-
 agent_link_settings link_settings(entry_settings const& s)
 {
     agent_link_settings out;
@@ -142,12 +135,12 @@
 
 std::string entry_daemon::caller_url() const
 {
-    return url_of(settings_.listen, caller_server_.port());
+    return "http://" + caller_server_.address();
 }
 
 std::string entry_daemon::admin_url() const
 {
-    return url_of(settings_.admin_listen, admin_server_.port());
+    return "http://" + admin_server_.address();
 }
 
 agent_links::handlers entry_daemon::link_handlers()
--- a/src/http_server/http_server.cpp
+++ b/src/http_server/http_server.cpp
@@ -377,6 +377,12 @@
     MHD_stop_daemon(daemon_);
 }
 
+std::string http_server::address() const
+{
+    std::string const& given = settings_.address;
+    return given.substr(0, given.find(':') + 1) + std::to_string(port_);
+}
+
 void http_server::stop_listening()
 {
     if (!is_listening_)
--- a/src/http_server/http_server.hpp
+++ b/src/http_server/http_server.hpp
@@ -159,6 +159,8 @@
     {
         return port_;
     }
+    // The address it was given, with the port that it listens on.
+    std::string address() const;
     // Requests that are not answered to the end.
     std::size_t open_exchanges() const
     {
