--- a/cmake/marjorambeam.cmake
+++ b/cmake/marjorambeam.cmake
@@ -1,8 +1,10 @@
 # One object with Catch2's main function, shared by all tests.
-file(WRITE ${CMAKE_BINARY_DIR}/catch_main.cpp
-  "#define CATCH_CONFIG_MAIN\n#include <catch2/catch.hpp>\n")
-add_library(catch_main STATIC ${CMAKE_BINARY_DIR}/catch_main.cpp)
-target_link_libraries(catch_main PUBLIC Catch2::Catch2)
+if(MARJORAMBEAM_TESTS)
+  file(WRITE ${CMAKE_BINARY_DIR}/catch_main.cpp
+    "#define CATCH_CONFIG_MAIN\n#include <catch2/catch.hpp>\n")
+  add_library(catch_main STATIC ${CMAKE_BINARY_DIR}/catch_main.cpp)
+  target_link_libraries(catch_main PUBLIC Catch2::Catch2)
+endif()
 
 # marjorambeam_library(NAME [DEPS ...]): builds NAME from the directory's
 # sources, NAME_test from *_test.cpp and NAME_benchmark from *_benchmark.cpp.
@@ -20,6 +22,9 @@
     add_library(${name} INTERFACE)
     target_link_libraries(${name} INTERFACE ${ARG_DEPS})
   endif()
+  if(NOT MARJORAMBEAM_TESTS)
+    return()
+  endif()
   if(tests)
     add_executable(${name}_test ${tests})
     target_link_libraries(${name}_test PRIVATE ${name} catch_main ${RAPIDCHECK})
--- a/src/base/time.hpp
+++ b/src/base/time.hpp
@@ -10,6 +10,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <ctime>
 
 namespace marjorambeam
 {
@@ -26,6 +27,18 @@
         std::chrono::steady_clock::now());
 }
 
+// Returns the time since the instance booted, which goes on while the instance
+// is suspended, unlike steady_now(). Thread-safe.
+inline steady_time boot_now()
+{
+    timespec t{};
+    clock_gettime(CLOCK_BOOTTIME, &t);
+    return steady_time(
+        std::chrono::duration_cast<duration>(std::chrono::seconds(t.tv_sec)) +
+        std::chrono::duration_cast<duration>(
+            std::chrono::nanoseconds(t.tv_nsec)));
+}
+
 // Returns the wall clock of this instance. Thread-safe.
 inline wall_time wall_now()
 {
--- /dev/null
+++ b/src/gateway/client_connection.cpp
@@ -0,0 +1,224 @@
+#include "gateway/client_connection.hpp"
+
+#include <array>
+#include <charconv>
+
+namespace marjorambeam
+{
+namespace
+{
+
+// Bytes of further requests that may wait behind the present one.
+constexpr std::size_t max_waiting_bytes = std::size_t{64} << 10U;
+// An idle connection is kept this much longer than announced, so that a
+// request that was sent in time does not cross the close.
+constexpr duration idle_grace = std::chrono::seconds(2);
+// Time that a caller has for a body, in header timeouts.
+constexpr int body_timeout_factor = 4;
+
+std::string chunk_head(std::size_t n)
+{
+    std::array<char, 20> buf;
+    auto const [end, ec] =
+        std::to_chars(buf.data(), buf.data() + buf.size(), n, 16);
+    std::string out(buf.data(), end);
+    out.append("\r\n");
+    return out;
+}
+
+} // namespace
+
+client_connection::client_connection(
+    std::shared_ptr<tcp_stream> stream, client_limits limits, steady_time now,
+    request_handler on_request)
+    : stream_(std::move(stream))
+    , limits_(limits)
+    , on_request_(std::move(on_request))
+    , reader_(std::make_unique<request_reader>(limits_.message))
+    , last_active_(now)
+{
+}
+
+void client_connection::start()
+{
+    std::weak_ptr<client_connection> const weak = weak_from_this();
+    stream_->on_data(
+        [weak]
+        {
+            if (auto const self = weak.lock())
+                self->read();
+        });
+    stream_->on_end(
+        [weak](stream_end)
+        {
+            if (auto const self = weak.lock())
+                self->on_end();
+        });
+}
+
+void client_connection::on_end()
+{
+    if (!on_leave_)
+        return;
+    auto const callback = std::move(on_leave_);
+    on_leave_ = nullptr;
+    callback();
+}
+
+void client_connection::read()
+{
+    if (is_reading_)
+        return;
+    is_reading_ = true;
+    auto const self = shared_from_this();
+    last_active_ = boot_now();
+    while (!is_busy_ && stream_->is_open() && !stream_->input().empty())
+    {
+        if (!has_bytes_)
+            first_byte_ = last_active_;
+        has_bytes_ = true;
+        result<std::size_t> const n = reader_->put(stream_->input());
+        if (!n)
+        {
+            is_busy_ = true;
+            is_last_ = true;
+            on_request_(self, tl::unexpected<error>(n.error()));
+            break;
+        }
+        stream_->consume(*n);
+        if (!reader_->is_done())
+        {
+            if (reader_->is_head_done() && !has_continued_ &&
+                reader_->expects_continue())
+            {
+                has_continued_ = true;
+                stream_->send("HTTP/1.1 100 Continue\r\n\r\n");
+            }
+            break;
+        }
+        is_busy_ = true;
+        has_bytes_ = false;
+        has_continued_ = false;
+        http_request_message message = reader_->take();
+        is_last_ = is_last_ || !message.keep_alive;
+        reader_ = std::make_unique<request_reader>(limits_.message);
+        on_request_(self, std::move(message));
+    }
+    is_reading_ = false;
+    if (stream_->is_open())
+        stream_->pause(
+            is_busy_ && stream_->input().size() > max_waiting_bytes);
+}
+
+std::string client_connection::head_text(
+    answer_head const& head, std::string_view framing)
+{
+    std::string out = "HTTP/1.1 ";
+    out.append(std::to_string(head.status)).append(" ");
+    out.append(status_text(head.status)).append("\r\n");
+    for (auto const& [name, value] : head.headers)
+        out.append(name).append(": ").append(value).append("\r\n");
+    out.append(framing);
+    if (is_last_)
+    {
+        out.append("Connection: close\r\n");
+    }
+    else
+    {
+        auto const idle = std::chrono::duration_cast<std::chrono::seconds>(
+            limits_.idle_timeout);
+        out.append("Keep-Alive: timeout=")
+            .append(std::to_string(idle.count()))
+            .append("\r\n");
+    }
+    out.append("\r\n");
+    return out;
+}
+
+void client_connection::respond(answer_head const& head, std::string_view body)
+{
+    std::string framing;
+    bool const has_length = head.status != 204 && head.status != 304;
+    if (has_length)
+        framing = "Content-Length: " + std::to_string(body.size()) + "\r\n";
+    std::string out = head_text(head, framing);
+    out.append(body);
+    stream_->send(out);
+    finish_answer();
+}
+
+void client_connection::start_stream(answer_head const& head)
+{
+    stream_->send(head_text(head, "Transfer-Encoding: chunked\r\n"));
+}
+
+void client_connection::write(std::string_view bytes)
+{
+    if (bytes.empty())
+        return;
+    std::string out = chunk_head(bytes.size());
+    out.append(bytes).append("\r\n");
+    stream_->send(out);
+}
+
+void client_connection::end_stream()
+{
+    stream_->send("0\r\n\r\n");
+    finish_answer();
+}
+
+void client_connection::abort()
+{
+    on_leave_ = nullptr;
+    stream_->close();
+}
+
+void client_connection::finish_answer()
+{
+    on_leave_ = nullptr;
+    is_busy_ = false;
+    last_active_ = boot_now();
+    stream_->on_drained({});
+    if (is_last_)
+    {
+        stream_->close_after_output();
+        return;
+    }
+    if (stream_->is_paused())
+        stream_->pause(false);
+    if (!is_reading_ && !stream_->input().empty())
+        read();
+}
+
+bool client_connection::check(client_limits const& limits, steady_time now)
+{
+    if (!stream_->is_open())
+        return false;
+    if (limits_.idle_timeout != limits.idle_timeout ||
+        limits_.header_timeout != limits.header_timeout)
+        limits_ = limits;
+    if (is_busy_)
+        return true;
+    bool const is_slow =
+        has_bytes_ &&
+        now - first_byte_ > limits_.header_timeout *
+                                (reader_->is_head_done() ? body_timeout_factor
+                                                         : 1);
+    if (is_slow)
+    {
+        is_last_ = true;
+        is_busy_ = true;
+        on_request_(
+            shared_from_this(),
+            fail(error_kind::sender_too_slow, "the request was not sent in time"));
+        return stream_->is_open();
+    }
+    if (now - last_active_ > limits_.idle_timeout + idle_grace)
+    {
+        stream_->close();
+        return false;
+    }
+    return true;
+}
+
+} // namespace marjorambeam
--- /dev/null
+++ b/src/gateway/client_connection.hpp
@@ -0,0 +1,115 @@
+// One connection of a caller: reads requests one after the other and writes
+// their answers.
+//
+// Example:
+//   auto c = std::make_shared<client_connection>(stream, limits, now, on_request);
+//   c->respond({.status = 200, .headers = h}, body);
+//
+// Everything here runs on the loop's thread; nothing is thread-safe.
+#pragma once
+
+#include "gateway/gateway_config.hpp"
+#include "http_stream/http_reader.hpp"
+#include "http_stream/tcp_stream.hpp"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string_view>
+
+namespace marjorambeam
+{
+
+struct answer_head
+{
+    int status = 200;
+    header_list headers;
+};
+
+class client_connection : public std::enable_shared_from_this<client_connection>
+{
+public:
+    // A whole request, or the error that ends the connection.
+    using request_handler = std::function<void(
+        std::shared_ptr<client_connection> const&,
+        result<http_request_message>)>;
+
+    client_connection(
+        std::shared_ptr<tcp_stream> stream, client_limits limits,
+        steady_time now, request_handler on_request);
+    client_connection(client_connection const&) = delete;
+    client_connection& operator=(client_connection const&) = delete;
+    ~client_connection() = default;
+
+    // Starts to read. Precondition: held by a shared_ptr.
+    void start();
+
+    // Answers the request as a whole. Precondition: a request waits.
+    void respond(answer_head const& head, std::string_view body);
+    // Starts an answer of unknown length. Precondition: as above.
+    void start_stream(answer_head const& head);
+    // Precondition: start_stream was called.
+    void write(std::string_view bytes);
+    void end_stream();
+    // Closes without an answer, or without the end of one.
+    void abort();
+
+    // Called when the caller leaves before its answer is complete.
+    void on_leave(std::function<void()> callback)
+    {
+        on_leave_ = std::move(callback);
+    }
+    // Called when all output has been taken after some had to wait.
+    void on_drained(std::function<void()> callback)
+    {
+        stream_->on_drained(std::move(callback));
+    }
+
+    // Ends the connection if it has been idle, or slow to send a head, for
+    // longer than the limits allow. Returns false when it has ended.
+    bool check(client_limits const& limits, steady_time now);
+    // The connection ends with the next answer.
+    void set_last()
+    {
+        is_last_ = true;
+    }
+    bool is_idle() const
+    {
+        return !is_busy_ && !reader_->is_head_done() &&
+               stream_->input().empty() && !has_bytes_;
+    }
+    bool is_open() const
+    {
+        return stream_->is_open();
+    }
+    std::size_t unsent() const
+    {
+        return stream_->unsent();
+    }
+    // Whether a request waits for its answer.
+    bool is_busy() const
+    {
+        return is_busy_;
+    }
+
+private:
+    void read();
+    void finish_answer();
+    void on_end();
+    std::string head_text(answer_head const& head, std::string_view framing);
+
+    std::shared_ptr<tcp_stream> stream_;
+    client_limits limits_;
+    request_handler on_request_;
+    std::function<void()> on_leave_;
+    std::unique_ptr<request_reader> reader_;
+    steady_time last_active_;
+    steady_time first_byte_{};
+    bool has_bytes_ = false; // of a request that is not whole
+    bool is_busy_ = false;
+    bool is_last_ = false;
+    bool is_reading_ = false;
+    bool has_continued_ = false;
+};
+
+} // namespace marjorambeam
--- /dev/null
+++ b/src/gateway/gateway_config.cpp
@@ -0,0 +1,80 @@
+#include "gateway/gateway_config.hpp"
+
+#include <algorithm>
+
+namespace marjorambeam
+{
+namespace
+{
+
+std::string place(std::string_view host, std::string_view prefix)
+{
+    std::string out(host);
+    out.push_back('\n');
+    out.append(prefix);
+    return out;
+}
+
+} // namespace
+
+void index_routes(gateway_config& c)
+{
+    c.route_by_place.clear();
+    for (std::size_t i = 0; i < c.routes.size(); ++i)
+        c.route_by_place.emplace(
+            place(c.routes[i].host, c.routes[i].prefix), i);
+}
+
+gateway_route const*
+find_route(gateway_config const& c, std::string_view host, std::string_view path)
+{
+    host = host.substr(0, host.find(':'));
+    std::size_t end = path.rfind('/');
+    while (end != std::string_view::npos)
+    {
+        auto const it =
+            c.route_by_place.find(place(host, path.substr(0, end + 1)));
+        if (it != c.route_by_place.end())
+            return &c.routes[it->second];
+        if (end == 0)
+            break;
+        end = path.rfind('/', end - 1);
+    }
+    return nullptr;
+}
+
+gateway_service const*
+find_service(gateway_config const& c, std::string_view name)
+{
+    auto const it = std::find_if(
+        c.services.begin(), c.services.end(),
+        [&](gateway_service const& s) { return s.name == name; });
+    return it == c.services.end() ? nullptr : &*it;
+}
+
+organisation const*
+find_organisation(gateway_config const& c, std::string const& key)
+{
+    auto const it = c.organisation_by_key.find(key);
+    return it == c.organisation_by_key.end() ? nullptr
+                                             : &c.organisations[it->second];
+}
+
+std::string const& pick_service(gateway_route const& r, std::uint64_t hash)
+{
+    std::uint64_t total = 0;
+    for (weighted_service const& it : r.services)
+        total += it.weight;
+    if (total == 0)
+        return r.services.front().service;
+    std::uint64_t at = hash % total;
+    for (weighted_service const& it : r.services)
+    {
+        if (at < it.weight)
+            return it.service;
+        at -= it.weight;
+    }
+    return r.services.back().service;
+}
+
+} // namespace marjorambeam
--- /dev/null
+++ b/src/gateway/gateway_daemon.hpp
@@ -0,0 +1,85 @@
+// The process marjorambeam-gateway: controllers around one blackboard.
+//
+// Example:
+//   gateway_daemon daemon(loop, settings, protocols);
+//   loop_signal term(loop, SIGTERM, [&] { daemon.begin_shutdown(); });
+//   loop.run();
+//   return daemon.exit_code();
+//
+// Everything here runs on the loop's thread; nothing is thread-safe.
+#pragma once
+
+#include "event_loop/event_loop.hpp"
+#include "gateway/gateway_state.hpp"
+#include "gateway/peer_report.hpp"
+#include "gateway/request_controller.hpp"
+#include "gateway/store_controller.hpp"
+#include "gateway/upstream_pool.hpp"
+#include "http_client/http_client.hpp"
+#include "http_server/http_server.hpp"
+#include "log/log.hpp"
+#include "transport/transport.hpp"
+
+#include <memory>
+#include <string_view>
+
+namespace marjorambeam
+{
+
+// How the gateway speaks with its deployment.
+struct gateway_protocols
+{
+    call_protocol calls;
+    platform_store_protocol store;
+    store_documents documents;
+    std::string_view readiness_path;
+};
+
+class gateway_daemon
+{
+public:
+    // Listens and starts to read the store. Throws std::runtime_error when an
+    // address can't be bound. `protocols` outlives the daemon.
+    gateway_daemon(
+        ev::dynamic_loop& loop, gateway_settings const& settings,
+        gateway_protocols const& protocols);
+
+    // Lets requests at work end, then stops the loop. A second call has no
+    // effect.
+    void begin_shutdown();
+    // Takes settings that may change while the process runs.
+    void reload(gateway_settings const& settings);
+    int exit_code() const
+    {
+        return exit_code_;
+    }
+    gateway_state const& state() const
+    {
+        return state_;
+    }
+
+private:
+    void tick();
+    void send_reports(steady_time now);
+    void on_message(message&& m);
+    void report_break(std::uint64_t fingerprint, std::string_view upstream);
+    void on_admin(std::shared_ptr<http_exchange> const& exchange);
+    void continue_shutdown(steady_time now);
+
+    ev::dynamic_loop& loop_;
+    gateway_protocols const& protocols_;
+    gateway_state state_;
+    logger log_{"gateway"};
+    http_client client_;
+    upstream_pool pool_;
+    datagram_socket peers_;
+    request_controller requests_;
+    store_controller store_;
+    http_server readiness_;
+    std::unique_ptr<http_server> metrics_;
+    loop_timer timer_;
+    steady_time next_report_{};
+    int exit_code_ = 0;
+};
+
+} // namespace marjorambeam
--- /dev/null
+++ b/src/gateway/gateway_state.cpp
@@ -0,0 +1,80 @@
+#include "gateway/gateway_state.hpp"
+
+#include <algorithm>
+
+namespace marjorambeam
+{
+namespace
+{
+
+// Part of the key bound that is used. The rest covers a request on its way and
+// a watch that hears nothing for a second while changes are made.
+constexpr double key_bound_part = 0.75;
+// Without cold sends in this time after a start, a gateway that restarts
+// within a second does not use its share twice.
+constexpr duration cold_send_pause = std::chrono::seconds(1);
+
+} // namespace
+
+bool are_keys_fresh(gateway_state const& s, steady_time now)
+{
+    if (!s.settings.key_bound)
+        return true;
+    if (!s.config_confirmed)
+        return false;
+    double const age = to_seconds(now - *s.config_confirmed);
+    return age < to_seconds(*s.settings.key_bound) * key_bound_part;
+}
+
+bool is_ready(gateway_state const& s, steady_time now)
+{
+    return s.config && s.has_upstreams && !s.drain_started &&
+           are_keys_fresh(s, now);
+}
+
+std::size_t cold_share_of(gateway_state const& s, upstream_state const& u)
+{
+    gateway_service const* const service =
+        s.config ? find_service(*s.config, u.info.service) : nullptr;
+    if (service == nullptr || service->cold_per_second <= 0)
+        return SIZE_MAX;
+    if (boot_now() < s.started + cold_send_pause)
+        return 0;
+    return cold_share(
+        {.per_second = service->cold_per_second,
+         .factor = s.settings.cold_factor,
+         .tolerance = s.settings.cold_tolerance},
+        u.info.id, s.settings.instance, s.gateways);
+}
+
+shift_evidence pooled_evidence(shift_track const& t)
+{
+    shift_evidence sum = t.own;
+    for (auto const& [name, e] : t.peers)
+    {
+        sum.target.answers += e.target.answers;
+        sum.target.bad += e.target.bad;
+        sum.others.answers += e.others.answers;
+        sum.others.bad += e.others.bad;
+    }
+    return sum;
+}
+
+duration elapsed_of(shift_track const& t, steady_time now)
+{
+    return now - t.first_seen;
+}
+
+version_rule version_rule_of(
+    gateway_state const& s, std::string_view service, std::uint64_t hash)
+{
+    auto const it = s.shifts.find(service);
+    if (it != s.shifts.end())
+        return rule_for(it->second.order, it->second.is_known_bad, hash);
+    auto const usual = s.usual_version.find(service);
+    if (usual == s.usual_version.end())
+        return {};
+    return {.only = usual->second};
+}
+
+} // namespace marjorambeam
--- /dev/null
+++ b/src/gateway/gateway_state.hpp
@@ -0,0 +1,111 @@
+// The blackboard of the gateway: what its controllers read and write.
+//
+// Example:
+//   gateway_state s{.settings = settings};
+//   store_controller store(loop, s, ...);   // writes config, upstreams
+//   peer_controller peers(loop, s, ...);    // writes the loads of others
+//   request_controller requests(loop, s, ...);
+//
+// Plain data. Not thread-safe; one per event loop.
+#pragma once
+
+#include "base/id.hpp"
+#include "base/time.hpp"
+#include "gateway/crash_blame.hpp"
+#include "gateway/gateway_config.hpp"
+#include "gateway/shared_limits.hpp"
+#include "gateway/upstream_board.hpp"
+#include "gateway/version_shift.hpp"
+#include "metrics/metrics.hpp"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace marjorambeam
+{
+
+// What the deployment sets for one gateway.
+struct gateway_settings
+{
+    std::string instance;
+    std::string zone;
+    std::string client_address;    // callers connect here
+    std::string readiness_address; // the load balancer asks here
+    std::string peer_address;      // datagrams of other gateways
+    std::string store_address;     // IP address and port of the object store
+    std::string metrics_address;   // empty: none
+    std::size_t max_connections = 3000;
+    duration drain_time = std::chrono::seconds(8);
+    // A key that was taken away must not be served for longer than this.
+    std::optional<duration> key_bound;
+    extra_attempt_limits extra_attempts;
+    double cold_factor = 1;
+    double cold_tolerance = 0;
+};
+
+// A roll-out of a service with what is known of it.
+struct shift_track
+{
+    shift_order order;
+    steady_time first_seen{}; // by any gateway, as far as is known
+    bool is_known_bad = false;
+    shift_evidence own;
+    std::map<std::string, shift_evidence, std::less<>> peers;
+};
+
+// Another gateway.
+struct gateway_peer
+{
+    std::string address;
+    steady_time heard_at{};
+    std::map<std::string, peer_load, std::less<>> loads; // by upstream
+};
+
+struct gateway_state
+{
+    gateway_settings settings;
+    incarnation self = 0;
+    std::shared_ptr<gateway_config const> config; // null before the first
+    bool has_upstreams = false;                   // the list was read
+    upstream_board upstreams;
+    std::map<std::string, shift_track, std::less<>> shifts; // by service
+    std::map<std::string, std::string, std::less<>> usual_version;
+    std::map<std::string, gateway_peer, std::less<>> peers;
+    std::vector<std::string> gateways; // registered names, this one included
+    // The store vouches for the configuration as of this time.
+    std::optional<steady_time> config_confirmed;
+    bool is_store_lost = false;
+    steady_time store_back{}; // end of the last loss of the store
+    std::map<std::string, extra_attempts, std::less<>> attempts; // by service
+    crash_blame blame;
+    std::optional<steady_time> drain_started;
+    steady_time started{};
+    metrics counters;
+};
+
+// Whether keyed requests may be served: the store has vouched for the keys
+// recently enough. Waiting for the bound itself would pass on requests whose
+// key was taken away just after the last confirmation.
+bool are_keys_fresh(gateway_state const& s, steady_time now);
+
+// Whether the load balancer may send new connections here.
+bool is_ready(gateway_state const& s, steady_time now);
+
+// How many requests this gateway may send to a cold upstream per second.
+std::size_t cold_share_of(gateway_state const& s, upstream_state const& u);
+
+// Evidence of a roll-out over all gateways.
+shift_evidence pooled_evidence(shift_track const& t);
+
+// Time since the order of a roll-out was first seen by any gateway.
+duration elapsed_of(shift_track const& t, steady_time now);
+
+// Which versions of `service` a request may run on; `hash` is uniform.
+version_rule
+version_rule_of(gateway_state const& s, std::string_view service, std::uint64_t hash);
+
+} // namespace marjorambeam
--- /dev/null
+++ b/src/gateway/model_choice.cpp
@@ -0,0 +1,43 @@
+#include "gateway/model_choice.hpp"
+
+#include <algorithm>
+
+namespace marjorambeam
+{
+namespace
+{
+
+// Load from which no larger model is asked: an answer of the small one that is
+// perhaps too simple is better than a late one.
+constexpr double no_larger_load = 1.0;
+// Work of the largest model against the smallest.
+constexpr double largest_weight = 10;
+
+} // namespace
+
+std::size_t first_model(model_question const& q)
+{
+    // The rest of an answer can't be asked again of a larger model.
+    return q.is_resumed && q.models > 0 ? q.models - 1 : 0;
+}
+
+std::optional<std::size_t> next_model(model_question const& q)
+{
+    bool const is_sure =
+        !q.confidence || *q.confidence >= min_confidence;
+    if (is_sure || q.asked + 1 >= q.models || !q.has_attempts ||
+        q.load >= no_larger_load)
+        return std::nullopt;
+    return q.models - 1;
+}
+
+double model_weight(std::size_t model, std::size_t models)
+{
+    if (models <= 1)
+        return 1;
+    double const part =
+        static_cast<double>(model) / static_cast<double>(models - 1);
+    return 1 + (largest_weight - 1) * part;
+}
+
+} // namespace marjorambeam
--- /dev/null
+++ b/src/gateway/peer_report.cpp
@@ -0,0 +1,134 @@
+#include "gateway/peer_report.hpp"
+
+#include <cereal/archives/portable_binary.hpp>
+#include <sstream>
+
+namespace marjorambeam
+{
+namespace
+{
+
+// A peer that was silent for this long is taken to hold no load; its requests
+// have ended with its process, or are reported again.
+constexpr duration report_memory = std::chrono::milliseconds(2500);
+
+template <class T>
+peer_call encode(std::string_view name, T const& body)
+{
+    std::ostringstream out;
+    cereal::PortableBinaryOutputArchive archive(out);
+    archive(body);
+    return {.name = std::string(name), .body = out.str()};
+}
+
+template <class T>
+result<T> decode(peer_call const& call)
+{
+    try
+    {
+        std::istringstream in(call.body);
+        cereal::PortableBinaryInputArchive archive(in);
+        T body;
+        archive(body);
+        return body;
+    }
+    catch (std::exception const& e)
+    {
+        return fail(error_kind::frame_corrupt, e.what());
+    }
+}
+
+void sum_loads(gateway_state& s)
+{
+    for (auto const& [id, u] : s.upstreams.by_id)
+        u->peers = {};
+    for (auto const& [name, p] : s.peers)
+    {
+        for (auto const& [id, load] : p.loads)
+        {
+            auto const it = s.upstreams.by_id.find(id);
+            if (it == s.upstreams.by_id.end())
+                continue;
+            it->second->peers.requests += load.requests;
+            it->second->peers.work += load.work;
+        }
+    }
+}
+
+} // namespace
+
+gateway_report make_report(gateway_state const& s, steady_time now)
+{
+    gateway_report r;
+    r.sender = s.settings.instance;
+    for (auto const& [id, u] : s.upstreams.by_id)
+    {
+        if (u->requests > 0)
+            r.loads.push_back({id, u->requests, static_cast<float>(u->work)});
+    }
+    for (auto const& [service, t] : s.shifts)
+    {
+        duration const elapsed = elapsed_of(t, now);
+        r.shifts.push_back(
+            {service, t.order.target, elapsed.count() / 1000, t.own});
+    }
+    return r;
+}
+
+void apply_report(gateway_state& s, gateway_report const& r, steady_time now)
+{
+    auto const peer = s.peers.find(r.sender);
+    if (peer == s.peers.end())
+        return;
+    peer->second.heard_at = now;
+    peer->second.loads.clear();
+    for (reported_load const& it : r.loads)
+        peer->second.loads[it.upstream] = {it.requests, it.work};
+    sum_loads(s);
+    for (reported_shift const& it : r.shifts)
+    {
+        auto const t = s.shifts.find(it.service);
+        if (t == s.shifts.end() || t->second.order.target != it.target)
+            continue;
+        t->second.peers[r.sender] = it.evidence;
+        duration const elapsed = std::chrono::milliseconds(it.elapsed_ms);
+        if (elapsed > now - t->second.first_seen)
+            t->second.first_seen = now - elapsed;
+    }
+}
+
+void expire_reports(gateway_state& s, steady_time now)
+{
+    bool has_expired = false;
+    for (auto& [name, p] : s.peers)
+    {
+        if (p.loads.empty() || now - p.heard_at < report_memory)
+            continue;
+        p.loads.clear();
+        has_expired = true;
+    }
+    if (has_expired)
+        sum_loads(s);
+}
+
+peer_call to_call(gateway_report const& r)
+{
+    return encode(gateway_report_call, r);
+}
+
+peer_call to_call(upstream_break const& b)
+{
+    return encode(upstream_break_call, b);
+}
+
+result<gateway_report> report_of(peer_call const& call)
+{
+    return decode<gateway_report>(call);
+}
+
+result<upstream_break> break_of(peer_call const& call)
+{
+    return decode<upstream_break>(call);
+}
+
+} // namespace marjorambeam
--- /dev/null
+++ b/src/gateway/peer_report.hpp
@@ -0,0 +1,96 @@
+// What gateways tell one another by datagram.
+//
+// Example:
+//   peer_call call = to_call(make_report(state, now));
+//   result<gateway_report> r = from_call(call);
+//   apply_report(state, *r, now);
+//
+// No I/O. Not thread-safe.
+#pragma once
+
+#include "gateway/gateway_state.hpp"
+#include "wire/message.hpp"
+
+#include <cereal/types/string.hpp>
+#include <cereal/types/vector.hpp>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace marjorambeam
+{
+
+// Names of the peer_calls that carry these bodies.
+constexpr std::string_view gateway_report_call = "gateway_report";
+constexpr std::string_view upstream_break_call = "upstream_break";
+
+struct reported_load
+{
+    std::string upstream;
+    std::uint32_t requests = 0;
+    float work = 0;
+
+    template <class Archive>
+    void serialize(Archive& ar)
+    {
+        ar(upstream, requests, work);
+    }
+};
+
+struct reported_shift
+{
+    std::string service;
+    std::string target;
+    std::int64_t elapsed_ms = 0; // since the sender has seen the order
+    shift_evidence evidence;
+
+    template <class Archive>
+    void serialize(Archive& ar)
+    {
+        ar(service, target, elapsed_ms, evidence);
+    }
+};
+
+struct gateway_report
+{
+    std::string sender;
+    std::vector<reported_load> loads; // of upstreams with work
+    std::vector<reported_shift> shifts;
+
+    template <class Archive>
+    void serialize(Archive& ar)
+    {
+        ar(sender, loads, shifts);
+    }
+};
+
+// A request whose upstream broke off while it ran.
+struct upstream_break
+{
+    std::uint64_t fingerprint = 0;
+    std::string upstream;
+
+    template <class Archive>
+    void serialize(Archive& ar)
+    {
+        ar(fingerprint, upstream);
+    }
+};
+
+gateway_report make_report(gateway_state const& s, steady_time now);
+
+// Takes another gateway's report to the blackboard. One of an unregistered
+// gateway is ignored.
+void apply_report(gateway_state& s, gateway_report const& r, steady_time now);
+
+// Forgets the load that gateways have told which were not heard since.
+void expire_reports(gateway_state& s, steady_time now);
+
+peer_call to_call(gateway_report const& r);
+peer_call to_call(upstream_break const& b);
+// Errors: frame_corrupt. Precondition: the call has the body's name.
+result<gateway_report> report_of(peer_call const& call);
+result<upstream_break> break_of(peer_call const& call);
+
+} // namespace marjorambeam
--- /dev/null
+++ b/src/gateway/rate_window.hpp
@@ -0,0 +1,51 @@
+// Counts events in a sliding window of time.
+//
+// Example:
+//   rate_window w(std::chrono::seconds(1));
+//   if (w.count(now) < 6) w.add(now);
+//
+// Not thread-safe.
+#pragma once
+
+#include "base/time.hpp"
+
+#include <cstddef>
+#include <deque>
+
+namespace marjorambeam
+{
+
+class rate_window
+{
+public:
+    explicit rate_window(duration length)
+        : length_(length)
+    {
+    }
+
+    // Notes one event. Precondition: `now` never goes back.
+    void add(steady_time now)
+    {
+        times_.push_back(now);
+    }
+
+    // Events in the window that ends at `now`.
+    std::size_t count(steady_time now)
+    {
+        while (!times_.empty() && times_.front() + length_ <= now)
+            times_.pop_front();
+        return times_.size();
+    }
+
+    // When the oldest event leaves the window; `now` when there is none.
+    steady_time next_free(steady_time now)
+    {
+        return count(now) == 0 ? now : times_.front() + length_;
+    }
+
+private:
+    duration length_;
+    std::deque<steady_time> times_;
+};
+
+} // namespace marjorambeam
--- /dev/null
+++ b/src/gateway/request_controller.cpp
@@ -0,0 +1,223 @@
+#include "gateway/request_controller.hpp"
+
+#include <algorithm>
+
+namespace marjorambeam
+{
+namespace
+{
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr duration sweep_period = milliseconds(200);
+constexpr duration waiting_period = milliseconds(20);
+constexpr stream_limits caller_stream_limits{
+    .unacknowledged = milliseconds(3000), .probe_after_s = 1, .probes = 3};
+// The load balancer asks once per second and needs two misses; new requests
+// are served until it has surely turned away, then refused.
+constexpr duration serve_while_draining = milliseconds(3000);
+constexpr duration retry_elsewhere = milliseconds(100);
+constexpr duration retry_when_ready = milliseconds(400);
+
+std::string seconds_text(duration d)
+{
+    return std::to_string(to_seconds(d));
+}
+
+} // namespace
+
+request_controller::request_controller(
+    ev::loop_ref loop, gateway_state& state, call_protocol const& protocol,
+    upstream_pool& pool, break_reporter report_break)
+    : loop_(loop)
+    , state_(state)
+    , protocol_(protocol)
+    , pool_(pool)
+    , context_{loop, state, protocol, pool, log_, waiting_, std::move(report_break)}
+    , listener_(
+          loop, state.settings.client_address, caller_stream_limits,
+          [this](std::shared_ptr<tcp_stream> s)
+          { on_connection(std::move(s)); })
+    , sweep_timer_(loop, [this] { tick(); })
+    , waiting_timer_(loop, [this] { dispatch_waiting(boot_now()); })
+{
+    sweep_timer_.start_every(sweep_period);
+    waiting_timer_.start_every(waiting_period);
+}
+
+client_limits request_controller::limits() const
+{
+    return state_.config ? state_.config->limits : client_limits{};
+}
+
+void request_controller::on_connection(std::shared_ptr<tcp_stream> stream)
+{
+    if (clients_.size() >= state_.settings.max_connections)
+    {
+        state_.counters.count("refusals_total", "too_many_connections");
+        stream->send("HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\n"
+                     "Content-Length: 0\r\nConnection: close\r\n\r\n");
+        return;
+    }
+    auto const c = std::make_shared<client_connection>(
+        std::move(stream), limits(), boot_now(),
+        [this](
+            std::shared_ptr<client_connection> const& client,
+            result<http_request_message> message)
+        { on_request(client, std::move(message)); });
+    if (state_.drain_started)
+        c->set_last();
+    clients_.push_back(c);
+    c->start();
+}
+
+void request_controller::refuse(
+    std::shared_ptr<client_connection> const& client,
+    std::string_view attempt_id, error_kind kind, duration retry_after)
+{
+    error_answer const& row = answer_for(kind);
+    answer_head head{row.http_status, protocol_.own_answer_headers(attempt_id)};
+    if (head.status == 503 || head.status == 429)
+        head.headers.emplace_back("Retry-After", seconds_text(retry_after));
+    state_.counters.count("refusals_total", row.name);
+    log_.info(
+        "Request refused.",
+        {{"request_id", std::string(attempt_id)},
+         {"kind", std::string(row.name)},
+         {"config", std::to_string(state_.config ? state_.config->version : 0)}});
+    std::string body = R"({"error":{"kind":")";
+    body.append(row.name).append(R"(","run":"not_run"}})");
+    client->respond(head, body);
+}
+
+void request_controller::on_request(
+    std::shared_ptr<client_connection> const& client,
+    result<http_request_message> message)
+{
+    if (!message)
+    {
+        refuse(client, {}, message.error().kind, seconds(1));
+        return;
+    }
+    serve(client, std::move(*message), boot_now());
+}
+
+void request_controller::serve(
+    std::shared_ptr<client_connection> const& client,
+    http_request_message&& message, steady_time now)
+{
+    result<gateway_request> request =
+        protocol_.decode_request(std::move(message));
+    if (!request)
+    {
+        refuse(client, {}, request.error().kind, duration{0});
+        return;
+    }
+    std::string const id = request->attempt_id;
+    if (!state_.config || !state_.has_upstreams)
+    {
+        refuse(client, id, error_kind::not_ready, retry_when_ready);
+        return;
+    }
+    if (state_.drain_started &&
+        now - *state_.drain_started > serve_while_draining)
+    {
+        refuse(client, id, error_kind::shutting_down, retry_elsewhere);
+        return;
+    }
+    std::shared_ptr<gateway_config const> const config = state_.config;
+    gateway_route const* const route =
+        find_route(*config, request->host, path_of(request->target));
+    organisation const* owner = nullptr;
+    bool const is_keyed = route != nullptr && !route->is_anonymous &&
+                          !config->organisations.empty();
+    // An old configuration may lack the route or hold a key that is gone.
+    bool const needs_fresh = route == nullptr || is_keyed;
+    if (needs_fresh && !are_keys_fresh(state_, now))
+    {
+        refuse(client, id, error_kind::isolated, retry_when_ready);
+        return;
+    }
+    if (route == nullptr)
+    {
+        refuse(client, id, error_kind::not_found, duration{0});
+        return;
+    }
+    if (is_keyed)
+        owner = find_organisation(*config, request->key);
+    if (is_keyed && owner == nullptr)
+    {
+        refuse(client, id, error_kind::unauthorized, duration{0});
+        return;
+    }
+    auto const run = std::make_shared<request_run>(
+        context_, client, config, *route, owner, std::move(*request), now);
+    runs_.push_back(run);
+    run->start(now);
+}
+
+void request_controller::tick()
+{
+    steady_time const now = boot_now();
+    client_limits const l = limits();
+    std::erase_if(runs_, [](auto const& it) { return it->is_done(); });
+    bool const closes_idle =
+        state_.drain_started &&
+        now - *state_.drain_started > serve_while_draining;
+    std::vector<std::shared_ptr<client_connection>> const all(
+        clients_.begin(), clients_.end());
+    for (auto const& it : all)
+    {
+        it->check(l, now);
+        if (closes_idle && it->is_idle())
+            it->abort();
+    }
+    std::erase_if(clients_, [](auto const& it) { return !it->is_open(); });
+    pool_.sweep(state_.upstreams, now);
+}
+
+void request_controller::dispatch_waiting(steady_time now)
+{
+    if (waiting_.empty())
+        return;
+    std::vector<std::shared_ptr<request_run>> all(
+        waiting_.begin(), waiting_.end());
+    waiting_.clear();
+    std::stable_sort(
+        all.begin(), all.end(), [](auto const& a, auto const& b)
+        { return a->priority() < b->priority(); });
+    for (auto const& it : all)
+    {
+        if (it->try_again(now))
+            waiting_.push_back(it);
+    }
+}
+
+void request_controller::begin_drain(steady_time)
+{
+    for (auto const& it : clients_)
+        it->set_last();
+}
+
+bool request_controller::is_drained(steady_time now) const
+{
+    bool const is_busy = std::any_of(
+        runs_.begin(), runs_.end(),
+        [](auto const& it) { return !it->is_done(); });
+    bool const has_unsent = std::any_of(
+        clients_.begin(), clients_.end(),
+        [](auto const& it) { return it->is_open() && it->unsent() > 0; });
+    return !is_busy && !has_unsent && state_.drain_started &&
+           now - *state_.drain_started > serve_while_draining + sweep_period;
+}
+
+void request_controller::cut_all(steady_time now)
+{
+    std::vector<std::shared_ptr<request_run>> const all(
+        runs_.begin(), runs_.end());
+    for (auto const& it : all)
+        it->cut(now);
+}
+
+} // namespace marjorambeam
--- /dev/null
+++ b/src/gateway/request_controller.hpp
@@ -0,0 +1,83 @@
+// Takes requests of callers, finds their route and organisation, and runs
+// them.
+//
+// Example:
+//   request_controller requests(loop, state, protocol, pool, report_break);
+//   requests.begin_drain(now);
+//
+// Everything here runs on the loop's thread; nothing is thread-safe.
+#pragma once
+
+#include "event_loop/event_loop.hpp"
+#include "gateway/client_connection.hpp"
+#include "gateway/gateway_state.hpp"
+#include "gateway/request_run.hpp"
+#include "log/log.hpp"
+
+#include <functional>
+#include <list>
+#include <memory>
+#include <string_view>
+#include <vector>
+
+namespace marjorambeam
+{
+
+class request_controller
+{
+public:
+    using break_reporter =
+        std::function<void(std::uint64_t, std::string_view)>;
+
+    // Listens for callers. Throws std::runtime_error when the address can't
+    // be bound. The references outlive the controller.
+    request_controller(
+        ev::loop_ref loop, gateway_state& state, call_protocol const& protocol,
+        upstream_pool& pool, break_reporter report_break);
+
+    // Tells callers to use other connections, and closes idle ones later.
+    void begin_drain(steady_time now);
+    // Whether nothing is left to do after begin_drain().
+    bool is_drained(steady_time now) const;
+    // Ends what is still at work.
+    void cut_all(steady_time now);
+    // Requests at work.
+    std::size_t active() const
+    {
+        return runs_.size();
+    }
+    std::uint16_t port() const
+    {
+        return listener_.port();
+    }
+
+private:
+    void on_connection(std::shared_ptr<tcp_stream> stream);
+    void on_request(
+        std::shared_ptr<client_connection> const& client,
+        result<http_request_message> message);
+    void serve(
+        std::shared_ptr<client_connection> const& client,
+        http_request_message&& message, steady_time now);
+    void refuse(
+        std::shared_ptr<client_connection> const& client,
+        std::string_view attempt_id, error_kind kind, duration retry_after);
+    void tick();
+    void dispatch_waiting(steady_time now);
+    client_limits limits() const;
+
+    ev::loop_ref loop_;
+    gateway_state& state_;
+    call_protocol const& protocol_;
+    upstream_pool& pool_;
+    logger log_{"request"};
+    std::list<std::shared_ptr<request_run>> waiting_;
+    run_context context_;
+    std::list<std::shared_ptr<client_connection>> clients_;
+    std::list<std::shared_ptr<request_run>> runs_;
+    tcp_listener listener_;
+    loop_timer sweep_timer_;
+    loop_timer waiting_timer_;
+};
+
+} // namespace marjorambeam
--- /dev/null
+++ b/src/gateway/shared_limits.hpp
@@ -0,0 +1,74 @@
+// Limits that hold over all gateways together, kept by each one for its share.
+//
+// Example:
+//   extra_attempts b;
+//   note_request(b, now);
+//   if (may_send_again(b, limits, gateways, now)) note_extra(b, now);
+//
+// A share rests on the number of registered gateways, alive or not, so that it
+// is too small rather than too large while that number is unsure. No I/O. Not
+// thread-safe.
+#pragma once
+
+#include "base/time.hpp"
+#include "gateway/rate_window.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <span>
+#include <string>
+#include <string_view>
+
+namespace marjorambeam
+{
+
+// Bound of the arrivals at a service beyond the first of each request.
+struct extra_attempt_limits
+{
+    double ratio = 0;  // of the requests in the window
+    double allowance = 0; // besides, over all gateways
+    duration window = std::chrono::seconds(10);
+};
+
+// Part of `ratio` that is used: windows of gateways don't begin together, and
+// a request counts when it is read, which is later than when it was sent.
+constexpr double ratio_part = 0.85;
+// Part of `allowance` that is used: a gateway that restarts has forgotten what
+// it used, so that the allowance may be used twice within one window.
+constexpr double allowance_part = 0.4;
+
+// Requests and extra attempts of one gateway for one service.
+struct extra_attempts
+{
+    rate_window requests{std::chrono::seconds(10)};
+    rate_window extras{std::chrono::seconds(10)};
+};
+
+// Whether one more attempt keeps this gateway within its share.
+// Precondition: `gateways` is at least 1.
+bool may_send_again(
+    extra_attempts& b, extra_attempt_limits const& limits,
+    std::size_t gateways, steady_time now);
+
+// Bound of what all gateways may send to one cold upstream in a second.
+struct cold_limits
+{
+    double per_second = 0;
+    double factor = 1;
+    double tolerance = 0;
+};
+
+// Part of the bound that is used; gateways may count each other differently
+// for a moment, and an arrival may be later than its sending.
+constexpr double cold_part = 0.75;
+// Gateways that share one cold upstream; with more of them a share would be
+// less than one request per second.
+constexpr std::size_t cold_sharers = 4;
+
+// How many requests `self` may send to the cold upstream per second; zero when
+// other gateways share it. `gateways` are all registered names with `self`.
+std::size_t cold_share(
+    cold_limits const& limits, std::string_view upstream,
+    std::string_view self, std::span<std::string const> gateways);
+
+} // namespace marjorambeam
--- /dev/null
+++ b/src/gateway/store_controller.cpp
@@ -0,0 +1,472 @@
+#include "gateway/store_controller.hpp"
+
+#include <algorithm>
+
+namespace marjorambeam
+{
+namespace
+{
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// Each answer of this watch vouches for the keys, so it is short; the bound of
+// a withdrawn key is several of them.
+constexpr watch_timing config_timing{
+    .wait = milliseconds(1500),
+    .patience = milliseconds(800),
+    .first_retry = milliseconds(100),
+    .longest_retry = milliseconds(400)};
+// Each call is priced; dead connections are found by TCP probes.
+constexpr watch_timing long_timing{
+    .wait = seconds(20),
+    .patience = milliseconds(1500),
+    .first_retry = milliseconds(100),
+    .longest_retry = milliseconds(1000)};
+// Upstreams whose entries lapsed while the store was away register again
+// within two seconds of its return.
+constexpr duration relist_grace = milliseconds(2200);
+// A peer that was heard this recently can hold the duty of roll-outs.
+constexpr duration live_peer = milliseconds(1500);
+constexpr duration write_pause = milliseconds(500);
+constexpr duration write_patience = seconds(2);
+
+} // namespace
+
+store_controller::store_controller(
+    ev::loop_ref loop, gateway_state& state, http_client& client,
+    platform_store_protocol const& protocol, store_documents const& documents)
+    : state_(state)
+    , client_(client)
+    , protocol_(protocol)
+    , documents_(documents)
+    , config_(
+          loop, client, protocol, state.settings.store_address,
+          std::string(documents.config_kind), config_timing,
+          handlers(
+              &store_controller::take_configs, &store_controller::take_config,
+              true))
+    , upstreams_(
+          loop, client, protocol, state.settings.store_address,
+          std::string(documents.upstream_kind), long_timing,
+          handlers(
+              &store_controller::take_upstreams,
+              &store_controller::take_upstream, false))
+    , shifts_(
+          loop, client, protocol, state.settings.store_address,
+          std::string(documents.shift_kind), long_timing,
+          handlers(
+              &store_controller::take_shifts, &store_controller::take_shift,
+              false))
+    , zones_(
+          loop, client, protocol, state.settings.store_address,
+          std::string(documents.zone_out_kind), long_timing,
+          handlers(
+              &store_controller::take_zones, &store_controller::take_zone,
+              false))
+    , gateways_(
+          loop, client, protocol, state.settings.store_address,
+          std::string(documents.gateway_kind), long_timing,
+          handlers(
+              &store_controller::take_gateways,
+              &store_controller::take_gateway, false))
+    , register_timer_(loop, [this] { register_self(); })
+{
+}
+
+watch_handlers store_controller::handlers(
+    void (store_controller::*on_all)(std::vector<platform_object>&&),
+    void (store_controller::*on_change)(platform_object&&), bool is_config)
+{
+    return {
+        .on_all = [this, on_all](std::vector<platform_object>&& all)
+        { (this->*on_all)(std::move(all)); },
+        .on_change = [this, on_change](platform_object&& o)
+        { (this->*on_change)(std::move(o)); },
+        .on_contact = [this, is_config](steady_time sent)
+        { on_contact(sent, is_config); },
+        .on_failure = [this, is_config](error const& why)
+        { on_failure(why, is_config); }};
+}
+
+void store_controller::start()
+{
+    config_.start();
+    upstreams_.start();
+    shifts_.start();
+    zones_.start();
+    register_self();
+}
+
+void store_controller::on_contact(steady_time sent, bool is_config)
+{
+    steady_time const now = boot_now();
+    if (is_config)
+        state_.config_confirmed = sent;
+    if (!is_config || !state_.is_store_lost)
+        return;
+    state_.is_store_lost = false;
+    state_.store_back = now;
+    log_.info("The store answers again.");
+    upstreams_.hurry();
+    shifts_.hurry();
+    zones_.hurry();
+    gateways_.hurry();
+}
+
+void store_controller::on_failure(error const& why, bool is_config)
+{
+    state_.counters.count("store_failures_total", to_string(why.kind));
+    if (!is_config || state_.is_store_lost)
+        return;
+    state_.is_store_lost = true;
+    log_.warning(
+        "The store does not answer.",
+        {{"kind", std::string(to_string(why.kind))}, {"why", why.message}});
+}
+
+bool store_controller::is_list_unsure(steady_time now) const
+{
+    return state_.is_store_lost || now - state_.store_back < relist_grace;
+}
+
+void store_controller::take_configs(std::vector<platform_object>&& all)
+{
+    for (platform_object& it : all)
+        take_config(std::move(it));
+}
+
+void store_controller::take_config(platform_object&& o)
+{
+    if (o.is_deleted || o.name != documents_.config_name)
+        return;
+    result<gateway_config> c = documents_.decode_config(o);
+    if (!c)
+    {
+        log_.error("The configuration is bad.", {{"why", c.error().message}});
+        state_.counters.count("bad_documents_total", "config");
+        return;
+    }
+    if (state_.config && c->version <= state_.config->version)
+        return;
+    index_routes(*c);
+    log_.info(
+        "Configuration in force.",
+        {{"config", std::to_string(c->version)},
+         {"routes", std::to_string(c->routes.size())},
+         {"organisations", std::to_string(c->organisations.size())}});
+    state_.config = std::make_shared<gateway_config const>(std::move(*c));
+}
+
+void store_controller::take_upstreams(std::vector<platform_object>&& all)
+{
+    steady_time const now = boot_now();
+    std::vector<std::string> gone;
+    for (auto const& [id, u] : state_.upstreams.by_id)
+    {
+        bool const is_listed = std::any_of(
+            all.begin(), all.end(),
+            [&](platform_object const& o) { return o.name == id; });
+        if (!is_listed)
+            gone.push_back(id);
+    }
+    for (std::string const& id : gone)
+        lose_upstream(id, now);
+    for (platform_object& it : all)
+        take_upstream(std::move(it));
+    state_.has_upstreams = true;
+}
+
+void store_controller::lose_upstream(std::string_view id, steady_time now)
+{
+    auto const it = state_.upstreams.by_id.find(id);
+    if (it == state_.upstreams.by_id.end())
+        return;
+    if (is_list_unsure(now) && !it->second->info.is_leaving)
+    {
+        it->second->missing_since = now;
+        it->second->is_missing = true;
+        return;
+    }
+    log_.info("Upstream gone.", {{"upstream", std::string(id)}});
+    state_.upstreams.by_id.erase(it);
+}
+
+void store_controller::take_upstream(platform_object&& o)
+{
+    steady_time const now = boot_now();
+    if (o.is_deleted)
+    {
+        lose_upstream(o.name, now);
+        return;
+    }
+    result<upstream_info> info = documents_.decode_upstream(o);
+    if (!info)
+    {
+        state_.counters.count("bad_documents_total", "upstream");
+        lose_upstream(o.name, now);
+        return;
+    }
+    std::shared_ptr<upstream_state>& u = state_.upstreams.by_id[info->id];
+    bool const is_new = !u || u->info.started_unix_ms != info->started_unix_ms ||
+                        u->info.address != info->address;
+    if (is_new)
+        u = std::make_shared<upstream_state>();
+    gateway_service const* const s =
+        state_.config ? find_service(*state_.config, info->service) : nullptr;
+    duration cold = info->cold_remaining;
+    // One that starts during the traffic is cold, whatever an early entry says.
+    if (is_new && state_.has_upstreams && s != nullptr)
+        cold = std::max(cold, s->cold_start);
+    if (cold > duration{0})
+        u->cold_until = std::max(u->cold_until, now + cold);
+    if (is_new || u->info.is_leaving != info->is_leaving)
+        log_.info(
+            "Upstream listed.",
+            {{"upstream", info->id},
+             {"service", info->service},
+             {"version", info->version},
+             {"leaving", info->is_leaving ? "yes" : "no"},
+             {"cold_ms", std::to_string(cold.count() / 1000)}});
+    u->is_missing = false;
+    u->info = std::move(*info);
+    set_usual_version(u->info.service);
+}
+
+// Without a roll-out, the version of most upstreams is the one to use; a new
+// one may register before its order is seen.
+void store_controller::set_usual_version(std::string const& service)
+{
+    if (state_.usual_version.contains(service) && state_.has_upstreams)
+        return;
+    std::map<std::string, int> n;
+    for (auto const& [id, u] : state_.upstreams.by_id)
+    {
+        if (u->info.service == service)
+            ++n[u->info.version];
+    }
+    auto const most = std::max_element(
+        n.begin(), n.end(),
+        [](auto const& a, auto const& b) { return a.second < b.second; });
+    if (most != n.end())
+        state_.usual_version[service] = most->first;
+}
+
+void store_controller::take_shifts(std::vector<platform_object>&& all)
+{
+    std::erase_if(
+        state_.shifts, [&](auto const& known)
+        {
+            return std::none_of(
+                all.begin(), all.end(), [&](platform_object const& o)
+                { return o.name == known.first; });
+        });
+    for (platform_object& it : all)
+        take_shift(std::move(it));
+}
+
+void store_controller::take_shift(platform_object&& o)
+{
+    if (o.is_deleted)
+    {
+        state_.shifts.erase(o.name);
+        return;
+    }
+    result<shift_order> order = documents_.decode_shift(o);
+    if (!order)
+    {
+        state_.counters.count("bad_documents_total", "roll-out");
+        return;
+    }
+    auto const it = state_.shifts.find(order->service);
+    bool const is_new = it == state_.shifts.end() ||
+                        it->second.order.target != order->target;
+    if (is_new)
+    {
+        shift_track t;
+        t.first_seen = boot_now();
+        state_.shifts[order->service] = std::move(t);
+    }
+    shift_track& t = state_.shifts[order->service];
+    if (order->revision < t.order.revision)
+        return;
+    if (order->state == shift_state::completed &&
+        order->state_target == order->target)
+        state_.usual_version[order->service] = order->target;
+    log_.info(
+        "Roll-out seen.",
+        {{"service", order->service},
+         {"target", order->target},
+         {"state", std::to_string(static_cast<int>(order->state))},
+         {"takes_all", order->takes_all ? "yes" : "no"},
+         {"revision", std::to_string(order->revision)}});
+    t.order = std::move(*order);
+}
+
+void store_controller::take_zones(std::vector<platform_object>&& all)
+{
+    state_.upstreams.zones_out.clear();
+    for (platform_object& it : all)
+        take_zone(std::move(it));
+}
+
+void store_controller::take_zone(platform_object&& o)
+{
+    log_.info(
+        "Availability zone changes.",
+        {{"zone", o.name}, {"out", o.is_deleted ? "no" : "yes"}});
+    if (!o.is_deleted)
+    {
+        state_.upstreams.zones_out.insert(o.name);
+        return;
+    }
+    state_.upstreams.zones_out.erase(o.name);
+    steady_time const now = boot_now();
+    for (auto const& [id, u] : state_.upstreams.by_id)
+    {
+        gateway_service const* const s =
+            state_.config ? find_service(*state_.config, u->info.service)
+                          : nullptr;
+        if (u->info.zone == o.name && s != nullptr)
+            u->cold_until = std::max(u->cold_until, now + s->cold_start);
+    }
+}
+
+void store_controller::take_gateways(std::vector<platform_object>&& all)
+{
+    state_.peers.clear();
+    for (platform_object& it : all)
+        take_gateway(std::move(it));
+    set_gateways();
+}
+
+void store_controller::take_gateway(platform_object&& o)
+{
+    if (o.is_deleted)
+    {
+        state_.peers.erase(o.name);
+        set_gateways();
+        return;
+    }
+    result<registered_gateway> g = documents_.decode_gateway(o);
+    if (!g || g->name == state_.settings.instance)
+        return;
+    state_.peers[g->name].address = g->address;
+    set_gateways();
+}
+
+void store_controller::set_gateways()
+{
+    state_.gateways.clear();
+    for (auto const& [name, p] : state_.peers)
+        state_.gateways.push_back(name);
+    state_.gateways.push_back(state_.settings.instance);
+}
+
+void store_controller::register_self()
+{
+    http_call call = protocol_.create(
+        state_.settings.store_address, documents_.gateway_kind,
+        state_.settings.instance,
+        documents_.encode_gateway(
+            {state_.settings.instance, state_.settings.peer_address}));
+    call.timeout = write_patience;
+    client_.send(
+        std::move(call),
+        [this](result<http_reply> reply)
+        {
+            result<platform_objects> const o =
+                reply ? protocol_.decode(*reply)
+                      : result<platform_objects>(
+                            tl::unexpected<error>(reply.error()));
+            // A conflict says that an earlier process of this instance has
+            // registered; an instance keeps its address.
+            if (!o && o.error().kind != error_kind::conflict)
+            {
+                state_.counters.count(
+                    "store_failures_total", to_string(o.error().kind));
+                register_timer_.start(write_pause);
+                return;
+            }
+            is_registered_ = true;
+            gateways_.start();
+        });
+}
+
+bool store_controller::is_duty_holder(steady_time now) const
+{
+    return std::none_of(
+        state_.peers.begin(), state_.peers.end(),
+        [&](auto const& it)
+        {
+            return it.first < state_.settings.instance &&
+                   now - it.second.heard_at < live_peer;
+        });
+}
+
+void store_controller::act_on_shift(shift_track& t, steady_time now)
+{
+    shift_evidence const e = pooled_evidence(t);
+    if (!t.is_known_bad && is_bad_version(e))
+    {
+        t.is_known_bad = true;
+        log_.warning(
+            "The new version is bad.",
+            {{"service", t.order.service},
+             {"target", t.order.target},
+             {"answers", std::to_string(e.target.answers)},
+             {"bad", std::to_string(e.target.bad)}});
+    }
+    shift_decision const d = decide_shift(t.order, e, elapsed_of(t, now));
+    bool const is_written = t.order.state_target == t.order.target &&
+                            t.order.state == d.state &&
+                            t.order.takes_all == d.takes_all;
+    if (is_written || is_writing_ || now < next_write_ || !is_duty_holder(now))
+        return;
+    is_writing_ = true;
+    next_write_ = now + write_pause;
+    log_.info(
+        "Roll-out decided.",
+        {{"service", t.order.service},
+         {"target", t.order.target},
+         {"state", std::to_string(static_cast<int>(d.state))},
+         {"reason", std::string(d.reason)},
+         {"answers", std::to_string(e.target.answers)},
+         {"bad", std::to_string(e.target.bad)},
+         {"elapsed_ms", std::to_string(elapsed_of(t, now).count() / 1000)}});
+    http_call call = protocol_.put_status(
+        state_.settings.store_address, documents_.shift_kind, t.order.service,
+        t.order.revision, documents_.encode_shift_status(t.order, d));
+    call.timeout = write_patience;
+    client_.send(
+        std::move(call),
+        [this](result<http_reply> reply)
+        {
+            is_writing_ = false;
+            result<platform_objects> const o =
+                reply ? protocol_.decode(*reply)
+                      : result<platform_objects>(
+                            tl::unexpected<error>(reply.error()));
+            // The watch shows what is in force; a lost answer or a conflict
+            // is decided anew from that.
+            if (!o)
+                state_.counters.count(
+                    "store_failures_total", to_string(o.error().kind));
+        });
+}
+
+void store_controller::tick(steady_time now)
+{
+    for (auto& [service, t] : state_.shifts)
+        act_on_shift(t, now);
+    for (auto it = state_.upstreams.by_id.begin();
+         it != state_.upstreams.by_id.end();)
+    {
+        upstream_state const& u = *it->second;
+        bool const is_gone = u.is_missing && !is_list_unsure(now) &&
+                             now - u.missing_since > relist_grace;
+        it = is_gone ? state_.upstreams.by_id.erase(it) : std::next(it);
+    }
+}
+
+} // namespace marjorambeam
--- /dev/null
+++ b/src/gateway/store_controller.hpp
@@ -0,0 +1,104 @@
+// Keeps the blackboard's copy of what the platform's store holds, registers
+// this gateway there, and writes the status of roll-outs.
+//
+// Example:
+//   store_controller store(loop, state, client, protocol, documents);
+//   store.start();
+//
+// Everything here runs on the loop's thread; nothing is thread-safe.
+#pragma once
+
+#include "event_loop/event_loop.hpp"
+#include "gateway/gateway_state.hpp"
+#include "gateway/object_watch.hpp"
+#include "http_client/http_client.hpp"
+#include "log/log.hpp"
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace marjorambeam
+{
+
+// A gateway as it registers itself.
+struct registered_gateway
+{
+    std::string name;
+    std::string address; // of its datagrams
+};
+
+// Kinds and documents of a deployment's store.
+struct store_documents
+{
+    std::string_view config_kind;
+    std::string_view config_name; // of the one in force
+    std::string_view upstream_kind;
+    std::string_view shift_kind;
+    std::string_view zone_out_kind; // one object for each zone that is out
+    std::string_view gateway_kind;
+    // Errors: bad_document.
+    result<gateway_config> (*decode_config)(platform_object const& o);
+    result<upstream_info> (*decode_upstream)(platform_object const& o);
+    result<shift_order> (*decode_shift)(platform_object const& o);
+    nlohmann::json (*encode_shift_status)(
+        shift_order const& order, shift_decision const& d);
+    result<registered_gateway> (*decode_gateway)(platform_object const& o);
+    nlohmann::json (*encode_gateway)(registered_gateway const& g);
+};
+
+class store_controller
+{
+public:
+    // The references outlive the controller.
+    store_controller(
+        ev::loop_ref loop, gateway_state& state, http_client& client,
+        platform_store_protocol const& protocol,
+        store_documents const& documents);
+
+    void start();
+    // Acts on roll-outs and on upstreams that were not listed again.
+    void tick(steady_time now);
+
+private:
+    watch_handlers handlers(
+        void (store_controller::*on_all)(std::vector<platform_object>&&),
+        void (store_controller::*on_change)(platform_object&&),
+        bool is_config);
+    void on_contact(steady_time sent, bool is_config);
+    void on_failure(error const& why, bool is_config);
+    void take_configs(std::vector<platform_object>&& all);
+    void take_config(platform_object&& o);
+    void take_upstreams(std::vector<platform_object>&& all);
+    void take_upstream(platform_object&& o);
+    void lose_upstream(std::string_view id, steady_time now);
+    void take_shifts(std::vector<platform_object>&& all);
+    void take_shift(platform_object&& o);
+    void take_zones(std::vector<platform_object>&& all);
+    void take_zone(platform_object&& o);
+    void take_gateways(std::vector<platform_object>&& all);
+    void take_gateway(platform_object&& o);
+    void set_usual_version(std::string const& service);
+    void set_gateways();
+    void register_self();
+    void act_on_shift(shift_track& t, steady_time now);
+    bool is_duty_holder(steady_time now) const;
+    bool is_list_unsure(steady_time now) const;
+
+    gateway_state& state_;
+    http_client& client_;
+    platform_store_protocol const& protocol_;
+    store_documents const& documents_;
+    logger log_{"store"};
+    object_watch config_;
+    object_watch upstreams_;
+    object_watch shifts_;
+    object_watch zones_;
+    object_watch gateways_;
+    loop_timer register_timer_;
+    bool is_registered_ = false;
+    bool is_writing_ = false;
+    steady_time next_write_{};
+};
+
+} // namespace marjorambeam
--- /dev/null
+++ b/src/gateway/upstream_board.hpp
@@ -0,0 +1,139 @@
+// What a gateway knows of the upstreams, and the choice of one for a request.
+//
+// Example:
+//   choice_question q{.service = "pool", .version = "v2", .zone = "zone-1"};
+//   upstream_choice c = choose_upstream(board, q, now);
+//   if (c.chosen) send_to(*c.chosen);
+//
+// Plain data and free functions without I/O. Not thread-safe.
+#pragma once
+
+#include "base/time.hpp"
+#include "gateway/call_protocol.hpp"
+#include "gateway/rate_window.hpp"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <set>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace marjorambeam
+{
+
+// What an upstream registers about itself.
+struct upstream_info
+{
+    std::string id;
+    std::string service;
+    std::string address;
+    std::string zone;
+    std::string version;
+    std::uint32_t slots = 0;
+    bool is_leaving = false;
+    duration cold_remaining{0};
+    std::int64_t started_unix_ms = 0; // a restart under the same id changes it
+};
+
+// Load that other gateways have put on an upstream.
+struct peer_load
+{
+    std::uint32_t requests = 0;
+    double work = 0;
+};
+
+struct upstream_state
+{
+    upstream_info info;
+    steady_time cold_until{};    // bears few requests before
+    steady_time avoid_until{};   // gets none before, after a failure
+    steady_time missing_since{}; // unlisted while the list was unsure
+    bool is_missing = false;
+    std::uint32_t failures_in_row = 0;
+    std::uint32_t requests = 0; // sent by this gateway and unfinished
+    double work = 0;            // their weight
+    peer_load peers;
+    told_load told;
+    steady_time told_at{};
+    steady_time heard_at{}; // last byte received on any connection
+    // Event gap relative to the service's mean, smoothed; 1 is average.
+    double slowness = 1;
+    rate_window cold_sends{std::chrono::seconds(1)};
+    rate_window sends{std::chrono::seconds(1)};
+};
+
+struct upstream_board
+{
+    std::map<std::string, std::shared_ptr<upstream_state>, std::less<>> by_id;
+    std::set<std::string, std::less<>> zones_out; // get no new work
+};
+
+// Whether the upstream may get new work at all: listed, not leaving, in a zone
+// that is in service.
+bool is_usable(upstream_board const& b, upstream_state const& u);
+
+// How many requests this gateway may send to an upstream in a second while it
+// is cold; a function, because it rests on the service and the other gateways.
+using cold_share_function =
+    std::size_t (*)(void const* context, upstream_state const& u);
+
+struct choice_question
+{
+    std::string_view service;
+    std::string_view only_version;  // empty: any
+    std::string_view never_version; // empty: none
+    std::string_view zone;          // of this gateway
+    std::string_view affinity;      // key of the prompt's shared parts
+    std::span<std::string const> tried; // ids, not to be used again
+    double weight = 1;                  // work of this request
+    bool prefers_few = false; // gather the requests on few upstreams
+    bool is_engine = false;
+    std::uint32_t max_requests = 0; // at one upstream, of all; 0: any number
+    cold_share_function cold_share = nullptr;
+    void const* context = nullptr;
+};
+
+// Why there is no upstream; the order is that of how soon it may change.
+enum class choice_failure : std::uint8_t
+{
+    none,
+    full,        // all are at their limit
+    cold,        // those that are left bear no more for the moment
+    unreachable, // all have failed just now
+    no_upstream  // none is listed for this service and version
+};
+
+struct upstream_choice
+{
+    std::shared_ptr<upstream_state> chosen;
+    choice_failure failure = choice_failure::none;
+};
+
+// Returns the best upstream. With an affinity the requests of one key meet at
+// one upstream while its load is near the mean (consistent hashing with
+// bounded loads); others go where the estimated load is least.
+upstream_choice choose_upstream(
+    upstream_board& b, choice_question const& q, steady_time now);
+
+// Requests at the upstream as far as known: this gateway's, the others', and
+// what the upstream itself has told lately.
+double known_requests(upstream_state const& u, steady_time now);
+
+// Mean of the work per upstream of a service, over those that are usable.
+double mean_work(upstream_board const& b, std::string_view service);
+
+// Time for which an upstream is avoided after `failures` failures in a row.
+duration avoid_time(std::uint32_t failures);
+
+// Notes a failure to reach the upstream, or a crash; it counts as cold when it
+// is back.
+void note_unreachable(
+    upstream_state& u, duration cold_start, steady_time now);
+
+// Notes that the upstream has answered.
+void note_answered(upstream_state& u, steady_time now);
+
+} // namespace marjorambeam
--- /dev/null
+++ b/src/gateway/upstream_pool.cpp
@@ -0,0 +1,266 @@
+#include "gateway/upstream_pool.hpp"
+
+#include <algorithm>
+
+namespace marjorambeam
+{
+namespace
+{
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// An idle connection is closed this long before the upstream would close it.
+constexpr duration idle_margin = milliseconds(1000);
+// Idle timeout when the upstream announces none.
+constexpr int default_idle_seconds = 30;
+// Requests that may not be repeated use a connection that was idle for at most
+// this long.
+constexpr duration fresh_idle = milliseconds(1500);
+constexpr stream_limits upstream_stream_limits{
+    .unacknowledged = milliseconds(1500), .probe_after_s = 1, .probes = 2};
+
+duration idle_limit(upstream_connection const& c)
+{
+    int const s =
+        c.idle_seconds() > 0 ? c.idle_seconds() : default_idle_seconds;
+    return std::max(duration(seconds(s)) - idle_margin, duration(seconds(1)) / 2);
+}
+
+} // namespace
+
+upstream_connection::upstream_connection(
+    std::shared_ptr<tcp_stream> stream,
+    std::shared_ptr<upstream_state> upstream)
+    : stream_(std::move(stream))
+    , upstream_(std::move(upstream))
+{
+}
+
+upstream_connection::~upstream_connection()
+{
+    stream_->close();
+}
+
+void upstream_connection::send(
+    std::string_view bytes, std::string attempt_id, bool is_head_request,
+    upstream_answer (*decode)(http_response_head const&),
+    answer_handlers handlers)
+{
+    attempt_id_ = std::move(attempt_id);
+    decode_ = decode;
+    handlers_ = std::move(handlers);
+    is_head_request_ = is_head_request;
+    is_busy_ = true;
+    has_head_ = false;
+    was_connected_ = stream_->is_connected();
+    reader_ = std::make_unique<response_reader>(is_head_request);
+    std::weak_ptr<upstream_connection> const weak = weak_from_this();
+    stream_->on_connected(
+        [weak]
+        {
+            if (auto const self = weak.lock())
+                self->was_connected_ = true;
+        });
+    stream_->on_data(
+        [weak]
+        {
+            if (auto const self = weak.lock())
+                self->on_data();
+        });
+    stream_->on_end(
+        [weak](stream_end why)
+        {
+            if (auto const self = weak.lock())
+                self->on_end(why);
+        });
+    stream_->send(bytes);
+}
+
+void upstream_connection::abort()
+{
+    handlers_ = {};
+    is_busy_ = false;
+    keep_alive_ = false;
+    stream_->close();
+}
+
+bool upstream_connection::is_reusable() const
+{
+    return stream_->is_connected() && !is_busy_ && keep_alive_ &&
+           stream_->input().empty() && stream_->unsent() == 0;
+}
+
+bool upstream_connection::take_head()
+{
+    http_response_head head = reader_->head();
+    upstream_answer const answer = decode_(head);
+    bool const is_refusal = answer.has_not_run || answer.is_other_instance;
+    is_late_answer_ = answer.attempt_id != attempt_id_ &&
+                      !(answer.attempt_id.empty() && is_refusal);
+    if (is_late_answer_)
+    {
+        // The connection has shown that it carries surplus answers.
+        keep_alive_ = false;
+        return true;
+    }
+    has_head_ = true;
+    keep_alive_ = keep_alive_ && head.keep_alive;
+    idle_seconds_ = head.keep_alive_seconds;
+    if (handlers_.on_head)
+        handlers_.on_head(std::move(head));
+    return stream_->is_open();
+}
+
+void upstream_connection::on_data()
+{
+    auto const self = shared_from_this();
+    upstream_->heard_at = boot_now();
+    if (!is_busy_)
+    {
+        abort(); // bytes that belong to no request
+        return;
+    }
+    while (is_busy_ && stream_->is_open() && !stream_->input().empty())
+    {
+        result<std::size_t> const n = reader_->put(stream_->input());
+        if (!n)
+        {
+            fail_with({n.error().kind, false, n.error().message});
+            return;
+        }
+        stream_->consume(*n);
+        if (!reader_->is_head_done())
+            return;
+        if (!has_head_ && !is_late_answer_ && !take_head())
+            return;
+        std::string body = reader_->take_body();
+        if (!is_late_answer_ && !body.empty() && handlers_.on_body)
+            handlers_.on_body(std::move(body));
+        if (!stream_->is_open() || !is_busy_ || !reader_->is_done())
+            return;
+        if (is_late_answer_)
+        {
+            is_late_answer_ = false;
+            reader_ = std::make_unique<response_reader>(is_head_request_);
+            continue;
+        }
+        finish();
+    }
+}
+
+void upstream_connection::finish()
+{
+    is_busy_ = false;
+    // Bytes behind the answer, or a request that the upstream has not read to
+    // its end, make the connection unfit for another one.
+    if (!stream_->input().empty() || stream_->unsent() > 0)
+        keep_alive_ = false;
+    auto const callback = std::move(handlers_.on_whole);
+    handlers_ = {};
+    if (callback)
+        callback();
+}
+
+void upstream_connection::fail_with(broken_answer const& why)
+{
+    is_busy_ = false;
+    keep_alive_ = false;
+    stream_->close();
+    auto const callback = std::move(handlers_.on_broken);
+    handlers_ = {};
+    if (callback)
+        callback(why);
+}
+
+void upstream_connection::on_end(stream_end why)
+{
+    auto const self = shared_from_this();
+    keep_alive_ = false;
+    if (!is_busy_)
+        return;
+    if (why == stream_end::not_reached || !was_connected_)
+    {
+        fail_with({error_kind::connection_lost, true, "not reached"});
+        return;
+    }
+    // A reset may have dropped bytes on the way, so that only an orderly close
+    // can end an answer without a length.
+    if (why == stream_end::closed && has_head_ && reader_->put_end())
+    {
+        finish();
+        return;
+    }
+    fail_with(
+        {has_head_ ? error_kind::answer_cut : error_kind::connection_lost,
+         false, why == stream_end::reset ? "reset" : "closed"});
+}
+
+upstream_pool::upstream_pool(ev::loop_ref loop, metrics& counters)
+    : loop_(loop)
+    , counters_(counters)
+{
+}
+
+std::shared_ptr<upstream_connection> upstream_pool::take(
+    std::shared_ptr<upstream_state> const& upstream, bool is_repeatable,
+    steady_time now)
+{
+    auto const it = idle_.find(upstream->info.id);
+    while (it != idle_.end() && !it->second.empty())
+    {
+        std::shared_ptr<upstream_connection> c = it->second.back();
+        duration const idle = now - c->idle_since;
+        bool const is_fit = c->upstream() == upstream && c->is_reusable() &&
+                            idle < idle_limit(*c);
+        if (is_fit && !is_repeatable && idle > fresh_idle)
+            break; // the others have been idle for longer
+        it->second.pop_back();
+        if (is_fit)
+            return c;
+        c->abort();
+    }
+    counters_.count("upstream_connections_total");
+    std::shared_ptr<tcp_stream> stream = tcp_stream::connect(
+        loop_, upstream->info.address, upstream_stream_limits);
+    if (!stream)
+        return nullptr;
+    return std::make_shared<upstream_connection>(std::move(stream), upstream);
+}
+
+void upstream_pool::give_back(
+    std::shared_ptr<upstream_connection> const& c, steady_time now)
+{
+    if (!c->is_reusable())
+    {
+        c->abort();
+        return;
+    }
+    c->idle_since = now;
+    idle_[c->upstream()->info.id].push_back(c);
+}
+
+void upstream_pool::sweep(upstream_board const& board, steady_time now)
+{
+    for (auto it = idle_.begin(); it != idle_.end();)
+    {
+        bool const is_listed = board.by_id.contains(it->first);
+        std::erase_if(
+            it->second, [&](std::shared_ptr<upstream_connection> const& c)
+            {
+                return !is_listed || !c->is_reusable() ||
+                       now - c->idle_since > idle_limit(*c);
+            });
+        it = it->second.empty() ? idle_.erase(it) : std::next(it);
+    }
+}
+
+std::size_t upstream_pool::idle() const
+{
+    std::size_t n = 0;
+    for (auto const& [id, all] : idle_)
+        n += all.size();
+    return n;
+}
+
+} // namespace marjorambeam
--- /dev/null
+++ b/src/gateway/version_shift.cpp
@@ -0,0 +1,76 @@
+#include "gateway/version_shift.hpp"
+
+#include <algorithm>
+
+namespace marjorambeam
+{
+namespace
+{
+
+// Bad answers before a judgement; the bound is 50 over all gateways.
+constexpr std::uint64_t min_bad = 5;
+// Bad answers of the target beyond those of the other versions.
+constexpr double bad_excess = 0.12;
+constexpr double bad_factor = 2.0;
+// Good answers before the target takes all requests.
+constexpr std::uint64_t min_answers = 25;
+// Sessions may change to the target after half of the time.
+constexpr double all_from = 0.52;
+// The rest of the time is for streams of the old version to end, and for the
+// write of the status to be repeated.
+constexpr double completed_from = 0.8;
+constexpr std::uint64_t share_steps = 10'000;
+
+double bad_rate(answer_counts const& c)
+{
+    return c.answers == 0 ? 0
+                          : static_cast<double>(c.bad) /
+                                static_cast<double>(c.answers);
+}
+
+} // namespace
+
+bool is_bad_version(shift_evidence const& e)
+{
+    if (e.target.bad < min_bad)
+        return false;
+    double const usual = bad_rate(e.others);
+    return bad_rate(e.target) > std::max(usual * bad_factor, usual + bad_excess);
+}
+
+shift_decision decide_shift(
+    shift_order const& order, shift_evidence const& e, duration elapsed)
+{
+    bool const is_decided = order.state_target == order.target;
+    if (is_decided && (order.state == shift_state::completed ||
+                       order.state == shift_state::reverted))
+        return {order.state, order.state == shift_state::completed, "decided"};
+    if (is_bad_version(e))
+        return {shift_state::reverted, false, "bad_answers"};
+    double const part = to_seconds(elapsed) /
+                        std::max(to_seconds(order.time_limit), 0.001);
+    bool const has_all = is_decided && order.takes_all;
+    if (has_all && part >= completed_from)
+        return {shift_state::completed, true, "good_answers"};
+    if (has_all || (part >= all_from && e.target.answers >= min_answers))
+        return {shift_state::in_progress, true, "good_answers"};
+    return {shift_state::in_progress, false, "trial"};
+}
+
+version_rule
+rule_for(shift_order const& order, bool is_known_bad, std::uint64_t hash)
+{
+    bool const is_decided = order.state_target == order.target;
+    if (is_decided && order.state == shift_state::completed)
+        return {.only = order.target};
+    if (is_known_bad || (is_decided && order.state == shift_state::reverted))
+        return {.never = order.target};
+    if (is_decided && order.takes_all)
+        return {.only = order.target};
+    if (hash % share_steps <
+        static_cast<std::uint64_t>(trial_share * share_steps))
+        return {.only = order.target, .is_trial = true};
+    return {.never = order.target};
+}
+
+} // namespace marjorambeam
--- /dev/null
+++ b/src/gateway/version_shift.hpp
@@ -0,0 +1,100 @@
+// Moves a service's traffic to a new version and judges the version meanwhile.
+//
+// Example:
+//   shift_decision d = decide_shift(order, evidence, elapsed);
+//   if (d.state != order.state) write_status(d);
+//
+// A new version gets a small share of the requests for the first half of the
+// time, then all of them if the evidence is good, and the shift is completed
+// while there is time left. A bad one is reverted at once. Evidence is pooled
+// over all gateways. No I/O. Thread-safe.
+#pragma once
+
+#include "base/time.hpp"
+
+#include <cereal/types/string.hpp>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace marjorambeam
+{
+
+enum class shift_state : std::uint8_t
+{
+    ordered, // nothing was decided yet
+    in_progress,
+    completed,
+    reverted
+};
+
+// An operator's order to move a service to another version.
+struct shift_order
+{
+    std::string service;
+    std::string target;
+    duration time_limit{0};
+    std::uint64_t revision = 0; // of the stored order with its status
+    shift_state state = shift_state::ordered;
+    std::string state_target; // target that `state` belongs to
+    bool takes_all = false;   // the target gets all requests
+};
+
+// Counts of one version's answers at one gateway, or at all.
+struct answer_counts
+{
+    std::uint64_t answers = 0;
+    std::uint64_t bad = 0; // failed, or far slower than the other version
+
+    template <class Archive>
+    void serialize(Archive& ar)
+    {
+        ar(answers, bad);
+    }
+};
+
+struct shift_evidence
+{
+    answer_counts target;
+    answer_counts others;
+
+    template <class Archive>
+    void serialize(Archive& ar)
+    {
+        ar(target, others);
+    }
+};
+
+// Share of a target in its first half. A bad version may get 15% of the
+// requests; sessions and retries don't divide evenly.
+constexpr double trial_share = 0.08;
+
+struct shift_decision
+{
+    shift_state state = shift_state::in_progress;
+    bool takes_all = false;
+    std::string_view reason;
+};
+
+// Whether the target is bad by the evidence.
+bool is_bad_version(shift_evidence const& e);
+
+// Decides by the pooled evidence and the time since the order. A completed or
+// reverted order stays so.
+shift_decision decide_shift(
+    shift_order const& order, shift_evidence const& e, duration elapsed);
+
+// Which versions a request may run on.
+struct version_rule
+{
+    std::string_view only;  // empty: any
+    std::string_view never; // empty: none
+    bool is_trial = false;  // the request is one of the target's share
+};
+
+// Applies an order to one request; `hash` is uniform over requests or
+// sessions. `is_known_bad`: this gateway has already judged the target bad.
+version_rule rule_for(
+    shift_order const& order, bool is_known_bad, std::uint64_t hash);
+
+} // namespace marjorambeam
--- /dev/null
+++ b/src/http_stream/http_reader.cpp
@@ -0,0 +1,280 @@
+#include "http_stream/http_reader.hpp"
+
+#include <algorithm>
+#include <array>
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/core/string.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <charconv>
+#include <optional>
+
+namespace marjorambeam
+{
+namespace
+{
+
+namespace http = boost::beast::http;
+using boost::beast::error_code;
+using boost::beast::iequals;
+
+boost::beast::string_view view(std::string_view s)
+{
+    return {s.data(), s.size()};
+}
+
+std::string text(boost::beast::string_view s)
+{
+    return {s.data(), s.size()};
+}
+
+// Whether the Connection header lists `name`.
+template <class Fields>
+bool is_named_by_connection(Fields const& fields, std::string_view name)
+{
+    for (auto it : http::token_list(fields[http::field::connection]))
+    {
+        if (iequals(it, view(name)))
+            return true;
+    }
+    return false;
+}
+
+template <class Fields>
+header_list copy_headers(Fields const& fields)
+{
+    header_list all;
+    bool const has_connection = fields.count(http::field::connection) > 0;
+    for (auto const& it : fields)
+    {
+        std::string const name = text(it.name_string());
+        if (is_connection_header(name) || iequals(view(name), "content-length"))
+            continue;
+        if (has_connection && is_named_by_connection(fields, name))
+            continue;
+        all.emplace_back(name, text(it.value()));
+    }
+    return all;
+}
+
+error_kind request_error(error_code const& ec)
+{
+    if (ec == http::error::header_limit)
+        return error_kind::header_too_large;
+    if (ec == http::error::body_limit)
+        return error_kind::body_too_large;
+    return error_kind::bad_request;
+}
+
+// Feeds a parser until it needs more or is done. Returns the bytes used.
+template <class Parser>
+std::size_t feed(Parser& parser, std::string_view bytes, error_code& ec)
+{
+    std::size_t used = 0;
+    while (used < bytes.size() && !parser.is_done())
+    {
+        std::size_t const n = parser.put(
+            boost::asio::const_buffer(
+                bytes.data() + used, bytes.size() - used),
+            ec);
+        used += n;
+        if (ec == http::error::need_more)
+        {
+            ec = {};
+            return used;
+        }
+        if (ec || n == 0)
+            return used;
+    }
+    return used;
+}
+
+int keep_alive_seconds(std::string_view value)
+{
+    std::string lower(value);
+    std::transform(
+        lower.begin(), lower.end(), lower.begin(),
+        [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+    constexpr std::string_view key = "timeout=";
+    std::size_t const at = lower.find(key);
+    int seconds = 0;
+    if (at != std::string::npos)
+        std::from_chars(
+            lower.data() + at + key.size(), lower.data() + lower.size(),
+            seconds);
+    return std::max(seconds, 0);
+}
+
+} // namespace
+
+bool is_same_header(std::string_view a, std::string_view b)
+{
+    return iequals(view(a), view(b));
+}
+
+std::string_view find_header(header_list const& headers, std::string_view name)
+{
+    for (auto const& it : headers)
+    {
+        if (is_same_header(it.first, name))
+            return it.second;
+    }
+    return {};
+}
+
+bool is_connection_header(std::string_view name)
+{
+    constexpr std::array<std::string_view, 9> names{
+        "connection",          "keep-alive", "proxy-authenticate",
+        "proxy-authorization", "te",         "trailer",
+        "transfer-encoding",   "upgrade",    "proxy-connection"};
+    return std::any_of(
+        names.begin(), names.end(),
+        [&](std::string_view it) { return is_same_header(it, name); });
+}
+
+std::string_view status_text(int status)
+{
+    auto const s = http::obsolete_reason(http::int_to_status(
+        static_cast<unsigned>(status)));
+    return {s.data(), s.size()};
+}
+
+struct request_reader::implementation
+{
+    http::request_parser<http::string_body> parser;
+};
+
+request_reader::request_reader(message_limits limits)
+    : impl_(std::make_unique<implementation>())
+{
+    impl_->parser.eager(true);
+    impl_->parser.header_limit(
+        static_cast<std::uint32_t>(limits.max_header_bytes));
+    impl_->parser.body_limit(limits.max_body_bytes);
+}
+
+request_reader::~request_reader() = default;
+
+result<std::size_t> request_reader::put(std::string_view bytes)
+{
+    error_code ec;
+    std::size_t const used = feed(impl_->parser, bytes, ec);
+    if (ec)
+        return fail(request_error(ec), ec.message());
+    if (impl_->parser.is_header_done() &&
+        impl_->parser.get().count(http::field::host) != 1)
+        return fail(error_kind::bad_request, "one Host header is required");
+    return used;
+}
+
+bool request_reader::is_head_done() const
+{
+    return impl_->parser.is_header_done();
+}
+
+bool request_reader::is_done() const
+{
+    return impl_->parser.is_done();
+}
+
+bool request_reader::expects_continue() const
+{
+    return iequals(
+        impl_->parser.get()[http::field::expect], "100-continue");
+}
+
+http_request_message request_reader::take()
+{
+    auto& message = impl_->parser.get();
+    http_request_message out;
+    out.method = text(message.method_string());
+    out.target = text(message.target());
+    out.headers = copy_headers(message);
+    out.keep_alive = message.keep_alive();
+    out.body = std::move(message.body());
+    return out;
+}
+
+struct response_reader::implementation
+{
+    std::optional<http::response_parser<http::string_body>> parser;
+
+    void restart(bool has_no_body)
+    {
+        parser.emplace();
+        parser->eager(true);
+        parser->skip(has_no_body);
+        parser->body_limit(boost::none);
+    }
+};
+
+response_reader::response_reader(bool has_no_body)
+    : impl_(std::make_unique<implementation>())
+    , has_no_body_(has_no_body)
+{
+    impl_->restart(has_no_body);
+}
+
+response_reader::~response_reader() = default;
+
+result<std::size_t> response_reader::put(std::string_view bytes)
+{
+    std::size_t used = 0;
+    while (true)
+    {
+        error_code ec;
+        used += feed(*impl_->parser, bytes.substr(used), ec);
+        if (ec)
+            return fail(error_kind::answer_corrupt, ec.message());
+        bool const is_interim =
+            impl_->parser->is_header_done() &&
+            impl_->parser->get().result_int() / 100 == 1;
+        if (!is_interim)
+            return used;
+        impl_->restart(has_no_body_);
+    }
+}
+
+result<void> response_reader::put_end()
+{
+    error_code ec;
+    if (impl_->parser->is_done())
+        return {};
+    impl_->parser->put_eof(ec);
+    if (ec || !impl_->parser->is_done())
+        return fail(error_kind::answer_cut, "the connection was closed early");
+    return {};
+}
+
+bool response_reader::is_head_done() const
+{
+    return impl_->parser->is_header_done();
+}
+
+bool response_reader::is_done() const
+{
+    return impl_->parser->is_done();
+}
+
+http_response_head response_reader::head() const
+{
+    auto const& message = impl_->parser->get();
+    http_response_head out;
+    out.status = static_cast<int>(message.result_int());
+    out.headers = copy_headers(message);
+    out.keep_alive = message.keep_alive() && !impl_->parser->need_eof();
+    auto const value = message[http::field::keep_alive];
+    out.keep_alive_seconds = keep_alive_seconds({value.data(), value.size()});
+    return out;
+}
+
+std::string response_reader::take_body()
+{
+    std::string out;
+    out.swap(impl_->parser->get().body());
+    return out;
+}
+
+} // namespace marjorambeam
--- /dev/null
+++ b/src/http_stream/tcp_stream.cpp
@@ -0,0 +1,322 @@
+#include "http_stream/tcp_stream.hpp"
+
+#include <arpa/inet.h>
+#include <array>
+#include <cerrno>
+#include <charconv>
+#include <cstring>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <stdexcept>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace marjorambeam
+{
+namespace
+{
+
+// Read in one call; larger than a socket's usual share of one event.
+constexpr std::size_t read_bytes = std::size_t{64} << 10U;
+// A buffer that has grown past this is given back when it is empty.
+constexpr std::size_t kept_capacity = std::size_t{4} << 10U;
+constexpr int listen_backlog = 1024;
+
+result<sockaddr_in> parse_address(std::string_view text)
+{
+    std::size_t const colon = text.rfind(':');
+    sockaddr_in to{};
+    to.sin_family = AF_INET;
+    std::uint16_t port = 0;
+    std::string const host(text.substr(0, colon));
+    std::string_view const digits =
+        colon == std::string_view::npos ? "" : text.substr(colon + 1);
+    auto const [end, ec] =
+        std::from_chars(digits.data(), digits.data() + digits.size(), port);
+    if (ec != std::errc{} || end != digits.data() + digits.size() ||
+        inet_pton(AF_INET, host.c_str(), &to.sin_addr) != 1)
+        return fail(
+            error_kind::bad_setting,
+            "not an IPv4 address and port: " + std::string(text));
+    to.sin_port = htons(port);
+    return to;
+}
+
+void set_option(int fd, int level, int option, int value)
+{
+    // A socket without the option still works; the path is then watched by
+    // the timeouts of the requests alone.
+    (void)setsockopt(fd, level, option, &value, sizeof value);
+}
+
+void watch_path(int fd, stream_limits const& limits)
+{
+    auto const ms = std::chrono::duration_cast<std::chrono::milliseconds>(
+        limits.unacknowledged);
+    set_option(fd, IPPROTO_TCP, TCP_NODELAY, 1);
+    set_option(fd, SOL_SOCKET, SO_KEEPALIVE, 1);
+    set_option(fd, IPPROTO_TCP, TCP_KEEPIDLE, limits.probe_after_s);
+    set_option(fd, IPPROTO_TCP, TCP_KEEPINTVL, 1);
+    set_option(fd, IPPROTO_TCP, TCP_KEEPCNT, limits.probes);
+    set_option(
+        fd, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(ms.count()));
+}
+
+void release_if_empty(std::string& buf, std::size_t& start)
+{
+    if (start < buf.size())
+        return;
+    start = 0;
+    buf.clear();
+    if (buf.capacity() > kept_capacity)
+        std::string().swap(buf);
+}
+
+} // namespace
+
+std::shared_ptr<tcp_stream> tcp_stream::connect(
+    ev::loop_ref loop, std::string_view address, stream_limits limits)
+{
+    result<sockaddr_in> const to = parse_address(address);
+    if (!to)
+        return nullptr;
+    int const fd =
+        ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (fd < 0)
+        return nullptr;
+    int const code =
+        ::connect(fd, reinterpret_cast<sockaddr const*>(&*to), sizeof *to);
+    if (code != 0 && errno != EINPROGRESS)
+    {
+        ::close(fd);
+        return nullptr;
+    }
+    return std::make_shared<tcp_stream>(loop, fd, true, limits);
+}
+
+tcp_stream::tcp_stream(
+    ev::loop_ref loop, int fd, bool is_connecting, stream_limits limits)
+    : fd_(fd)
+    , is_connecting_(is_connecting)
+    , io_(loop)
+{
+    watch_path(fd, limits);
+    io_.set<tcp_stream, &tcp_stream::on_ready>(this);
+    watch();
+}
+
+tcp_stream::~tcp_stream()
+{
+    close();
+}
+
+void tcp_stream::close()
+{
+    if (fd_ < 0)
+        return;
+    io_.stop();
+    ::close(fd_);
+    fd_ = -1;
+}
+
+void tcp_stream::close_after_output()
+{
+    is_closing_ = true;
+    if (fd_ >= 0 && unsent() == 0)
+        flush();
+}
+
+void tcp_stream::watch()
+{
+    int events = 0;
+    if (is_connecting_ || unsent() > 0)
+        events |= ev::WRITE;
+    if (!is_connecting_ && !is_paused_)
+        events |= ev::READ;
+    if (io_.is_active() && io_.events == events)
+        return;
+    io_.stop();
+    if (events != 0)
+        io_.start(fd_, events);
+}
+
+void tcp_stream::pause(bool is_paused)
+{
+    is_paused_ = is_paused;
+    if (fd_ >= 0)
+        watch();
+}
+
+void tcp_stream::consume(std::size_t n)
+{
+    input_start_ += n;
+    release_if_empty(input_, input_start_);
+}
+
+void tcp_stream::send(std::string_view bytes)
+{
+    if (fd_ < 0)
+        return;
+    if (!is_connecting_ && unsent() == 0)
+    {
+        ssize_t const n =
+            ::send(fd_, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+        if (n > 0)
+            bytes.remove_prefix(static_cast<std::size_t>(n));
+    }
+    if (bytes.empty())
+        return;
+    output_.append(bytes);
+    watch();
+}
+
+void tcp_stream::flush()
+{
+    while (unsent() > 0)
+    {
+        ssize_t const n = ::send(
+            fd_, output_.data() + output_start_, unsent(), MSG_NOSIGNAL);
+        if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))
+            return;
+        if (n < 0)
+        {
+            end(stream_end::reset);
+            return;
+        }
+        output_start_ += static_cast<std::size_t>(n);
+    }
+    release_if_empty(output_, output_start_);
+    if (is_closing_ && !is_shut_)
+    {
+        // The peer's close follows; closing now could reset the connection
+        // before the peer has read the end of the output.
+        is_shut_ = true;
+        ::shutdown(fd_, SHUT_WR);
+    }
+    if (on_drained_)
+        on_drained_();
+}
+
+void tcp_stream::finish_connecting()
+{
+    int code = 0;
+    socklen_t n = sizeof code;
+    if (getsockopt(fd_, SOL_SOCKET, SO_ERROR, &code, &n) != 0 || code != 0)
+    {
+        end(stream_end::not_reached);
+        return;
+    }
+    is_connecting_ = false;
+    if (on_connected_)
+        on_connected_();
+    if (fd_ >= 0)
+        flush();
+}
+
+bool tcp_stream::read_available()
+{
+    static std::array<char, read_bytes> buf;
+    ssize_t const n = ::recv(fd_, buf.data(), buf.size(), 0);
+    if (n > 0)
+    {
+        input_.append(buf.data(), static_cast<std::size_t>(n));
+        return true;
+    }
+    if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR))
+        return false;
+    end(n == 0 ? stream_end::closed : stream_end::reset);
+    return false;
+}
+
+void tcp_stream::on_ready(ev::io&, int events)
+{
+    auto const self = shared_from_this(); // a callback may drop the owner
+    if (is_connecting_)
+    {
+        finish_connecting();
+    }
+    else
+    {
+        if ((events & ev::WRITE) != 0)
+            flush();
+        if (fd_ >= 0 && (events & ev::READ) != 0 && read_available() &&
+            on_data_)
+            on_data_();
+    }
+    if (fd_ >= 0)
+        watch();
+}
+
+void tcp_stream::end(stream_end why)
+{
+    if (is_connecting_)
+        why = stream_end::not_reached;
+    close();
+    if (on_end_)
+    {
+        auto const callback = std::move(on_end_);
+        on_end_ = nullptr;
+        callback(why);
+    }
+}
+
+tcp_listener::tcp_listener(
+    ev::loop_ref loop, std::string_view address, stream_limits limits,
+    handler on_connection)
+    : loop_(loop)
+    , limits_(limits)
+    , io_(loop)
+    , on_connection_(std::move(on_connection))
+{
+    result<sockaddr_in> const at = parse_address(address);
+    if (!at)
+        throw std::runtime_error(at.error().message);
+    fd_ = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (fd_ < 0)
+        throw std::runtime_error(std::strerror(errno));
+    set_option(fd_, SOL_SOCKET, SO_REUSEADDR, 1);
+    sockaddr_in bound{};
+    socklen_t n = sizeof bound;
+    if (::bind(fd_, reinterpret_cast<sockaddr const*>(&*at), sizeof *at) != 0 ||
+        ::listen(fd_, listen_backlog) != 0 ||
+        getsockname(fd_, reinterpret_cast<sockaddr*>(&bound), &n) != 0)
+    {
+        std::string const why = std::strerror(errno);
+        ::close(fd_);
+        throw std::runtime_error(
+            "can't listen on " + std::string(address) + ": " + why);
+    }
+    port_ = ntohs(bound.sin_port);
+    io_.set<tcp_listener, &tcp_listener::on_ready>(this);
+    io_.start(fd_, ev::READ);
+}
+
+tcp_listener::~tcp_listener()
+{
+    stop();
+}
+
+void tcp_listener::stop()
+{
+    if (fd_ < 0)
+        return;
+    io_.stop();
+    ::close(fd_);
+    fd_ = -1;
+}
+
+void tcp_listener::on_ready(ev::io&, int)
+{
+    constexpr int max_accepts_per_turn = 64;
+    for (int i = 0; i < max_accepts_per_turn && fd_ >= 0; ++i)
+    {
+        int const fd =
+            ::accept4(fd_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+        if (fd < 0)
+            return;
+        on_connection_(
+            std::make_shared<tcp_stream>(loop_, fd, false, limits_));
+    }
+}
+
+} // namespace marjorambeam
--- /dev/null
+++ b/src/http_stream/tcp_stream.hpp
@@ -0,0 +1,179 @@
+// A TCP connection on the process's libev loop, with its unread input and
+// unsent output. Used where a proxied byte stream has to be watched in both
+// directions at once.
+//
+// Example:
+//   auto s = tcp_stream::connect(loop, "10.0.0.1:80", limits);
+//   s->on_data([s = s.get()] { parse(s->input()); });
+//   s->on_end([](stream_end why) { ... });
+//   s->send("GET / HTTP/1.1\r\n\r\n");
+//
+// Everything here runs on the loop's thread; nothing is thread-safe.
+#pragma once
+
+#include "base/time.hpp"
+#include "error/error.hpp"
+
+#include <cstdint>
+#include <ev++.h>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace marjorambeam
+{
+
+// Why a connection ended.
+enum class stream_end : std::uint8_t
+{
+    closed,     // the peer closed its side in order
+    reset,      // the peer reset it, or the path is dead
+    not_reached // it was never established
+};
+
+// When a path counts as dead.
+struct stream_limits
+{
+    // Unacknowledged data for longer than this ends the connection.
+    duration unacknowledged = std::chrono::milliseconds(2000);
+    // An idle connection is probed after this many seconds, and each second
+    // from then on; it ends after `probes` without an answer.
+    int probe_after_s = 1;
+    int probes = 2;
+};
+
+// A connection. Kept alive by its holders; close() or destruction ends it.
+class tcp_stream : public std::enable_shared_from_this<tcp_stream>
+{
+public:
+    // Starts to connect. Returns nothing when no socket can be had.
+    // Precondition: `address` is an IPv4 address and port.
+    static std::shared_ptr<tcp_stream> connect(
+        ev::loop_ref loop, std::string_view address, stream_limits limits);
+
+    // Takes over a socket that does not block.
+    tcp_stream(
+        ev::loop_ref loop, int fd, bool is_connecting, stream_limits limits);
+    ~tcp_stream();
+    tcp_stream(tcp_stream const&) = delete;
+    tcp_stream& operator=(tcp_stream const&) = delete;
+
+    // Called when input() has grown.
+    void on_data(std::function<void()> callback)
+    {
+        on_data_ = std::move(callback);
+    }
+    // Called once when the connection is established.
+    void on_connected(std::function<void()> callback)
+    {
+        on_connected_ = std::move(callback);
+    }
+    // Called once when the peer or the path ends the connection; not by
+    // close().
+    void on_end(std::function<void(stream_end)> callback)
+    {
+        on_end_ = std::move(callback);
+    }
+    // Called when all output has been taken by the socket after some had to
+    // wait.
+    void on_drained(std::function<void()> callback)
+    {
+        on_drained_ = std::move(callback);
+    }
+
+    // Bytes received and not consumed.
+    std::string_view input() const
+    {
+        return std::string_view(input_).substr(input_start_);
+    }
+    // Drops the first `n` bytes of input(). Precondition: there are so many.
+    void consume(std::size_t n);
+
+    // Queues bytes and sends what the socket takes. Ignored once ended.
+    void send(std::string_view bytes);
+    // Bytes that the socket has not taken yet.
+    std::size_t unsent() const
+    {
+        return output_.size() - output_start_;
+    }
+
+    // Stops or continues reading; a stopped connection notices no close.
+    void pause(bool is_paused);
+    bool is_paused() const
+    {
+        return is_paused_;
+    }
+
+    void close();
+    // Closes after the peer has had the chance to read all output: sends
+    // what is left, then ends the sending side, then closes.
+    void close_after_output();
+
+    bool is_open() const
+    {
+        return fd_ >= 0;
+    }
+    bool is_connected() const
+    {
+        return fd_ >= 0 && !is_connecting_;
+    }
+
+private:
+    void on_ready(ev::io&, int events);
+    void finish_connecting();
+    bool read_available();
+    void flush();
+    void watch();
+    void end(stream_end why);
+
+    int fd_ = -1;
+    bool is_connecting_ = false;
+    bool is_paused_ = false;
+    bool is_closing_ = false; // after the output has left
+    bool is_shut_ = false;    // the sending side was ended
+    ev::io io_;
+    std::string input_;
+    std::size_t input_start_ = 0;
+    std::string output_;
+    std::size_t output_start_ = 0;
+    std::function<void()> on_data_;
+    std::function<void()> on_connected_;
+    std::function<void()> on_drained_;
+    std::function<void(stream_end)> on_end_;
+};
+
+// Accepts connections on one address.
+class tcp_listener
+{
+public:
+    using handler = std::function<void(std::shared_ptr<tcp_stream>)>;
+
+    // Throws std::runtime_error when the address can't be bound.
+    tcp_listener(
+        ev::loop_ref loop, std::string_view address, stream_limits limits,
+        handler on_connection);
+    ~tcp_listener();
+    tcp_listener(tcp_listener const&) = delete;
+    tcp_listener& operator=(tcp_listener const&) = delete;
+
+    // Port that it listens on.
+    std::uint16_t port() const
+    {
+        return port_;
+    }
+    // Closes the listening socket.
+    void stop();
+
+private:
+    void on_ready(ev::io&, int);
+
+    ev::loop_ref loop_;
+    stream_limits limits_;
+    int fd_ = -1;
+    std::uint16_t port_ = 0;
+    ev::io io_;
+    handler on_connection_;
+};
+
+} // namespace marjorambeam
--- a/src/log/log.cpp
+++ b/src/log/log.cpp
@@ -59,13 +59,15 @@
 
 } // namespace
 
-void init_log(log_level level, std::string_view instance)
+void init_log(
+    log_level level, std::string_view instance, log_target target)
 {
     threshold = level;
     logging::add_common_attributes();
     boost::shared_ptr<
         logging::sinks::synchronous_sink<logging::sinks::text_ostream_backend>>
-        sink = logging::add_console_log(std::cerr);
+        sink = logging::add_console_log(
+            target == log_target::output ? std::cout : std::cerr);
     sink->set_formatter(
         expr::stream << expr::attr<boost::posix_time::ptime>("TimeStamp") << " "
                      << std::string(instance) << " " << expr::message);
--- a/src/log/log.hpp
+++ b/src/log/log.hpp
@@ -33,9 +33,18 @@
     std::string value;
 };
 
-// Sends all lines of `level` and above to standard error; `instance` is added
-// to each line. Call once, before the first line; not thread-safe.
-void init_log(log_level level, std::string_view instance);
+// Where lines go.
+enum class log_target
+{
+    errors, // standard error
+    output  // standard output
+};
+
+// Sends all lines of `level` and above to `target`; `instance` is added to
+// each line. Call once, before the first line; not thread-safe.
+void init_log(
+    log_level level, std::string_view instance,
+    log_target target = log_target::errors);
 
 // Returns the level named `text`, or `log_level::off` when there is none.
 // Thread-safe.
