Probe store connections and renew watches after a loss

Change: libcurl connections use TCP keep-alive of 1 s with two probes and TCP_USER_TIMEOUT; when the short watch of the configuration is answered again after a loss, the other watches are sent anew on other connections.

Ruled out: short waits for all watches; each call is priced.

Conclusion: a dead connection is noticed within about 3 s.

--- a/src/gateway/object_watch.cpp
+++ b/src/gateway/object_watch.cpp
@@ -29,10 +29,9 @@
     send();
 }
 
-void object_watch::hurry()
+void object_watch::renew()
 {
-    if (!retry_timer_.is_active())
-        return;
+    client_.cancel(call_);
     retry_timer_.stop();
     send();
 }
--- a/src/gateway/object_watch.hpp
+++ b/src/gateway/object_watch.hpp
@@ -97,8 +97,9 @@
 
     // Lists the objects and then watches them. Precondition: not started.
     void start();
-    // Tries again at once if it waits after a failure.
-    void hurry();
+    // Sends its call again on another connection, because the one in use may
+    // be dead. Precondition: started.
+    void renew();
 
 private:
     void send();
--- a/src/gateway/store_controller.cpp
+++ b/src/gateway/store_controller.cpp
@@ -108,10 +108,12 @@
     state_.is_store_lost = false;
     state_.store_back = now;
     log_.info("The store answers again.");
-    upstreams_.hurry();
-    shifts_.hurry();
-    zones_.hurry();
-    gateways_.hurry();
+    // What silenced one connection may have silenced the others.
+    upstreams_.renew();
+    shifts_.renew();
+    zones_.renew();
+    if (is_registered_)
+        gateways_.renew();
 }
 
 void store_controller::on_failure(error const& why, bool is_config)
--- a/src/http_client/http_client.cpp
+++ b/src/http_client/http_client.cpp
@@ -3,6 +3,9 @@
 #include <algorithm>
 #include <cctype>
 #include <curl/curl.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
 
 namespace marjorambeam
 {
@@ -118,6 +121,20 @@
     return tl::unexpected<error>(std::move(e));
 }
 
+// A path that swallows packets ends a call that waits, and an idle connection,
+// within about three seconds, without waiting for the call's own timeout.
+int watch_path(void* /*user*/, curl_socket_t fd, curlsocktype /*purpose*/)
+{
+    constexpr int probes = 2;
+    constexpr int unacknowledged_ms = 2000;
+    bool const is_set =
+        setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof probes) == 0 &&
+        setsockopt(
+            fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacknowledged_ms,
+            sizeof unacknowledged_ms) == 0;
+    return is_set ? CURL_SOCKOPT_OK : CURL_SOCKOPT_ERROR;
+}
+
 void set_options(transfer& t)
 {
     CURL* easy = t.easy;
@@ -128,6 +145,10 @@
     curl_easy_setopt(easy, CURLOPT_PATH_AS_IS, 1L);
     curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
     curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
+    curl_easy_setopt(easy, CURLOPT_TCP_KEEPALIVE, 1L);
+    curl_easy_setopt(easy, CURLOPT_TCP_KEEPIDLE, 1L);
+    curl_easy_setopt(easy, CURLOPT_TCP_KEEPINTVL, 1L);
+    curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, &watch_path);
     curl_easy_setopt(easy, CURLOPT_PRIVATE, &t);
     curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &take_body);
     curl_easy_setopt(easy, CURLOPT_WRITEDATA, &t);
