Choose engines by the expected wait; let peers vouch for the keys

While the store was silent, keyed requests were refused 3.75 s after the last watch was sent, about 2 s after the silence.

Change: work is prompt tokens times the model's pace until the first event, and a part for output until the end; an engine costs its outstanding work plus the request's, less the shared parts that it is expected to have, times its measured pace. Gateways report the age of their confirmation of the configuration; an unchanged watch vouches until 1.2 s before its end, as watches may be deaf for a second.

Ruled out: shorter watches for each gateway; the reports cost no calls.

--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -8,6 +8,8 @@
 using std::chrono::milliseconds;
 
 constexpr duration tick_period = milliseconds(100);
+// A tick that is later than this shows that the process has been paused.
+constexpr duration prompt_within = milliseconds(300);
 // Time between reports, for each gateway that hears them, so that the cost of
 // hearing all others stays the same when there are more of them.
 constexpr duration report_period_per_peer = milliseconds(20);
@@ -112,7 +114,7 @@
     {
         result<gateway_report> const r = report_of(*call);
         if (r)
-            apply_report(state_, *r, now);
+            apply_report(state_, *r, now - last_tick_ < prompt_within, now);
         else
             state_.counters.count("bad_datagrams_total", "report");
     }
@@ -129,6 +131,7 @@
 void gateway_daemon::tick()
 {
     steady_time const now = boot_now();
+    last_tick_ = now;
     store_.tick(now);
     send_reports(now);
     expire_reports(state_, now);
--- a/src/gateway/gateway_daemon.hpp
+++ b/src/gateway/gateway_daemon.hpp
@@ -79,6 +79,7 @@
     std::unique_ptr<http_server> metrics_;
     loop_timer timer_;
     steady_time next_report_{};
+    steady_time last_tick_{};
     int exit_code_ = 0;
 };
 
--- a/src/gateway/gateway_state.cpp
+++ b/src/gateway/gateway_state.cpp
@@ -7,15 +7,21 @@
 namespace
 {
 
-// Part of the key bound that is used. The rest covers a request on its way and
-// a watch that hears nothing for a second while changes are made.
-constexpr double key_bound_part = 0.75;
+// Part of the key bound that is used. The rest covers the time that another
+// gateway's word takes.
+constexpr double key_bound_part = 0.9;
 // Without cold sends in this time after a start, a gateway that restarts
 // within a second does not use its share twice.
 constexpr duration cold_send_pause = std::chrono::seconds(1);
 
 } // namespace
 
+void confirm_config(gateway_state& s, steady_time as_of)
+{
+    if (!s.config_confirmed || as_of > *s.config_confirmed)
+        s.config_confirmed = as_of;
+}
+
 bool are_keys_fresh(gateway_state const& s, steady_time now)
 {
     if (!s.settings.key_bound)
--- a/src/gateway/gateway_state.hpp
+++ b/src/gateway/gateway_state.hpp
@@ -87,9 +87,11 @@
     metrics counters;
 };
 
+// Notes that the configuration in force was the newest one at `as_of`.
+void confirm_config(gateway_state& s, steady_time as_of);
+
 // Whether keyed requests may be served: the store has vouched for the keys
-// recently enough. Waiting for the bound itself would pass on requests whose
-// key was taken away just after the last confirmation.
+// recently enough, to this gateway or to another one.
 bool are_keys_fresh(gateway_state const& s, steady_time now);
 
 // Whether the load balancer may send new connections here.
--- a/src/gateway/model_choice.cpp
+++ b/src/gateway/model_choice.cpp
@@ -1,6 +1,6 @@
 #include "gateway/model_choice.hpp"
 
-#include <algorithm>
+#include <cmath>
 
 namespace marjorambeam
 {
@@ -10,8 +10,8 @@
 // Load from which no larger model is asked: an answer of the small one that is
 // perhaps too simple is better than a late one.
 constexpr double no_larger_load = 1.0;
-// Work of the largest model against the smallest.
-constexpr double largest_weight = 10;
+// Time per token of the largest model against the smallest.
+constexpr double largest_pace = 10;
 
 } // namespace
 
@@ -31,13 +31,13 @@
     return q.models - 1;
 }
 
-double model_weight(std::size_t model, std::size_t models)
+double model_pace(std::size_t model, std::size_t models)
 {
     if (models <= 1)
         return 1;
     double const part =
         static_cast<double>(model) / static_cast<double>(models - 1);
-    return 1 + (largest_weight - 1) * part;
+    return std::pow(largest_pace, part);
 }
 
 } // namespace marjorambeam
--- a/src/gateway/model_choice.hpp
+++ b/src/gateway/model_choice.hpp
@@ -36,8 +36,7 @@
 // answer is to be kept.
 std::optional<std::size_t> next_model(model_question const& q);
 
-// Work of a request on a model relative to the smallest; larger models take
-// more of an upstream's time per token.
-double model_weight(std::size_t model, std::size_t models);
+// Time per token of a model relative to the smallest.
+double model_pace(std::size_t model, std::size_t models);
 
 } // namespace marjorambeam
--- a/src/gateway/object_watch.cpp
+++ b/src/gateway/object_watch.cpp
@@ -70,8 +70,13 @@
         return;
     }
     delay_ = duration{0};
+    // A watch without a change was answered after its whole wait.
+    bool const has_waited = is_listed_ && objects->objects.empty();
+    duration const vouched =
+        has_waited ? std::max(timing_.wait - timing_.deafness, duration{0})
+                   : duration{0};
     on_objects(std::move(*objects));
-    handlers_.on_contact(sent);
+    handlers_.on_contact(sent + vouched);
     send();
 }
 
--- a/src/gateway/object_watch.hpp
+++ b/src/gateway/object_watch.hpp
@@ -70,6 +70,9 @@
     duration patience = std::chrono::milliseconds(1500);
     duration first_retry = std::chrono::milliseconds(150);
     duration longest_retry = std::chrono::milliseconds(1000);
+    // When its history is compacted, the store's watches may hear nothing for
+    // a second although objects change.
+    duration deafness = std::chrono::milliseconds(1200);
 };
 
 struct watch_handlers
@@ -78,8 +81,8 @@
     std::function<void(std::vector<platform_object>&&)> on_all;
     // One that has changed or is deleted.
     std::function<void(platform_object&&)> on_change;
-    // The store answered a call that was sent at this time.
-    std::function<void(steady_time sent)> on_contact;
+    // The store answered. What was read holds as of this time at least.
+    std::function<void(steady_time as_of)> on_contact;
     std::function<void(error const&)> on_failure;
 };
 
--- a/src/gateway/peer_report.cpp
+++ b/src/gateway/peer_report.cpp
@@ -61,6 +61,11 @@
 {
     gateway_report r;
     r.sender = s.settings.instance;
+    if (s.config && s.config_confirmed)
+    {
+        r.config_version = s.config->version;
+        r.config_age_ms = (now - *s.config_confirmed).count() / 1000 + 1;
+    }
     for (auto const& [id, u] : s.upstreams.by_id)
     {
         if (u->requests > 0)
@@ -75,11 +80,15 @@
     return r;
 }
 
-void apply_report(gateway_state& s, gateway_report const& r, steady_time now)
+void apply_report(
+    gateway_state& s, gateway_report const& r, bool is_prompt, steady_time now)
 {
     auto const peer = s.peers.find(r.sender);
     if (peer == s.peers.end())
         return;
+    if (is_prompt && r.config_age_ms >= 0 && s.config &&
+        s.config->version == r.config_version)
+        confirm_config(s, now - std::chrono::milliseconds(r.config_age_ms));
     peer->second.heard_at = now;
     peer->second.loads.clear();
     for (reported_load const& it : r.loads)
--- a/src/gateway/peer_report.hpp
+++ b/src/gateway/peer_report.hpp
@@ -55,13 +55,15 @@
 struct gateway_report
 {
     std::string sender;
+    std::int64_t config_version = 0;
+    std::int64_t config_age_ms = -1; // since it was confirmed; -1: never
     std::vector<reported_load> loads; // of upstreams with work
     std::vector<reported_shift> shifts;
 
     template <class Archive>
     void serialize(Archive& ar)
     {
-        ar(sender, loads, shifts);
+        ar(sender, config_version, config_age_ms, loads, shifts);
     }
 };
 
@@ -81,8 +83,10 @@
 gateway_report make_report(gateway_state const& s, steady_time now);
 
 // Takes another gateway's report to the blackboard. One of an unregistered
-// gateway is ignored.
-void apply_report(gateway_state& s, gateway_report const& r, steady_time now);
+// gateway is ignored. `is_prompt`: it was read when it came; after a pause of
+// the process its ages are too small.
+void apply_report(
+    gateway_state& s, gateway_report const& r, bool is_prompt, steady_time now);
 
 // Forgets the load that gateways have told which were not heard since.
 void expire_reports(gateway_state& s, steady_time now);
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -14,7 +14,7 @@
 using std::chrono::milliseconds;
 
 // Work per engine upstream that it bears without falling behind.
-constexpr double comfortable_work = 200;
+constexpr double comfortable_work = 2e6;
 // Requests that may be at one plain upstream for each of its slots; the rest
 // of its queue is left to gateways whose view is older.
 constexpr std::uint32_t plain_requests_per_slot = 3;
@@ -159,7 +159,7 @@
     model_ = first_model(
         {.models = route_.models.size(),
          .is_resumed = request_.resume_after.has_value()});
-    weight_ = model_weight(model_, route_.models.size());
+    set_work();
     wait_until_ = now + longest_wait();
     if (send(now) == send_outcome::none)
         wait_or_refuse(choice_failure::no_upstream, now);
@@ -174,7 +174,7 @@
     q.never_version = rule.never;
     q.zone = context_.state.settings.zone;
     q.tried = attempts_.tried;
-    q.weight = weight_;
+    q.work = work_;
     q.prefers_few = rule.is_trial;
     q.is_engine = s != nullptr && s->is_engine;
     if (q.is_engine)
@@ -220,7 +220,9 @@
         return false;
     upstream_ = std::move(u);
     upstream_->requests += 1;
-    upstream_->work += weight_;
+    work_left_ = work_.total();
+    upstream_->work += work_left_;
+    work_before_ = upstream_->work + upstream_->peers.work - work_.decode;
     upstream_->sends.add(now);
     if (now < upstream_->cold_until)
         upstream_->cold_sends.add(now);
@@ -279,11 +281,29 @@
     if (upstream_)
     {
         upstream_->requests -= std::min(upstream_->requests, 1U);
-        upstream_->work = std::max(0.0, upstream_->work - weight_);
+        drop_work(work_left_);
         upstream_.reset();
     }
 }
 
+void request_run::drop_work(double part)
+{
+    part = std::min(part, work_left_);
+    work_left_ -= part;
+    upstream_->work = std::max(0.0, upstream_->work - part);
+}
+
+void request_run::set_work()
+{
+    double const pace = model_pace(model_, route_.models.size());
+    double shared = 0;
+    for (std::size_t i = 0; i + 1 < request_.prompt.size(); ++i)
+        shared += request_.prompt[i].tokens;
+    work_.prefill = pace * request_.prompt_tokens;
+    work_.shared = pace * shared;
+    work_.decode = pace * output_token_work * request_.max_output_tokens;
+}
+
 duration request_run::longest_wait() const
 {
     duration const target =
@@ -345,6 +365,8 @@
         return;
     }
     ran_ = run_state::ran;
+    note_first_event(*upstream_, work_before_, now - sent_);
+    drop_work(work_.prefill);
     if (ask_larger_model(a, now))
         return;
     bool const is_success = a.status / 100 == 2;
@@ -390,7 +412,7 @@
     std::string const id = upstream_->info.id;
     release();
     model_ = *next;
-    weight_ = model_weight(model_, route_.models.size());
+    set_work();
     // The upstream has just read the shared parts, if only for another model.
     std::erase(attempts_.tried, id);
     wait_until_ = now + longest_wait();
--- a/src/gateway/request_run.hpp
+++ b/src/gateway/request_run.hpp
@@ -94,7 +94,9 @@
     bool dispatch(std::shared_ptr<upstream_state> u, steady_time now);
     void wait_or_refuse(choice_failure why, steady_time now);
     duration longest_wait() const;
+    void set_work();
     void release();
+    void drop_work(double part);
     void on_head(http_response_head&& head);
     void on_refused_by_upstream(upstream_answer const& a);
     bool ask_larger_model(upstream_answer const& a, steady_time now);
@@ -136,7 +138,9 @@
     std::string service_;
     std::string affinity_;
     std::size_t model_ = 0;
-    double weight_ = 1;
+    request_work work_;
+    double work_left_ = 0;   // of the present attempt, at its upstream
+    double work_before_ = 0; // at the upstream when it was sent, with its own
     attempt_record attempts_;
     steady_time wait_until_{};
     bool is_waiting_ = false;
--- a/src/gateway/store_controller.cpp
+++ b/src/gateway/store_controller.cpp
@@ -10,10 +10,10 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-// Each answer of this watch vouches for the keys, so it is short; the bound of
-// a withdrawn key is several of them.
+// Each answer of this watch vouches for the keys, so it is short against the
+// bound of a withdrawn key.
 constexpr watch_timing config_timing{
-    .wait = milliseconds(1500),
+    .wait = milliseconds(1300),
     .patience = milliseconds(800),
     .first_retry = milliseconds(100),
     .longest_retry = milliseconds(400)};
@@ -83,8 +83,8 @@
         { (this->*on_all)(std::move(all)); },
         .on_change = [this, on_change](platform_object&& o)
         { (this->*on_change)(std::move(o)); },
-        .on_contact = [this, is_config](steady_time sent)
-        { on_contact(sent, is_config); },
+        .on_contact = [this, is_config](steady_time as_of)
+        { on_contact(as_of, is_config); },
         .on_failure = [this, is_config](error const& why)
         { on_failure(why, is_config); }};
 }
@@ -98,11 +98,11 @@
     register_self();
 }
 
-void store_controller::on_contact(steady_time sent, bool is_config)
+void store_controller::on_contact(steady_time as_of, bool is_config)
 {
     steady_time const now = boot_now();
     if (is_config)
-        state_.config_confirmed = sent;
+        confirm_config(state_, as_of);
     if (!is_config || !state_.is_store_lost)
         return;
     state_.is_store_lost = false;
--- a/src/gateway/store_controller.hpp
+++ b/src/gateway/store_controller.hpp
@@ -65,7 +65,7 @@
         void (store_controller::*on_all)(std::vector<platform_object>&&),
         void (store_controller::*on_change)(platform_object&&),
         bool is_config);
-    void on_contact(steady_time sent, bool is_config);
+    void on_contact(steady_time as_of, bool is_config);
     void on_failure(error const& why, bool is_config);
     void take_configs(std::vector<platform_object>&& all);
     void take_config(platform_object&& o);
--- a/src/gateway/upstream_board.cpp
+++ b/src/gateway/upstream_board.cpp
@@ -3,6 +3,7 @@
 #include "base/hash.hpp"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 
 namespace marjorambeam
@@ -15,12 +16,17 @@
 // An upstream's own word on its load is used for this long; later the counts
 // of the gateways are nearer to the truth.
 constexpr duration told_for = milliseconds(300);
-// Load over the mean up to which a prompt's usual upstream is kept. Twice the
-// mean would give up much of the balance, the mean itself the cached parts.
-constexpr double affinity_slack = 1.3;
-// Besides, in units of one request's work, so that few requests don't count as
-// imbalance.
-constexpr double affinity_extra = 2.0;
+// Upstreams that are expected to have the shared parts of a prompt, in order of
+// their rank for its key, as parts of those tokens. The second and third get
+// the requests that the first one has no time for.
+constexpr std::array shared_rank_parts{1.0, 0.6, 0.3};
+// A part that is read again costs time and a price, and pushes out others.
+constexpr double shared_worth = 1.5;
+// Weight of a new sample of an upstream's pace.
+constexpr double pace_smoothing = 0.1;
+// Samples below this work say more of the network than of the upstream.
+constexpr double min_pace_work = 300;
+constexpr double most_pace_ratio = 4;
 // Cost of leaving the availability zone, in requests per slot. Crossing zones
 // costs less than a millisecond, so it only decides between equals.
 constexpr double other_zone_cost = 0.1;
@@ -30,7 +36,7 @@
 struct candidate
 {
     std::shared_ptr<upstream_state> upstream;
-    double load = 0;
+    double cost = 0;
 };
 
 double work_of(upstream_state const& u)
@@ -38,56 +44,86 @@
     return u.work + u.peers.work;
 }
 
-double load_of(
-    upstream_state const& u, choice_question const& q, steady_time now)
+// Pace against the mean of the candidates; 1 while it is not known.
+double relative_pace(upstream_state const& u, double mean_pace)
 {
-    if (q.is_engine)
-        return (work_of(u) + q.weight) * u.slowness;
-    double const slots = std::max<double>(u.info.slots, 1);
-    double load = (known_requests(u, now) + 1) / slots * u.slowness;
-    if (u.info.zone != q.zone)
-        load += other_zone_cost;
-    return load;
+    if (u.pace <= 0 || mean_pace <= 0)
+        return 1;
+    return std::clamp(
+        u.pace / mean_pace, 1 / most_pace_ratio, most_pace_ratio);
 }
 
-bool bears_more(upstream_state& u, choice_question const& q, steady_time now)
+double mean_pace(std::span<candidate const> all)
 {
-    if (now >= u.cold_until || q.cold_share == nullptr)
-        return true;
-    return u.cold_sends.count(now) < q.cold_share(q.context, u);
+    double sum = 0;
+    double n = 0;
+    for (candidate const& it : all)
+    {
+        if (it.upstream->pace <= 0)
+            continue;
+        sum += it.upstream->pace;
+        n += 1;
+    }
+    return n == 0 ? 0 : sum / n;
 }
 
-// The upstream of the affinity key whose load is near the mean; null when the
-// key has none.
-candidate const* pick_by_affinity(
-    std::span<candidate const> all, choice_question const& q)
+// Credits the upstreams that rank first for the key with its shared parts.
+void credit_affinity(std::span<candidate> all, choice_question const& q)
 {
-    double mean = 0;
-    for (candidate const& it : all)
-        mean += it.load / static_cast<double>(all.size());
-    double const limit = mean * affinity_slack + affinity_extra * q.weight;
-    candidate const* best = nullptr;
-    std::uint64_t best_score = 0;
-    for (candidate const& it : all)
+    std::array<std::pair<std::uint64_t, candidate*>, shared_rank_parts.size()>
+        best{};
+    for (candidate& it : all)
     {
-        if (it.load > limit)
-            continue;
-        std::uint64_t const score =
-            rendezvous_score(q.affinity, it.upstream->info.id);
-        if (best == nullptr || score > best_score)
+        std::pair<std::uint64_t, candidate*> entry{
+            rendezvous_score(q.affinity, it.upstream->info.id), &it};
+        for (auto& place : best)
         {
-            best = &it;
-            best_score = score;
+            if (place.second == nullptr || entry.first > place.first)
+                std::swap(place, entry);
+            if (entry.second == nullptr)
+                break;
         }
     }
-    return best;
+    for (std::size_t i = 0; i < best.size(); ++i)
+    {
+        if (best[i].second != nullptr)
+            best[i].second->cost -=
+                q.work.shared * shared_rank_parts[i] * shared_worth;
+    }
 }
 
-candidate const* pick_least(std::span<candidate const> all)
+void set_engine_costs(std::span<candidate> all, choice_question const& q)
 {
-    return &*std::min_element(
-        all.begin(), all.end(), [](candidate const& a, candidate const& b)
-        { return a.load < b.load; });
+    double const mean = mean_pace(all);
+    for (candidate& it : all)
+        it.cost = work_of(*it.upstream) + q.work.prefill;
+    if (!q.affinity.empty())
+        credit_affinity(all, q);
+    for (candidate& it : all)
+    {
+        double const pace = relative_pace(*it.upstream, mean);
+        it.cost = it.cost > 0 ? it.cost * pace : it.cost / pace;
+    }
+}
+
+void set_plain_costs(
+    std::span<candidate> all, choice_question const& q, steady_time now)
+{
+    for (candidate& it : all)
+    {
+        upstream_state const& u = *it.upstream;
+        double const slots = std::max<double>(u.info.slots, 1);
+        it.cost = (known_requests(u, now) + 1) / slots;
+        if (u.info.zone != q.zone)
+            it.cost += other_zone_cost;
+    }
+}
+
+bool bears_more(upstream_state& u, choice_question const& q, steady_time now)
+{
+    if (now >= u.cold_until || q.cold_share == nullptr)
+        return true;
+    return u.cold_sends.count(now) < q.cold_share(q.context, u);
 }
 
 // Leaves the first part of the upstreams in order of name.
@@ -154,20 +190,31 @@
             q.max_requests > 0 && known_requests(*u, now) >= q.max_requests)
             at_least(choice_failure::full);
         else
-            all.push_back({u, load_of(*u, q, now)});
+            all.push_back({u, 0});
     }
     if (all.empty())
         return {nullptr, failure};
     if (q.prefers_few)
         keep_few(all);
-    candidate const* best = nullptr;
-    if (!q.affinity.empty())
-        best = pick_by_affinity(all, q);
-    if (best == nullptr)
-        best = pick_least(all);
+    if (q.is_engine)
+        set_engine_costs(all, q);
+    else
+        set_plain_costs(all, q, now);
+    auto const best = std::min_element(
+        all.begin(), all.end(), [](candidate const& a, candidate const& b)
+        { return a.cost < b.cost; });
     return {best->upstream, choice_failure::none};
 }
 
+void note_first_event(upstream_state& u, double work, duration took)
+{
+    if (work < min_pace_work)
+        return;
+    double const sample = static_cast<double>(took.count()) / work;
+    u.pace = u.pace <= 0 ? sample
+                         : u.pace + (sample - u.pace) * pace_smoothing;
+}
+
 duration avoid_time(std::uint32_t failures)
 {
     std::uint32_t const doublings = std::min(failures, 4U);
--- a/src/gateway/upstream_board.hpp
+++ b/src/gateway/upstream_board.hpp
@@ -54,17 +54,36 @@
     bool is_missing = false;
     std::uint32_t failures_in_row = 0;
     std::uint32_t requests = 0; // sent by this gateway and unfinished
-    double work = 0;            // their weight
+    double work = 0;            // what is left of it, see request_work
     peer_load peers;
     told_load told;
     steady_time told_at{};
     steady_time heard_at{}; // last byte received on any connection
-    // Event gap relative to the service's mean, smoothed; 1 is average.
-    double slowness = 1;
+    // Time to the first event against what its work let expect, smoothed, in
+    // microseconds per unit of work; zero before the first.
+    double pace = 0;
     rate_window cold_sends{std::chrono::seconds(1)};
     rate_window sends{std::chrono::seconds(1)};
 };
 
+// Work of a request at an engine, in prompt tokens read by the smallest model.
+struct request_work
+{
+    double prefill = 0; // until the first event
+    double decode = 0;  // until the end
+    double shared = 0;  // part of `prefill` that cached parts may save
+
+    double total() const
+    {
+        return prefill + decode;
+    }
+};
+
+// Work of one output token against that of a prompt token. Output tokens of
+// all running requests are made together, so that one costs much less than a
+// step of the engine.
+constexpr double output_token_work = 15;
+
 struct upstream_board
 {
     std::map<std::string, std::shared_ptr<upstream_state>, std::less<>> by_id;
@@ -88,7 +107,7 @@
     std::string_view zone;          // of this gateway
     std::string_view affinity;      // key of the prompt's shared parts
     std::span<std::string const> tried; // ids, not to be used again
-    double weight = 1;                  // work of this request
+    request_work work;
     bool prefers_few = false; // gather the requests on few upstreams
     bool is_engine = false;
     std::uint32_t max_requests = 0; // at one upstream, of all; 0: any number
@@ -112,9 +131,9 @@
     choice_failure failure = choice_failure::none;
 };
 
-// Returns the best upstream. With an affinity the requests of one key meet at
-// one upstream while its load is near the mean (consistent hashing with
-// bounded loads); others go where the estimated load is least.
+// Returns the best upstream: for an engine the one that is expected to begin
+// the answer first, where the upstreams that rank first for the affinity key
+// are expected to have its shared parts; else the least loaded one.
 upstream_choice choose_upstream(
     upstream_board& b, choice_question const& q, steady_time now);
 
@@ -125,6 +144,10 @@
 // Mean of the work per upstream of a service, over those that are usable.
 double mean_work(upstream_board const& b, std::string_view service);
 
+// Notes how long the first event took. `work` is what was to be done before
+// it, at the time of sending.
+void note_first_event(upstream_state& u, double work, duration took);
+
 // Time for which an upstream is avoided after `failures` failures in a row.
 duration avoid_time(std::uint32_t failures);
 
