Ask larger models by expected time and save store calls

Change: an output token counts half a prompt token; an answer of low confidence goes to the larger model when that is expected in time, or when its confidence is very low; watches pause after changes (settle) and the short watch is longer where gateways are many; reports carry short numbers and come every 150 to 250 ms.

--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -12,8 +12,8 @@
 constexpr duration prompt_within = milliseconds(300);
 // Time between reports, for each gateway that hears them, so that the cost of
 // hearing all others stays the same when there are more of them.
-constexpr duration report_period_per_peer = milliseconds(20);
-constexpr duration shortest_report_period = milliseconds(200);
+constexpr duration report_period_per_peer = milliseconds(8);
+constexpr duration shortest_report_period = milliseconds(150);
 // What is at work this long before the process is killed is cut, so that its
 // callers see an end.
 constexpr duration cut_margin = milliseconds(600);
--- a/src/gateway/gateway_state.hpp
+++ b/src/gateway/gateway_state.hpp
@@ -62,7 +62,7 @@
 {
     std::string address;
     steady_time heard_at{};
-    std::map<std::string, peer_load, std::less<>> loads; // by upstream
+    std::map<std::uint32_t, peer_load> loads; // by upstream_state::number
 };
 
 struct gateway_state
--- a/src/gateway/model_choice.cpp
+++ b/src/gateway/model_choice.cpp
@@ -1,5 +1,6 @@
 #include "gateway/model_choice.hpp"
 
+#include <algorithm>
 #include <cmath>
 
 namespace marjorambeam
@@ -7,9 +8,6 @@
 namespace
 {
 
-// Load from which no larger model is asked: an answer of the small one that is
-// perhaps too simple is better than a late one.
-constexpr double no_larger_load = 1.0;
 // Time per token of the largest model against the smallest.
 constexpr double largest_pace = 10;
 
@@ -23,14 +21,21 @@
 
 std::optional<std::size_t> next_model(model_question const& q)
 {
-    bool const is_sure =
-        !q.confidence || *q.confidence >= min_confidence;
-    if (is_sure || q.asked + 1 >= q.models || !q.has_attempts ||
-        q.load >= no_larger_load)
+    bool const is_sure = !q.confidence || *q.confidence >= min_confidence;
+    if (is_sure || q.asked + 1 >= q.models || !q.has_attempts)
         return std::nullopt;
     return q.models - 1;
 }
 
+bool is_worth_asking(model_question const& q, larger_model_time const& t)
+{
+    if (!q.confidence || t.expected <= t.left)
+        return true;
+    double const behind = to_seconds(t.expected) /
+                          std::max(to_seconds(t.left), 0.001);
+    return *q.confidence < min_confidence_if_late && behind < hopeless_factor;
+}
+
 double model_pace(std::size_t model, std::size_t models)
 {
     if (models <= 1)
--- a/src/gateway/object_watch.cpp
+++ b/src/gateway/object_watch.cpp
@@ -76,8 +76,12 @@
         has_waited ? std::max(timing_.wait - timing_.deafness, duration{0})
                    : duration{0};
     on_objects(std::move(*objects));
+    bool const has_more = !after_.empty();
     handlers_.on_contact(sent + vouched);
-    send();
+    if (has_waited || has_more || timing_.settle == duration{0})
+        send();
+    else
+        retry_timer_.start(timing_.settle);
 }
 
 void object_watch::on_objects(platform_objects&& objects)
--- a/src/gateway/object_watch.hpp
+++ b/src/gateway/object_watch.hpp
@@ -70,6 +70,8 @@
     duration patience = std::chrono::milliseconds(1500);
     duration first_retry = std::chrono::milliseconds(150);
     duration longest_retry = std::chrono::milliseconds(1000);
+    // Pause after changes, so that those that follow soon come with one call.
+    duration settle{0};
     // When its history is compacted, the store's watches may hear nothing for
     // a second although objects change.
     duration deafness = std::chrono::milliseconds(1200);
@@ -100,6 +102,11 @@
 
     // Lists the objects and then watches them. Precondition: not started.
     void start();
+    // Changes how long each watch call waits. Thread safety as above.
+    void set_wait(duration wait)
+    {
+        timing_.wait = wait;
+    }
     // Sends its call again on another connection, because the one in use may
     // be dead. Precondition: started.
     void renew();
--- a/src/gateway/peer_report.cpp
+++ b/src/gateway/peer_report.cpp
@@ -1,7 +1,10 @@
 #include "gateway/peer_report.hpp"
 
+#include "base/hash.hpp"
+
 #include <cereal/archives/portable_binary.hpp>
 #include <sstream>
+#include <unordered_map>
 
 namespace marjorambeam
 {
@@ -42,12 +45,15 @@
 {
     for (auto const& [id, u] : s.upstreams.by_id)
         u->peers = {};
+    std::unordered_map<std::uint32_t, upstream_state*> by_number;
+    for (auto const& [id, u] : s.upstreams.by_id)
+        by_number[u->number] = u.get();
     for (auto const& [name, p] : s.peers)
     {
-        for (auto const& [id, load] : p.loads)
+        for (auto const& [number, load] : p.loads)
         {
-            auto const it = s.upstreams.by_id.find(id);
-            if (it == s.upstreams.by_id.end())
+            auto const it = by_number.find(number);
+            if (it == by_number.end())
                 continue;
             it->second->peers.requests += load.requests;
             it->second->peers.work += load.work;
@@ -57,6 +63,11 @@
 
 } // namespace
 
+std::uint32_t upstream_number(std::string_view id)
+{
+    return static_cast<std::uint32_t>(hash64(id));
+}
+
 gateway_report make_report(gateway_state const& s, steady_time now)
 {
     gateway_report r;
@@ -69,7 +80,9 @@
     for (auto const& [id, u] : s.upstreams.by_id)
     {
         if (u->requests > 0)
-            r.loads.push_back({id, u->requests, static_cast<float>(u->work)});
+            r.loads.push_back(
+                {u->number, static_cast<std::uint16_t>(u->requests),
+                 static_cast<float>(u->work)});
     }
     for (auto const& [service, t] : s.shifts)
     {
--- a/src/gateway/peer_report.hpp
+++ b/src/gateway/peer_report.hpp
@@ -27,8 +27,8 @@
 
 struct reported_load
 {
-    std::string upstream;
-    std::uint32_t requests = 0;
+    std::uint32_t upstream = 0; // upstream_number() of its id
+    std::uint16_t requests = 0;
     float work = 0;
 
     template <class Archive>
@@ -80,6 +80,10 @@
     }
 };
 
+// Short name of an upstream in reports. Two upstreams with one number would
+// see each other's load, which is harmless. Thread-safe.
+std::uint32_t upstream_number(std::string_view id);
+
 gateway_report make_report(gateway_state const& s, steady_time now);
 
 // Takes another gateway's report to the blackboard. One of an unregistered
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -13,8 +13,6 @@
 
 using std::chrono::milliseconds;
 
-// Work per engine upstream that it bears without falling behind.
-constexpr double comfortable_work = 2e6;
 // Requests that may be at one plain upstream for each of its slots; the rest
 // of its queue is left to gateways whose view is older.
 constexpr std::uint32_t plain_requests_per_slot = 3;
@@ -156,10 +154,9 @@
         give_up(error_kind::upstream_crashed, run_state::not_run, now);
         return;
     }
-    model_ = first_model(
+    set_model(first_model(
         {.models = route_.models.size(),
-         .is_resumed = request_.resume_after.has_value()});
-    set_work();
+         .is_resumed = request_.resume_after.has_value()}));
     wait_until_ = now + longest_wait();
     if (send(now) == send_outcome::none)
         wait_or_refuse(choice_failure::no_upstream, now);
@@ -185,14 +182,11 @@
     return q;
 }
 
-request_run::send_outcome request_run::send(steady_time now)
+upstream_choice request_run::choose(steady_time now)
 {
-    if (remaining(now) < min_attempt_time)
-        return send_outcome::none;
     version_rule const rule =
         version_rule_of(context_.state, service_, hash_);
     choice_question q = question(rule);
-    is_trial_ = !rule.only.empty();
     upstream_choice c = choose_upstream(context_.state.upstreams, q, now);
     if (!c.chosen && rule.is_trial)
     {
@@ -205,6 +199,14 @@
         q.tried = {};
         c = choose_upstream(context_.state.upstreams, q, now);
     }
+    return c;
+}
+
+request_run::send_outcome request_run::send(steady_time now)
+{
+    if (remaining(now) < min_attempt_time)
+        return send_outcome::none;
+    upstream_choice const c = choose(now);
     if (!c.chosen)
     {
         attempts_.last_failure = to_string(kind_of(c.failure));
@@ -293,8 +295,9 @@
     upstream_->work = std::max(0.0, upstream_->work - part);
 }
 
-void request_run::set_work()
+void request_run::set_model(std::size_t model)
 {
+    model_ = model;
     double const pace = model_pace(model_, route_.models.size());
     double shared = 0;
     for (std::size_t i = 0; i + 1 < request_.prompt.size(); ++i)
@@ -396,28 +399,34 @@
     if (has_answer_head_ || a.status / 100 != 2 || route_.models.empty() ||
         events_.last_id())
         return false;
-    double const load =
-        mean_work(context_.state.upstreams, service_) / comfortable_work;
-    std::optional<std::size_t> const next = next_model(
-        {.models = route_.models.size(),
-         .asked = model_,
-         .confidence = a.confidence,
-         .load = load,
-         .has_attempts =
-             attempts_.runs + 2 <= route_.attempts && has_budget(now)});
+    model_question const q{
+        .models = route_.models.size(),
+        .asked = model_,
+        .confidence = a.confidence,
+        .has_attempts =
+            attempts_.runs + 2 <= route_.attempts && has_budget(now)};
+    std::optional<std::size_t> const next = next_model(q);
     if (!next)
         return false;
+    std::size_t const present = model_;
+    set_model(*next);
+    upstream_choice const c = choose(now);
+    larger_model_time const t{
+        .expected = c.expected, .left = started_ + route_.target - now};
+    if (!c.chosen || !is_worth_asking(q, t))
+    {
+        set_model(present);
+        context_.state.counters.count("larger_model_spared_total", route_.name);
+        return false;
+    }
     context_.state.counters.count("larger_model_total", route_.name);
     ++attempts_.runs;
-    std::string const id = upstream_->info.id;
     release();
-    model_ = *next;
-    set_work();
-    // The upstream has just read the shared parts, if only for another model.
-    std::erase(attempts_.tried, id);
-    wait_until_ = now + longest_wait();
-    if (send(now) == send_outcome::none)
+    if (!dispatch(c.chosen, now))
+    {
+        wait_until_ = now + longest_wait();
         wait_or_refuse(choice_failure::no_upstream, now);
+    }
     return true;
 }
 
--- a/src/gateway/request_run.hpp
+++ b/src/gateway/request_run.hpp
@@ -90,11 +90,12 @@
     };
 
     send_outcome send(steady_time now);
+    upstream_choice choose(steady_time now);
+    void set_model(std::size_t model);
     choice_question question(version_rule const& rule) const;
     bool dispatch(std::shared_ptr<upstream_state> u, steady_time now);
     void wait_or_refuse(choice_failure why, steady_time now);
     duration longest_wait() const;
-    void set_work();
     void release();
     void drop_work(double part);
     void on_head(http_response_head&& head);
@@ -146,7 +147,6 @@
     bool is_waiting_ = false;
     bool is_done_ = false;
     bool has_answer_head_ = false; // the caller has the head of its answer
-    bool is_trial_ = false;        // of a new version
     run_state ran_ = run_state::not_run;
 
     std::shared_ptr<upstream_state> upstream_;
--- a/src/gateway/store_controller.cpp
+++ b/src/gateway/store_controller.cpp
@@ -1,5 +1,7 @@
 #include "gateway/store_controller.hpp"
 
+#include "gateway/peer_report.hpp"
+
 #include <algorithm>
 
 namespace marjorambeam
@@ -11,18 +13,34 @@
 using std::chrono::seconds;
 
 // Each answer of this watch vouches for the keys, so it is short against the
-// bound of a withdrawn key.
+// bound of a withdrawn key. Gateways vouch for one another, so that it may be
+// longer where there are many.
 constexpr watch_timing config_timing{
     .wait = milliseconds(1300),
     .patience = milliseconds(800),
     .first_retry = milliseconds(100),
-    .longest_retry = milliseconds(400)};
+    .longest_retry = milliseconds(400),
+    .settle = milliseconds(120)};
+constexpr duration longest_config_wait = milliseconds(2200);
+constexpr duration config_wait_per_gateway = milliseconds(50);
+
 // Each call is priced; dead connections are found by TCP probes.
-constexpr watch_timing long_timing{
-    .wait = seconds(20),
-    .patience = milliseconds(1500),
-    .first_retry = milliseconds(100),
-    .longest_retry = milliseconds(1000)};
+watch_timing long_timing(duration settle)
+{
+    return {
+        .wait = seconds(20),
+        .patience = milliseconds(1500),
+        .first_retry = milliseconds(100),
+        .longest_retry = milliseconds(1000),
+        .settle = settle};
+}
+
+// An upstream that leaves may get requests for two seconds; many of them
+// register or leave within a moment.
+constexpr duration upstream_settle = milliseconds(300);
+constexpr duration order_settle = milliseconds(50);
+// Gateways are registered when they start, before they take requests.
+constexpr duration gateway_settle = milliseconds(1000);
 // Upstreams whose entries lapsed while the store was away register again
 // within two seconds of its return.
 constexpr duration relist_grace = milliseconds(2200);
@@ -48,25 +66,25 @@
               true))
     , upstreams_(
           loop, client, protocol, state.settings.store_address,
-          std::string(documents.upstream_kind), long_timing,
+          std::string(documents.upstream_kind), long_timing(upstream_settle),
           handlers(
               &store_controller::take_upstreams,
               &store_controller::take_upstream, false))
     , shifts_(
           loop, client, protocol, state.settings.store_address,
-          std::string(documents.shift_kind), long_timing,
+          std::string(documents.shift_kind), long_timing(order_settle),
           handlers(
               &store_controller::take_shifts, &store_controller::take_shift,
               false))
     , zones_(
           loop, client, protocol, state.settings.store_address,
-          std::string(documents.zone_out_kind), long_timing,
+          std::string(documents.zone_out_kind), long_timing(order_settle),
           handlers(
               &store_controller::take_zones, &store_controller::take_zone,
               false))
     , gateways_(
           loop, client, protocol, state.settings.store_address,
-          std::string(documents.gateway_kind), long_timing,
+          std::string(documents.gateway_kind), long_timing(gateway_settle),
           handlers(
               &store_controller::take_gateways,
               &store_controller::take_gateway, false))
@@ -231,6 +249,7 @@
              {"leaving", info->is_leaving ? "yes" : "no"},
              {"cold_ms", std::to_string(cold.count() / 1000)}});
     u->is_missing = false;
+    u->number = upstream_number(info->id);
     u->info = std::move(*info);
     set_usual_version(u->info.service);
 }
@@ -363,6 +382,11 @@
     for (auto const& [name, p] : state_.peers)
         state_.gateways.push_back(name);
     state_.gateways.push_back(state_.settings.instance);
+    config_.set_wait(std::min(
+        config_timing.wait + config_wait_per_gateway *
+                                 static_cast<duration::rep>(
+                                     state_.gateways.size() - 1),
+        longest_config_wait));
 }
 
 void store_controller::register_self()
--- a/src/gateway/upstream_board.cpp
+++ b/src/gateway/upstream_board.cpp
@@ -37,6 +37,7 @@
 {
     std::shared_ptr<upstream_state> upstream;
     double cost = 0;
+    double expected = 0; // microseconds until the first event
 };
 
 double work_of(upstream_state const& u)
@@ -103,6 +104,7 @@
     {
         double const pace = relative_pace(*it.upstream, mean);
         it.cost = it.cost > 0 ? it.cost * pace : it.cost / pace;
+        it.expected = std::max(it.cost, 0.0) * mean;
     }
 }
 
@@ -193,7 +195,7 @@
             all.push_back({u, 0});
     }
     if (all.empty())
-        return {nullptr, failure};
+        return {nullptr, duration{0}, failure};
     if (q.prefers_few)
         keep_few(all);
     if (q.is_engine)
@@ -203,7 +205,9 @@
     auto const best = std::min_element(
         all.begin(), all.end(), [](candidate const& a, candidate const& b)
         { return a.cost < b.cost; });
-    return {best->upstream, choice_failure::none};
+    return {
+        best->upstream, duration(static_cast<duration::rep>(best->expected)),
+        choice_failure::none};
 }
 
 void note_first_event(upstream_state& u, double work, duration took)
--- a/src/gateway/upstream_board.hpp
+++ b/src/gateway/upstream_board.hpp
@@ -48,6 +48,7 @@
 struct upstream_state
 {
     upstream_info info;
+    std::uint32_t number = 0;       // its short name in reports
     steady_time cold_until{};    // bears few requests before
     steady_time avoid_until{};   // gets none before, after a failure
     steady_time missing_since{}; // unlisted while the list was unsure
@@ -79,10 +80,10 @@
     }
 };
 
-// Work of one output token against that of a prompt token. Output tokens of
-// all running requests are made together, so that one costs much less than a
-// step of the engine.
-constexpr double output_token_work = 15;
+// Work of one output token against that of a prompt token. The output tokens
+// of all running requests are made together, beside the chunks of prompts that
+// are read, so that one more stream hardly delays a prompt.
+constexpr double output_token_work = 0.5;
 
 struct upstream_board
 {
@@ -108,6 +109,7 @@
     std::string_view affinity;      // key of the prompt's shared parts
     std::span<std::string const> tried; // ids, not to be used again
     request_work work;
+    std::uint64_t seed = 0; // differs between requests
     bool prefers_few = false; // gather the requests on few upstreams
     bool is_engine = false;
     std::uint32_t max_requests = 0; // at one upstream, of all; 0: any number
@@ -128,6 +130,7 @@
 struct upstream_choice
 {
     std::shared_ptr<upstream_state> chosen;
+    duration expected{0}; // until the first event; engines only
     choice_failure failure = choice_failure::none;
 };
 
