Judge upstreams by their failures, blame only confirmed crashes

After an outage of the store, upstreams whose entries had lapsed were not used for two seconds although they worked.

Change: a failure rate per upstream, forgotten within seconds, keeps one that fails most attempts out while others are sound. A broken connection is a suspicion; it counts when the upstream is unreachable, gone or started anew within 6 s. Unlisted upstreams stay in use while the list is unsure. Sessions keep their version during a trial.

--- a/src/gateway/crash_blame.cpp
+++ b/src/gateway/crash_blame.cpp
@@ -41,6 +41,30 @@
     return it->second.breaks.size() >= blamed_breaks;
 }
 
+void suspect(crash_blame& b, suspicion const& s)
+{
+    std::erase_if(
+        b.suspicions, [&](suspicion const& it)
+        { return s.at - it.at > suspicion_memory; });
+    b.suspicions.push_back(s);
+}
+
+void confirm_crash(crash_blame& b, std::string_view upstream, steady_time now)
+{
+    for (suspicion const& it : b.suspicions)
+    {
+        if (it.upstream != upstream || now - it.at > suspicion_memory)
+            continue;
+        std::string const name =
+            it.upstream + "/" + std::to_string(it.upstream_started_ms);
+        if (note_break(b, it.fingerprint, name, now))
+            b.to_report.push_back({it.fingerprint, name});
+    }
+    std::erase_if(
+        b.suspicions,
+        [&](suspicion const& it) { return it.upstream == upstream; });
+}
+
 bool note_break(
     crash_blame& b, std::uint64_t fingerprint, std::string_view upstream,
     steady_time now)
--- a/src/gateway/crash_blame.hpp
+++ b/src/gateway/crash_blame.hpp
@@ -3,11 +3,14 @@
 //
 // Example:
 //   if (is_blamed(b, fingerprint, now)) refuse();
-//   note_break(b, fingerprint, upstream, now); // and tell the other gateways
+//   suspect(b, {fingerprint, upstream, started_ms, now}); // broke off
+//   confirm_crash(b, upstream, now);        // and it has gone, or restarted
 //   note_whole(b, fingerprint);
 //
 // A request that crashes each upstream that runs it is found by its third
-// break; a whole answer clears it. No I/O. Not thread-safe.
+// crash; a whole answer clears it. A connection that breaks is no crash by
+// itself: upstreams may reset connections without any request to blame. No
+// I/O. Not thread-safe.
 #pragma once
 
 #include "base/time.hpp"
@@ -27,6 +30,9 @@
 constexpr std::size_t blamed_breaks = 3;
 // A request that is not sent again is forgotten after this.
 constexpr duration blame_memory = std::chrono::minutes(10);
+// A crash is noticed within this time, when the upstream can't be reached, is
+// not listed any more, or has started anew.
+constexpr duration suspicion_memory = std::chrono::seconds(6);
 // Requests remembered; the oldest is forgotten when there are more.
 constexpr std::size_t blame_capacity = 10'000;
 
@@ -36,9 +42,27 @@
     steady_time last{};
 };
 
+// An upstream's connection broke while it ran the request.
+struct suspicion
+{
+    std::uint64_t fingerprint = 0;
+    std::string upstream;
+    std::int64_t upstream_started_ms = 0; // tells its lifetimes apart
+    steady_time at{};
+};
+
+// A crash that the other gateways are to be told.
+struct confirmed_break
+{
+    std::uint64_t fingerprint = 0;
+    std::string upstream;
+};
+
 struct crash_blame
 {
     std::unordered_map<std::uint64_t, break_record> by_fingerprint;
+    std::vector<suspicion> suspicions;
+    std::vector<confirmed_break> to_report; // taken by who reports
 };
 
 // Returns the number that identifies a request's contents.
@@ -48,7 +72,14 @@
 
 bool is_blamed(crash_blame& b, std::uint64_t fingerprint, steady_time now);
 
-// Notes that `upstream` broke off while it ran the request. Returns false when
+// Notes that the upstream's connection broke while it ran the request. Drops
+// suspicions that are too old.
+void suspect(crash_blame& b, suspicion const& s);
+
+// The upstream has crashed: those suspected of late are to blame.
+void confirm_crash(crash_blame& b, std::string_view upstream, steady_time now);
+
+// Notes that `upstream` crashed while it ran the request. Returns false when
 // this break was known.
 bool note_break(
     crash_blame& b, std::uint64_t fingerprint, std::string_view upstream,
--- /dev/null
+++ b/src/gateway/gateway_config_test.cpp
@@ -0,0 +1,73 @@
+#include "gateway/gateway_config.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace marjorambeam;
+
+namespace
+{
+
+gateway_config two_routes()
+{
+    gateway_config c;
+    c.routes.push_back({.name = "short", .host = "h", .prefix = "/a/"});
+    c.routes.push_back({.name = "long", .host = "h", .prefix = "/a/b/"});
+    c.routes.push_back({.name = "other", .host = "i", .prefix = "/"});
+    c.organisations.push_back({.name = "o"});
+    c.organisation_by_key["k"] = 0;
+    index_routes(c);
+    return c;
+}
+
+} // namespace
+
+// Guards against a request that goes to the service of a shorter prefix.
+TEST_CASE("The longest prefix of the host counts")
+{
+    gateway_config const c = two_routes();
+    CHECK(find_route(c, "h", "/a/b/c")->name == "long");
+    CHECK(find_route(c, "h", "/a/b")->name == "short");
+    CHECK(find_route(c, "h:8080", "/a/")->name == "short");
+    CHECK(find_route(c, "i", "/any")->name == "other");
+    CHECK(find_route(c, "h", "/b/") == nullptr);
+    CHECK(find_route(c, "h", "/ab/") == nullptr);
+    CHECK(find_route(c, "j", "/a/") == nullptr);
+    CHECK(find_route(c, "h", "") == nullptr);
+}
+
+// Guards against a key that belongs to nobody.
+TEST_CASE("A key names its organisation")
+{
+    gateway_config const c = two_routes();
+    REQUIRE(find_organisation(c, "k") != nullptr);
+    CHECK(find_organisation(c, "k")->name == "o");
+    CHECK(find_organisation(c, "") == nullptr);
+    CHECK(find_organisation(c, "x") == nullptr);
+}
+
+// Guards against a split whose parts differ from its weights, or that sends to
+// a service of weight zero.
+TEST_CASE("A split follows its weights")
+{
+    gateway_route const r{
+        .services = {{"a", 90}, {"none", 0}, {"b", 10}}};
+    int b = 0;
+    for (std::uint64_t i = 0; i < 1000; ++i)
+    {
+        std::string const& s = pick_service(r, i);
+        CHECK(s != "none");
+        b += s == "b" ? 1 : 0;
+    }
+    CHECK(b == 100);
+    CHECK(pick_service({.services = {{"a", 0}}}, 5) == "a");
+}
+
+// Guards against a second run of work that must run once.
+TEST_CASE("Only idempotent and resumable work is repeatable")
+{
+    CHECK(is_repeatable({.kind = route_kind::idempotent}));
+    CHECK_FALSE(is_repeatable({.kind = route_kind::non_idempotent}));
+    CHECK_FALSE(is_repeatable({.kind = route_kind::streaming}));
+    CHECK(is_repeatable(
+        {.kind = route_kind::streaming, .is_resumable = true}));
+}
--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -8,6 +8,7 @@
 using std::chrono::milliseconds;
 
 constexpr duration tick_period = milliseconds(100);
+constexpr duration expiry_period = std::chrono::seconds(1);
 // A tick that is later than this shows that the process has been paused.
 constexpr duration prompt_within = milliseconds(300);
 // Time between reports, for each gateway that hears them, so that the cost of
@@ -44,9 +45,7 @@
           [this](error const& e)
           { state_.counters.count("bad_datagrams_total", to_string(e.kind)); })
     , requests_(
-          loop, state_, protocols.calls, pool_,
-          [this](std::uint64_t fingerprint, std::string_view upstream)
-          { report_break(fingerprint, upstream); })
+          loop, state_, protocols.calls, pool_)
     , store_(loop, state_, client_, protocols.store, protocols.documents)
     , readiness_(
           loop, admin_settings(settings.readiness_address),
@@ -97,13 +96,20 @@
         peers_.send(p.address, m);
 }
 
-void gateway_daemon::report_break(
-    std::uint64_t fingerprint, std::string_view upstream)
+void gateway_daemon::report_breaks()
 {
-    message const m =
-        to_call(upstream_break{fingerprint, std::string(upstream)});
-    for (auto const& [name, p] : state_.peers)
-        peers_.send(p.address, m);
+    std::vector<confirmed_break> const all =
+        std::exchange(state_.blame.to_report, {});
+    for (confirmed_break const& it : all)
+    {
+        log_.warning(
+            "A request was at work when its upstream crashed.",
+            {{"fingerprint", to_hex(it.fingerprint)},
+             {"upstream", it.upstream}});
+        message const m = to_call(upstream_break{it.fingerprint, it.upstream});
+        for (auto const& [name, p] : state_.peers)
+            peers_.send(p.address, m);
+    }
 }
 
 void gateway_daemon::on_message(message&& m)
@@ -134,7 +140,13 @@
     last_tick_ = now;
     store_.tick(now);
     send_reports(now);
+    report_breaks();
     expire_reports(state_, now);
+    if (now >= next_expiry_)
+    {
+        next_expiry_ = now + expiry_period;
+        expire_sessions(state_.sessions, now);
+    }
     if (state_.drain_started)
         continue_shutdown(now);
 }
--- a/src/gateway/gateway_daemon.hpp
+++ b/src/gateway/gateway_daemon.hpp
@@ -62,7 +62,7 @@
     void tick();
     void send_reports(steady_time now);
     void on_message(message&& m);
-    void report_break(std::uint64_t fingerprint, std::string_view upstream);
+    void report_breaks();
     void on_admin(std::shared_ptr<http_exchange> const& exchange);
     void continue_shutdown(steady_time now);
 
@@ -80,6 +80,7 @@
     loop_timer timer_;
     steady_time next_report_{};
     steady_time last_tick_{};
+    steady_time next_expiry_{};
     int exit_code_ = 0;
 };
 
--- a/src/gateway/gateway_state.cpp
+++ b/src/gateway/gateway_state.cpp
@@ -72,11 +72,13 @@
 }
 
 version_rule version_rule_of(
-    gateway_state const& s, std::string_view service, std::uint64_t hash)
+    gateway_state const& s, std::string_view service, std::string_view pinned,
+    std::uint64_t hash)
 {
     auto const it = s.shifts.find(service);
     if (it != s.shifts.end())
-        return rule_for(it->second.order, it->second.is_known_bad, hash);
+        return rule_for(
+            it->second.order, it->second.is_known_bad, pinned, hash);
     auto const usual = s.usual_version.find(service);
     if (usual == s.usual_version.end())
         return {};
--- a/src/gateway/gateway_state.hpp
+++ b/src/gateway/gateway_state.hpp
@@ -13,6 +13,7 @@
 #include "base/time.hpp"
 #include "gateway/crash_blame.hpp"
 #include "gateway/gateway_config.hpp"
+#include "gateway/session_pins.hpp"
 #include "gateway/shared_limits.hpp"
 #include "gateway/upstream_board.hpp"
 #include "gateway/version_shift.hpp"
@@ -82,6 +83,7 @@
     steady_time store_back{}; // end of the last loss of the store
     std::map<std::string, extra_attempts, std::less<>> attempts; // by service
     crash_blame blame;
+    session_pins sessions;
     std::optional<steady_time> drain_started;
     steady_time started{};
     metrics counters;
@@ -106,8 +108,10 @@
 // Time since the order of a roll-out was first seen by any gateway.
 duration elapsed_of(shift_track const& t, steady_time now);
 
-// Which versions of `service` a request may run on; `hash` is uniform.
-version_rule
-version_rule_of(gateway_state const& s, std::string_view service, std::uint64_t hash);
+// Which versions of `service` a request may run on; `pinned` is that of its
+// session's last request, `hash` is uniform.
+version_rule version_rule_of(
+    gateway_state const& s, std::string_view service, std::string_view pinned,
+    std::uint64_t hash);
 
 } // namespace marjorambeam
--- a/src/gateway/request_controller.cpp
+++ b/src/gateway/request_controller.cpp
@@ -29,12 +29,12 @@
 
 request_controller::request_controller(
     ev::loop_ref loop, gateway_state& state, call_protocol const& protocol,
-    upstream_pool& pool, break_reporter report_break)
+    upstream_pool& pool)
     : loop_(loop)
     , state_(state)
     , protocol_(protocol)
     , pool_(pool)
-    , context_{loop, state, protocol, pool, log_, waiting_, std::move(report_break)}
+    , context_{loop, state, protocol, pool, log_, waiting_}
     , listener_(
           loop, state.settings.client_address, caller_stream_limits,
           [this](std::shared_ptr<tcp_stream> s)
--- a/src/gateway/request_controller.hpp
+++ b/src/gateway/request_controller.hpp
@@ -2,7 +2,7 @@
 // them.
 //
 // Example:
-//   request_controller requests(loop, state, protocol, pool, report_break);
+//   request_controller requests(loop, state, protocol, pool);
 //   requests.begin_drain(now);
 //
 // Everything here runs on the loop's thread; nothing is thread-safe.
@@ -14,7 +14,6 @@
 #include "gateway/request_run.hpp"
 #include "log/log.hpp"
 
-#include <functional>
 #include <list>
 #include <memory>
 #include <string_view>
@@ -26,14 +25,11 @@
 class request_controller
 {
 public:
-    using break_reporter =
-        std::function<void(std::uint64_t, std::string_view)>;
-
     // Listens for callers. Throws std::runtime_error when the address can't
     // be bound. The references outlive the controller.
     request_controller(
         ev::loop_ref loop, gateway_state& state, call_protocol const& protocol,
-        upstream_pool& pool, break_reporter report_break);
+        upstream_pool& pool);
 
     // Tells callers to use other connections, and closes idle ones later.
     void begin_drain(steady_time now);
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -172,7 +172,7 @@
     q.zone = context_.state.settings.zone;
     q.tried = attempts_.tried;
     q.work = work_;
-    q.prefers_few = rule.is_trial;
+    q.prefers_few = rule.may_leave;
     q.is_engine = s != nullptr && s->is_engine;
     if (q.is_engine)
         q.affinity = affinity_;
@@ -184,11 +184,13 @@
 
 upstream_choice request_run::choose(steady_time now)
 {
+    std::string_view const pinned = pinned_version(
+        context_.state.sessions, request_.session, now);
     version_rule const rule =
-        version_rule_of(context_.state, service_, hash_);
+        version_rule_of(context_.state, service_, pinned, hash_);
     choice_question q = question(rule);
     upstream_choice c = choose_upstream(context_.state.upstreams, q, now);
-    if (!c.chosen && rule.is_trial)
+    if (!c.chosen && rule.may_leave)
     {
         // The new version has nobody free; the others serve its share.
         q = question({.never = rule.only});
@@ -232,6 +234,9 @@
         budget().extras.add(now);
     ++attempts_.sends;
     attempts_.tried.push_back(upstream_->info.id);
+    note_session(
+        context_.state.sessions, request_.session, upstream_->info.version,
+        now);
     sent_ = now;
     last_event_ = now;
     is_event_stream_ = false;
@@ -481,6 +486,7 @@
             return;
         }
         judge_version(false);
+        note_outcome(*upstream_, false, now);
         note_whole(context_.state.blame, fingerprint_);
         std::shared_ptr<upstream_connection> const c = std::move(connection_);
         release();
@@ -496,6 +502,7 @@
 {
     bool const is_failure = head_.status >= 500;
     judge_version(is_failure);
+    note_outcome(*upstream_, is_failure, now);
     std::shared_ptr<upstream_connection> const c = std::move(connection_);
     release();
     context_.pool.give_back(c, now);
@@ -534,8 +541,11 @@
     steady_time const now = boot_now();
     gateway_service const* const s = service();
     if (why.is_unsent)
+    {
         note_unreachable(
             *upstream_, s != nullptr ? s->cold_start : duration{0}, now);
+        confirm_crash(context_.state.blame, upstream_->info.id, now);
+    }
     fail_attempt(why.kind, !why.is_unsent, why.why, now);
 }
 
@@ -565,6 +575,7 @@
                             {"after_ms", in_ms(now - sent_)},
                             {"may_have_run", may_have_run ? "yes" : "no"},
                             {"events", std::to_string(events_.events())}});
+    note_outcome(*upstream_, true, now);
     if (may_have_run)
     {
         ++attempts_.runs;
@@ -573,13 +584,10 @@
         bool const is_break = kind == error_kind::connection_lost ||
                               kind == error_kind::answer_cut;
         if (is_break)
-        {
-            std::string const at =
-                upstream_->info.id + "/" +
-                std::to_string(upstream_->info.started_unix_ms);
-            if (note_break(context_.state.blame, fingerprint_, at, now))
-                context_.report_break(fingerprint_, at);
-        }
+            suspect(
+                context_.state.blame,
+                {fingerprint_, upstream_->info.id,
+                 upstream_->info.started_unix_ms, now});
         judge_version(true);
     }
     attempts_.last_failure = to_string(kind);
@@ -717,6 +725,7 @@
         {{"request_id", request_.attempt_id},
          {"route", route_.name},
          {"organisation", organisation_},
+         {"session", request_.session.empty() ? "-" : request_.session},
          {"outcome", std::string(outcome)},
          {"status", std::to_string(status)},
          {"upstream", attempts_.tried.empty() ? "-" : attempts_.tried.back()},
--- a/src/gateway/request_run.hpp
+++ b/src/gateway/request_run.hpp
@@ -14,7 +14,6 @@
 #include "http_stream/event_stream.hpp"
 #include "log/log.hpp"
 
-#include <functional>
 #include <list>
 #include <memory>
 #include <optional>
@@ -37,9 +36,6 @@
     logger const& log;
     // Runs that wait for an upstream.
     std::list<std::shared_ptr<request_run>>& waiting;
-    // Tells the other gateways that the request's upstream broke off.
-    std::function<void(std::uint64_t fingerprint, std::string_view upstream)>
-        report_break;
 };
 
 class request_run : public std::enable_shared_from_this<request_run>
--- /dev/null
+++ b/src/gateway/shared_limits_test.cpp
@@ -0,0 +1,82 @@
+#include "gateway/shared_limits.hpp"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+using namespace marjorambeam;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// Guards against a retry storm: with all upstreams failing, every gateway
+// repeats as often as it may, and one of them restarts in the middle.
+TEST_CASE("Extra attempts of all gateways stay within the shared bound")
+{
+    extra_attempt_limits const limits{.ratio = 0.9, .allowance = 54};
+    constexpr std::size_t gateways = 4;
+    std::vector<extra_attempts> all(gateways);
+    rate_window requests(seconds(10));
+    rate_window extras(seconds(10));
+    for (int ms = 0; ms < 40000; ms += 10)
+    {
+        steady_time const now{milliseconds(ms)};
+        if (ms == 17000)
+            all[0] = {}; // restarted: it has forgotten what it sent
+        std::size_t const g = static_cast<std::size_t>(ms / 10) % gateways;
+        if (ms < 20000)
+        {
+            all[g].requests.add(now);
+            requests.add(now);
+        }
+        for (extra_attempts& it : all)
+        {
+            if (!may_send_again(it, limits, gateways, now))
+                continue;
+            it.extras.add(now);
+            extras.add(now);
+        }
+        double const bound =
+            limits.ratio * static_cast<double>(requests.count(now)) +
+            limits.allowance;
+        // Requests of the window before count as well; none are needed here
+        // while there is traffic.
+        if (ms < 20000)
+            REQUIRE(static_cast<double>(extras.count(now)) <= bound);
+    }
+}
+
+// Guards against shares that add up to more than a cold upstream bears.
+TEST_CASE("Shares of a cold upstream add up to less than its bound")
+{
+    bool const holds = rc::check(
+        []
+        {
+            cold_limits const limits{
+                .per_second = static_cast<double>(*rc::gen::inRange(1, 40)),
+                .factor = 1.5,
+                .tolerance = 5};
+            std::vector<std::string> names;
+            int const n = *rc::gen::inRange(1, 40);
+            for (int i = 0; i < n; ++i)
+                names.push_back("gateway-" + std::to_string(i));
+            std::size_t sum = 0;
+            for (std::string const& it : names)
+                sum += cold_share(limits, "upstream", it, names);
+            RC_ASSERT(
+                static_cast<double>(sum) <=
+                limits.per_second * limits.factor + limits.tolerance);
+        });
+    CHECK(holds);
+}
+
+// Guards against a fleet so large that each share of a cold upstream is zero.
+TEST_CASE("A cold upstream gets requests from a large fleet")
+{
+    std::vector<std::string> names;
+    for (int i = 0; i < 31; ++i)
+        names.push_back("gateway-" + std::to_string(i));
+    std::size_t sum = 0;
+    for (std::string const& it : names)
+        sum += cold_share(
+            {.per_second = 14, .factor = 1.5, .tolerance = 5}, "u", it, names);
+    CHECK(sum >= 14);
+}
--- a/src/gateway/store_controller.cpp
+++ b/src/gateway/store_controller.cpp
@@ -21,8 +21,8 @@
     .first_retry = milliseconds(100),
     .longest_retry = milliseconds(400),
     .settle = milliseconds(120)};
-constexpr duration longest_config_wait = milliseconds(2200);
-constexpr duration config_wait_per_gateway = milliseconds(50);
+constexpr duration longest_config_wait = milliseconds(1800);
+constexpr duration config_wait_per_gateway = milliseconds(25);
 
 // Each call is priced; dead connections are found by TCP probes.
 watch_timing long_timing(duration settle)
@@ -31,13 +31,14 @@
         .wait = seconds(20),
         .patience = milliseconds(1500),
         .first_retry = milliseconds(100),
-        .longest_retry = milliseconds(1000),
+        // The watch of the configuration finds out when the store is back.
+        .longest_retry = milliseconds(4000),
         .settle = settle};
 }
 
 // An upstream that leaves may get requests for two seconds; many of them
 // register or leave within a moment.
-constexpr duration upstream_settle = milliseconds(300);
+constexpr duration upstream_settle = milliseconds(400);
 constexpr duration order_settle = milliseconds(50);
 // Gateways are registered when they start, before they take requests.
 constexpr duration gateway_settle = milliseconds(1000);
@@ -209,6 +210,8 @@
         return;
     }
     log_.info("Upstream gone.", {{"upstream", std::string(id)}});
+    if (!it->second->info.is_leaving)
+        confirm_crash(state_.blame, id, now);
     state_.upstreams.by_id.erase(it);
 }
 
@@ -230,6 +233,8 @@
     std::shared_ptr<upstream_state>& u = state_.upstreams.by_id[info->id];
     bool const is_new = !u || u->info.started_unix_ms != info->started_unix_ms ||
                         u->info.address != info->address;
+    if (is_new && u)
+        confirm_crash(state_.blame, info->id, now);
     if (is_new)
         u = std::make_shared<upstream_state>();
     gateway_service const* const s =
--- a/src/gateway/upstream_board.cpp
+++ b/src/gateway/upstream_board.cpp
@@ -27,6 +27,16 @@
 // Samples below this work say more of the network than of the upstream.
 constexpr double min_pace_work = 300;
 constexpr double most_pace_ratio = 4;
+// Weight of the latest outcome in the failure rate.
+constexpr double outcome_weight = 0.4;
+// A rate is forgotten with this time constant, so that an upstream that was
+// not sound is tried again after two or three seconds.
+constexpr double outcome_memory_s = 3;
+constexpr double unsound_rate = 0.5;
+// Cost of a certain failure: for an engine in units of work, the time to run
+// a mean request again; for a plain service in requests per slot.
+constexpr double engine_failure_cost = 20'000;
+constexpr double plain_failure_cost = 2;
 // Cost of leaving the availability zone, in requests per slot. Crossing zones
 // costs less than a millisecond, so it only decides between equals.
 constexpr double other_zone_cost = 0.1;
@@ -93,7 +103,8 @@
     }
 }
 
-void set_engine_costs(std::span<candidate> all, choice_question const& q)
+void set_engine_costs(
+    std::span<candidate> all, choice_question const& q, steady_time now)
 {
     double const mean = mean_pace(all);
     for (candidate& it : all)
@@ -105,6 +116,7 @@
         double const pace = relative_pace(*it.upstream, mean);
         it.cost = it.cost > 0 ? it.cost * pace : it.cost / pace;
         it.expected = std::max(it.cost, 0.0) * mean;
+        it.cost += failure_rate(*it.upstream, now) * engine_failure_cost;
     }
 }
 
@@ -118,6 +130,7 @@
         it.cost = (known_requests(u, now) + 1) / slots;
         if (u.info.zone != q.zone)
             it.cost += other_zone_cost;
+        it.cost += failure_rate(u, now) * plain_failure_cost;
     }
 }
 
@@ -172,6 +185,7 @@
     upstream_board& b, choice_question const& q, steady_time now)
 {
     std::vector<candidate> all;
+    std::vector<candidate> unsound;
     choice_failure failure = choice_failure::no_upstream;
     auto at_least = [&](choice_failure f) { failure = std::min(failure, f); };
     for (auto const& [id, u] : b.by_id)
@@ -184,22 +198,26 @@
             continue;
         if (std::find(q.tried.begin(), q.tried.end(), id) != q.tried.end())
             continue;
-        if (now < u->avoid_until || u->is_missing)
+        if (now < u->avoid_until)
             at_least(choice_failure::unreachable);
         else if (!bears_more(*u, q, now))
             at_least(choice_failure::cold);
         else if (
             q.max_requests > 0 && known_requests(*u, now) >= q.max_requests)
             at_least(choice_failure::full);
+        else if (failure_rate(*u, now) > unsound_rate)
+            unsound.push_back({u});
         else
-            all.push_back({u, 0});
+            all.push_back({u});
     }
+    if (all.empty())
+        all = std::move(unsound);
     if (all.empty())
         return {nullptr, duration{0}, failure};
     if (q.prefers_few)
         keep_few(all);
     if (q.is_engine)
-        set_engine_costs(all, q);
+        set_engine_costs(all, q, now);
     else
         set_plain_costs(all, q, now);
     auto const best = std::min_element(
@@ -232,6 +250,19 @@
     u.cold_until = std::max(u.cold_until, u.avoid_until + cold_start);
 }
 
+double failure_rate(upstream_state const& u, steady_time now)
+{
+    return u.failure_rate *
+           std::exp(-to_seconds(now - u.outcome_at) / outcome_memory_s);
+}
+
+void note_outcome(upstream_state& u, bool is_failure, steady_time now)
+{
+    double const before = failure_rate(u, now);
+    u.failure_rate = before + ((is_failure ? 1 : 0) - before) * outcome_weight;
+    u.outcome_at = now;
+}
+
 void note_answered(upstream_state& u, steady_time now)
 {
     u.failures_in_row = 0;
--- a/src/gateway/upstream_board.hpp
+++ b/src/gateway/upstream_board.hpp
@@ -54,6 +54,8 @@
     steady_time missing_since{}; // unlisted while the list was unsure
     bool is_missing = false;
     std::uint32_t failures_in_row = 0;
+    double failure_rate = 0; // of recent attempts, see note_outcome()
+    steady_time outcome_at{};
     std::uint32_t requests = 0; // sent by this gateway and unfinished
     double work = 0;            // what is left of it, see request_work
     peer_load peers;
@@ -159,6 +161,14 @@
 void note_unreachable(
     upstream_state& u, duration cold_start, steady_time now);
 
+// Notes how an attempt ended. Failures weigh more the more recent they are; an
+// upstream that fails most of its attempts gets none while others are sound.
+// One that fails at once looks idle, and would draw all requests otherwise.
+void note_outcome(upstream_state& u, bool is_failure, steady_time now);
+
+// Part of the recent attempts that failed, as of `now`.
+double failure_rate(upstream_state const& u, steady_time now);
+
 // Notes that the upstream has answered.
 void note_answered(upstream_state& u, steady_time now);
 
--- a/src/gateway/version_shift.cpp
+++ b/src/gateway/version_shift.cpp
@@ -57,8 +57,9 @@
     return {shift_state::in_progress, false, "trial"};
 }
 
-version_rule
-rule_for(shift_order const& order, bool is_known_bad, std::uint64_t hash)
+version_rule rule_for(
+    shift_order const& order, bool is_known_bad, std::string_view pinned,
+    std::uint64_t hash)
 {
     bool const is_decided = order.state_target == order.target;
     if (is_decided && order.state == shift_state::completed)
@@ -67,9 +68,12 @@
         return {.never = order.target};
     if (is_decided && order.takes_all)
         return {.only = order.target};
+    if (!pinned.empty())
+        return pinned == order.target ? version_rule{.only = order.target}
+                                      : version_rule{.never = order.target};
     if (hash % share_steps <
         static_cast<std::uint64_t>(trial_share * share_steps))
-        return {.only = order.target, .is_trial = true};
+        return {.only = order.target, .may_leave = true};
     return {.never = order.target};
 }
 
--- a/src/gateway/version_shift.hpp
+++ b/src/gateway/version_shift.hpp
@@ -89,12 +89,15 @@
 {
     std::string_view only;  // empty: any
     std::string_view never; // empty: none
-    bool is_trial = false;  // the request is one of the target's share
+    bool may_leave = false; // another version may serve it when `only` is full
 };
 
 // Applies an order to one request; `hash` is uniform over requests or
 // sessions. `is_known_bad`: this gateway has already judged the target bad.
+// `pinned` is the version of the session's last request, or empty; a session
+// keeps its version while the target is on trial.
 version_rule rule_for(
-    shift_order const& order, bool is_known_bad, std::uint64_t hash);
+    shift_order const& order, bool is_known_bad, std::string_view pinned,
+    std::uint64_t hash);
 
 } // namespace marjorambeam
