Let the needed confidence fall with the larger model's time

A stream whose upstream stopped between events, while other streams of that upstream went on, was held until its deadline.

Change: the confidence from which an answer is kept is 56 while the larger model's answer is expected within 0.95 of the time left, falls to 40 at the time left and to none at 2.5 times it. A stream that pauses for one and a half times its target is resumed elsewhere.

--- a/src/gateway/model_choice.cpp
+++ b/src/gateway/model_choice.cpp
@@ -27,13 +27,23 @@
     return q.models - 1;
 }
 
+double confidence_needed(larger_model_time const& t)
+{
+    double const part =
+        to_seconds(t.expected) / std::max(to_seconds(t.left), 0.001);
+    if (part <= free_part)
+        return min_confidence;
+    if (part <= 1)
+        return min_confidence +
+               (min_confidence_just_in_time - min_confidence) *
+                   (part - free_part) / (1 - free_part);
+    return min_confidence_just_in_time *
+           std::max(0.0, (hopeless_part - part) / (hopeless_part - 1));
+}
+
 bool is_worth_asking(model_question const& q, larger_model_time const& t)
 {
-    if (!q.confidence || t.expected <= t.left)
-        return true;
-    double const behind = to_seconds(t.expected) /
-                          std::max(to_seconds(t.left), 0.001);
-    return *q.confidence < min_confidence_if_late && behind < hopeless_factor;
+    return !q.confidence || *q.confidence < confidence_needed(t);
 }
 
 double model_pace(std::size_t model, std::size_t models)
--- a/src/gateway/model_choice.hpp
+++ b/src/gateway/model_choice.hpp
@@ -34,16 +34,17 @@
     duration left{0};     // of the target
 };
 
-// Confidence from which an answer is kept. Above it, an answer that is too
-// simple is so rare that the larger model costs more than it gains.
+// Confidence from which an answer is kept while the larger model has time.
+// Above it, an answer that is too simple is so rare that the larger model costs
+// more than it gains.
 constexpr int min_confidence = 56;
-// The same when the larger model's answer would be late, and so worth only a
-// part.
-constexpr int min_confidence_if_late = 30;
-// An upstream that is so far behind gets no more large work: it would make the
-// answers of others late. In times of what is left of the target.
-constexpr double hopeless_factor = 3;
-
+// The same when the larger model's answer would come just in time. An upstream
+// that is so far behind makes the answers of others late as well.
+constexpr int min_confidence_just_in_time = 40;
+// Part of the time left up to which an upstream is not behind.
+constexpr double free_part = 0.95;
+// Times the time left from which no larger model is asked.
+constexpr double hopeless_part = 2.5;
 
 // Index of the model to ask first.
 std::size_t first_model(model_question const& q);
@@ -52,6 +53,10 @@
 // nothing when the answer is to be kept.
 std::optional<std::size_t> next_model(model_question const& q);
 
+// Confidence from which an answer is kept when the larger model's would need
+// this time.
+double confidence_needed(larger_model_time const& t);
+
 // Whether the larger model is worth its time.
 bool is_worth_asking(model_question const& q, larger_model_time const& t);
 
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -685,15 +685,21 @@
         return;
     }
     bool const is_silent = now - std::max(upstream_->heard_at, sent_) > silent_for;
-    duration const patience = has_answer_head_
-                                  ? route_.gap_target * 2
-                                  : std::max(route_.target, silent_for);
-    bool const is_overdue = now - std::max(last_event_, sent_) > patience;
-    if (is_silent && is_overdue && is_repeatable(route_) &&
+    // A stream that stalls between events is late already; one that waits for
+    // its first event may be in a queue.
+    bool const has_stalled = is_event_stream_ && events_.events() > 0 &&
+                             now - last_event_ > route_.gap_target * 3 / 2;
+    bool const is_overdue =
+        now - sent_ > std::max(route_.target, silent_for) && !is_event_stream_;
+    if ((has_stalled || (is_silent && is_overdue)) && is_repeatable(route_) &&
         attempts_.runs + 1 < route_.attempts && has_budget(now))
     {
-        upstream_->avoid_until = now + avoid_time(++upstream_->failures_in_row);
-        fail_attempt(error_kind::upstream_silent, true, "silent", now);
+        if (is_silent)
+            upstream_->avoid_until =
+                now + avoid_time(++upstream_->failures_in_row);
+        fail_attempt(
+            error_kind::upstream_silent, true, is_silent ? "silent" : "stalled",
+            now);
         return;
     }
     attempt_timer_.start(check_period);
