--- a/src/gateway/call_protocol.hpp
+++ b/src/gateway/call_protocol.hpp
@@ -40,7 +40,7 @@
     std::uint32_t max_output_tokens = 0;
     std::vector<prompt_part> prompt;
     std::optional<std::uint64_t> resume_after; // id of the caller's last event
-    header_list headers; // to be passed on as they are
+    header_list headers;                       // to be passed on as they are
     std::string body;
     bool keep_alive = true;
 };
@@ -68,9 +68,9 @@
 struct upstream_answer
 {
     int status = 0;
-    std::string attempt_id;   // of the request that it belongs to
-    bool is_signed = false;   // bears the upstream's receipt
-    bool has_not_run = false; // the upstream says that it did not run it
+    std::string attempt_id;         // of the request that it belongs to
+    bool is_signed = false;         // bears the upstream's receipt
+    bool has_not_run = false;       // the upstream says that it did not run it
     bool is_other_instance = false; // another instance has the address
     std::optional<told_load> load;
     std::optional<int> confidence; // 0 to 100, the model's own opinion
--- a/src/gateway/client_connection.cpp
+++ b/src/gateway/client_connection.cpp
@@ -106,12 +106,11 @@
     }
     is_reading_ = false;
     if (stream_->is_open())
-        stream_->pause(
-            is_busy_ && stream_->input().size() > max_waiting_bytes);
+        stream_->pause(is_busy_ && stream_->input().size() > max_waiting_bytes);
 }
 
-std::string client_connection::head_text(
-    answer_head const& head, std::string_view framing)
+std::string
+client_connection::head_text(answer_head const& head, std::string_view framing)
 {
     std::string out = "HTTP/1.1 ";
     out.append(std::to_string(head.status)).append(" ");
@@ -201,16 +200,17 @@
         return true;
     bool const is_slow =
         has_bytes_ &&
-        now - first_byte_ > limits_.header_timeout *
-                                (reader_->is_head_done() ? body_timeout_factor
-                                                         : 1);
+        now - first_byte_ >
+            limits_.header_timeout *
+                (reader_->is_head_done() ? body_timeout_factor : 1);
     if (is_slow)
     {
         is_last_ = true;
         is_busy_ = true;
         on_request_(
-            shared_from_this(),
-            fail(error_kind::sender_too_slow, "the request was not sent in time"));
+            shared_from_this(), fail(
+                                    error_kind::sender_too_slow,
+                                    "the request was not sent in time"));
         return stream_->is_open();
     }
     if (now - last_active_ > limits_.idle_timeout + idle_grace)
--- a/src/gateway/client_connection.hpp
+++ b/src/gateway/client_connection.hpp
@@ -2,8 +2,8 @@
 // their answers.
 //
 // Example:
-//   auto c = std::make_shared<client_connection>(stream, limits, now, on_request);
-//   c->respond({.status = 200, .headers = h}, body);
+//   auto c = std::make_shared<client_connection>(stream, limits, now,
+//   on_request); c->respond({.status = 200, .headers = h}, body);
 //
 // Everything here runs on the loop's thread; nothing is thread-safe.
 #pragma once
--- a/src/gateway/crash_blame.cpp
+++ b/src/gateway/crash_blame.cpp
@@ -44,8 +44,8 @@
 void suspect(crash_blame& b, suspicion const& s)
 {
     std::erase_if(
-        b.suspicions, [&](suspicion const& it)
-        { return s.at - it.at > suspicion_memory; });
+        b.suspicions,
+        [&](suspicion const& it) { return s.at - it.at > suspicion_memory; });
     b.suspicions.push_back(s);
 }
 
--- a/src/gateway/gateway_config.cpp
+++ b/src/gateway/gateway_config.cpp
@@ -25,8 +25,8 @@
             place(c.routes[i].host, c.routes[i].prefix), i);
 }
 
-gateway_route const*
-find_route(gateway_config const& c, std::string_view host, std::string_view path)
+gateway_route const* find_route(
+    gateway_config const& c, std::string_view host, std::string_view path)
 {
     host = host.substr(0, host.find(':'));
     std::size_t end = path.rfind('/');
--- a/src/gateway/gateway_config.hpp
+++ b/src/gateway/gateway_config.hpp
@@ -90,8 +90,8 @@
 
 // Returns the route of `host` with the longest prefix that begins `path`, or
 // null. A port in `host` is ignored. Precondition: index_routes(c) was called.
-gateway_route const*
-find_route(gateway_config const& c, std::string_view host, std::string_view path);
+gateway_route const* find_route(
+    gateway_config const& c, std::string_view host, std::string_view path);
 
 // Returns the service named `name`, or null.
 gateway_service const*
--- a/src/gateway/gateway_config_test.cpp
+++ b/src/gateway/gateway_config_test.cpp
@@ -49,8 +49,7 @@
 // a service of weight zero.
 TEST_CASE("A split follows its weights")
 {
-    gateway_route const r{
-        .services = {{"a", 90}, {"none", 0}, {"b", 10}}};
+    gateway_route const r{.services = {{"a", 90}, {"none", 0}, {"b", 10}}};
     int b = 0;
     for (std::uint64_t i = 0; i < 1000; ++i)
     {
@@ -68,6 +67,5 @@
     CHECK(is_repeatable({.kind = route_kind::idempotent}));
     CHECK_FALSE(is_repeatable({.kind = route_kind::non_idempotent}));
     CHECK_FALSE(is_repeatable({.kind = route_kind::streaming}));
-    CHECK(is_repeatable(
-        {.kind = route_kind::streaming, .is_resumable = true}));
+    CHECK(is_repeatable({.kind = route_kind::streaming, .is_resumable = true}));
 }
--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -183,6 +183,8 @@
 void gateway_daemon::reload(gateway_settings const& settings)
 {
     gateway_settings& s = state_.settings;
+    if (s == settings)
+        return;
     s.drain_time = settings.drain_time;
     s.key_bound = settings.key_bound;
     s.extra_attempts = settings.extra_attempts;
--- a/src/gateway/gateway_daemon.hpp
+++ b/src/gateway/gateway_daemon.hpp
@@ -47,7 +47,8 @@
     // Lets requests at work end, then stops the loop. A second call has no
     // effect.
     void begin_shutdown();
-    // Takes settings that may change while the process runs.
+    // Takes settings that may change while the process runs: bounds, not
+    // addresses. Without a change it does nothing.
     void reload(gateway_settings const& settings);
     int exit_code() const
     {
--- a/src/gateway/gateway_state.hpp
+++ b/src/gateway/gateway_state.hpp
@@ -46,6 +46,8 @@
     extra_attempt_limits extra_attempts;
     double cold_factor = 1;
     double cold_tolerance = 0;
+
+    bool operator==(gateway_settings const&) const = default;
 };
 
 // A roll-out of a service with what is known of it.
@@ -103,8 +105,7 @@
 
 // How long this gateway has had the store without a loss; nothing while it
 // is lost.
-std::optional<duration>
-store_kept_for(gateway_state const& s, steady_time now);
+std::optional<duration> store_kept_for(gateway_state const& s, steady_time now);
 
 // Notes that another gateway has had the store for `kept`.
 void note_peer_store(gateway_state& s, duration kept, steady_time now);
--- a/src/gateway/model_choice.cpp
+++ b/src/gateway/model_choice.cpp
@@ -34,9 +34,8 @@
     if (part <= free_part)
         return min_confidence;
     if (part <= 1)
-        return min_confidence +
-               (min_confidence_just_in_time - min_confidence) *
-                   (part - free_part) / (1 - free_part);
+        return min_confidence + (min_confidence_just_in_time - min_confidence) *
+                                    (part - free_part) / (1 - free_part);
     return min_confidence_just_in_time *
            std::max(0.0, (hopeless_part - part) / (hopeless_part - 1));
 }
--- a/src/gateway/model_choice.hpp
+++ b/src/gateway/model_choice.hpp
@@ -20,11 +20,11 @@
 
 struct model_question
 {
-    std::size_t models = 0; // smallest first
-    std::size_t asked = 0;  // index of the model that answers
+    std::size_t models = 0;        // smallest first
+    std::size_t asked = 0;         // index of the model that answers
     std::optional<int> confidence; // 0 to 100, of its answer
-    bool has_attempts = true; // the limits allow another attempt
-    bool is_resumed = false;  // the caller has a part of the answer
+    bool has_attempts = true;      // the limits allow another attempt
+    bool is_resumed = false;       // the caller has a part of the answer
 };
 
 // When a larger model's answer would begin.
--- a/src/gateway/object_watch.cpp
+++ b/src/gateway/object_watch.cpp
@@ -42,9 +42,9 @@
     // to be waited for.
     duration const wait =
         has_failed_ ? duration(std::chrono::milliseconds(1)) : timing_.wait;
-    http_call call =
-        is_listed_ ? protocol_.watch(address_, kind_, revision_, wait)
-                   : protocol_.list(address_, kind_, after_);
+    http_call call = is_listed_
+                         ? protocol_.watch(address_, kind_, revision_, wait)
+                         : protocol_.list(address_, kind_, after_);
     call.timeout = timing_.patience + (is_listed_ ? wait : duration{0});
     steady_time const sent = boot_now();
     call_ = client_.send(
--- a/src/gateway/object_watch.hpp
+++ b/src/gateway/object_watch.hpp
@@ -46,8 +46,8 @@
         std::string_view address, std::string_view kind,
         std::string_view after);
     http_call (*watch)(
-        std::string_view address, std::string_view kind,
-        std::uint64_t revision, duration wait);
+        std::string_view address, std::string_view kind, std::uint64_t revision,
+        duration wait);
     http_call (*create)(
         std::string_view address, std::string_view kind, std::string_view name,
         nlohmann::json const& specification);
@@ -113,8 +113,7 @@
 
 private:
     void send();
-    void on_reply(
-        steady_time sent, duration wait, result<http_reply> reply);
+    void on_reply(steady_time sent, duration wait, result<http_reply> reply);
     void on_objects(platform_objects&& objects);
     void retry(error const& why);
 
--- a/src/gateway/peer_report.hpp
+++ b/src/gateway/peer_report.hpp
@@ -56,16 +56,15 @@
 {
     std::string sender;
     std::int64_t config_version = 0;
-    std::int64_t config_age_ms = -1; // since it was confirmed; -1: never
-    std::int64_t store_kept_ms = -1; // without a loss; -1: it is lost
+    std::int64_t config_age_ms = -1;  // since it was confirmed; -1: never
+    std::int64_t store_kept_ms = -1;  // without a loss; -1: it is lost
     std::vector<reported_load> loads; // of upstreams with work
     std::vector<reported_shift> shifts;
 
     template <class Archive>
     void serialize(Archive& ar)
     {
-        ar(sender, config_version, config_age_ms, store_kept_ms, loads,
-           shifts);
+        ar(sender, config_version, config_age_ms, store_kept_ms, loads, shifts);
     }
 };
 
--- a/src/gateway/request_controller.cpp
+++ b/src/gateway/request_controller.cpp
@@ -81,11 +81,12 @@
     if (head.status == 503 || head.status == 429)
         head.headers.emplace_back("Retry-After", seconds_text(retry_after));
     state_.counters.count("refusals_total", row.name);
-    log_.info(
+    log_.warning(
         "Request refused.",
         {{"request_id", std::string(attempt_id)},
          {"kind", std::string(row.name)},
-         {"config", std::to_string(state_.config ? state_.config->version : 0)}});
+         {"config",
+          std::to_string(state_.config ? state_.config->version : 0)}});
     std::string body = R"({"error":{"kind":")";
     body.append(row.name).append(R"(","run":"not_run"}})");
     client->respond(head, body);
@@ -162,9 +163,8 @@
     steady_time const now = boot_now();
     client_limits const l = limits();
     std::erase_if(runs_, [](auto const& it) { return it->is_done(); });
-    bool const closes_idle =
-        state_.drain_started &&
-        now - *state_.drain_started > serve_while_draining;
+    bool const closes_idle = state_.drain_started &&
+                             now - *state_.drain_started > serve_while_draining;
     std::vector<std::shared_ptr<client_connection>> const all(
         clients_.begin(), clients_.end());
     for (auto const& it : all)
@@ -185,7 +185,8 @@
         waiting_.begin(), waiting_.end());
     waiting_.clear();
     std::stable_sort(
-        all.begin(), all.end(), [](auto const& a, auto const& b)
+        all.begin(), all.end(),
+        [](auto const& a, auto const& b)
         { return a->priority() < b->priority(); });
     for (auto const& it : all)
     {
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -48,8 +48,7 @@
 
 std::string in_ms(duration d)
 {
-    return std::to_string(
-        std::chrono::duration_cast<milliseconds>(d).count());
+    return std::to_string(std::chrono::duration_cast<milliseconds>(d).count());
 }
 
 // The parts of a prompt that other requests share decide where it is read; the
@@ -190,8 +189,8 @@
 
 upstream_choice request_run::choose(steady_time now)
 {
-    version_rule const rule = version_rule_of(
-        context_.state, service_, request_.session, hash_, now);
+    version_rule const rule =
+        version_rule_of(context_.state, service_, request_.session, hash_, now);
     choice_question q = question(rule);
     upstream_choice c = choose_upstream(context_.state.upstreams, q, now);
     if (!c.chosen && rule.may_leave)
@@ -271,13 +270,13 @@
          .on_body = guarded(&request_run::on_body),
          .on_whole = guarded(&request_run::on_whole),
          .on_broken = guarded(&request_run::on_broken)});
-    watch_attempt(now);
+    watch_attempt();
     return true;
 }
 
-void request_run::watch_attempt(steady_time)
+void request_run::watch_attempt()
 {
-    attempt_timer_.start(check_period);
+    attempt_timer_.start(std::min(check_period, route_.target / 2));
 }
 
 // Ends the use of the present connection and its upstream.
@@ -325,8 +324,8 @@
 
 void request_run::wait_or_refuse(choice_failure, steady_time now)
 {
-    bool const may_wait = now < wait_until_ && now < deadline_ &&
-                          !context_.state.drain_started;
+    bool const may_wait =
+        now < wait_until_ && now < deadline_ && !context_.state.drain_started;
     if (may_wait)
     {
         if (!is_waiting_)
@@ -533,9 +532,8 @@
     if (it == context_.state.shifts.end() || !upstream_)
         return;
     shift_track& t = it->second;
-    answer_counts& c = upstream_->info.version == t.order.target
-                           ? t.own.target
-                           : t.own.others;
+    answer_counts& c =
+        upstream_->info.version == t.order.target ? t.own.target : t.own.others;
     ++c.answers;
     c.bad += is_bad ? 1 : 0;
 }
@@ -571,7 +569,7 @@
     error_kind kind, bool may_have_run, std::string const& why, steady_time now)
 {
     context_.state.counters.count("attempt_failures_total", to_string(kind));
-    context_.log.info(
+    context_.log.warning(
         "Attempt failed.", {{"request_id", request_.attempt_id},
                             {"upstream", upstream_->info.id},
                             {"kind", std::string(to_string(kind))},
@@ -589,9 +587,8 @@
                               kind == error_kind::answer_cut;
         if (is_break)
             suspect(
-                context_.state.blame,
-                {fingerprint_, upstream_->info.id,
-                 upstream_->info.started_unix_ms, now});
+                context_.state.blame, {fingerprint_, upstream_->info.id,
+                                       upstream_->info.started_unix_ms, now});
         judge_version(true);
     }
     attempts_.last_failure = to_string(kind);
@@ -643,8 +640,7 @@
         head.status = 503;
     else if (e.run != run_state::not_run && head.status == 503)
         head.status = 502;
-    head.headers =
-        context_.protocol.own_answer_headers(request_.attempt_id);
+    head.headers = context_.protocol.own_answer_headers(request_.attempt_id);
     if (head.status == 503)
         head.headers.emplace_back(
             "Retry-After", retry_after_text(e.retry_after));
@@ -688,15 +684,21 @@
         fail_attempt(error_kind::connection_lost, false, "no connection", now);
         return;
     }
-    bool const is_silent = now - std::max(upstream_->heard_at, sent_) > silent_for;
+    bool const is_silent =
+        now - std::max(upstream_->heard_at, sent_) > silent_for;
     // A stream that stalls between events is late already; one that waits for
     // its first event may be in a queue.
     bool const has_stalled = is_event_stream_ && events_.events() > 0 &&
                              now - last_event_ > route_.gap_target * 3 / 2;
     bool const is_overdue =
         now - sent_ > std::max(route_.target, silent_for) && !is_event_stream_;
-    if ((has_stalled || (is_silent && is_overdue)) && is_repeatable(route_) &&
-        attempts_.runs + 1 < route_.attempts && has_budget(now))
+    // A plain answer that is this late was most likely lost; an engine's may
+    // wait in its queue.
+    bool const is_lost = route_.kind == route_kind::idempotent &&
+                         !is_engine() && now - sent_ > route_.target * 3 / 2;
+    if ((has_stalled || is_lost || (is_silent && is_overdue)) &&
+        is_repeatable(route_) && attempts_.runs + 1 < route_.attempts &&
+        has_budget(now))
     {
         if (is_silent)
             upstream_->avoid_until =
@@ -706,7 +708,7 @@
             now);
         return;
     }
-    attempt_timer_.start(check_period);
+    watch_attempt();
 }
 
 void request_run::cut(steady_time now)
@@ -719,8 +721,7 @@
         give_up(error_kind::upstream_failed, run_state::unknown, now);
 }
 
-void request_run::finish(
-    std::string_view outcome, int status, steady_time now)
+void request_run::finish(std::string_view outcome, int status, steady_time now)
 {
     is_done_ = true;
     is_waiting_ = false;
@@ -730,7 +731,10 @@
     context_.state.counters.count("requests_total", outcome);
     double const seconds = to_seconds(now - started_);
     context_.state.counters.observe("request_seconds", route_.name, seconds);
-    context_.log.info(
+    // Under load, lines below a warning are held back first.
+    bool const is_well = outcome == "whole" || outcome == "caller_left";
+    auto const write = is_well ? &logger::info : &logger::warning;
+    (context_.log.*write)(
         "Request ended.",
         {{"request_id", request_.attempt_id},
          {"route", route_.name},
@@ -741,9 +745,8 @@
          {"upstream", attempts_.tried.empty() ? "-" : attempts_.tried.back()},
          {"sends", std::to_string(attempts_.sends)},
          {"model", std::to_string(model_)},
-         {"first_ms", first_event_ == steady_time{}
-                          ? "-"
-                          : in_ms(first_event_ - started_)},
+         {"first_ms",
+          first_event_ == steady_time{} ? "-" : in_ms(first_event_ - started_)},
          {"ms", in_ms(now - started_)},
          {"config", std::to_string(config_->version)}});
 }
--- a/src/gateway/request_run.hpp
+++ b/src/gateway/request_run.hpp
@@ -113,7 +113,7 @@
     void on_leave();
     void on_deadline();
     void on_attempt_timeout();
-    void watch_attempt(steady_time now);
+    void watch_attempt();
     void finish(std::string_view outcome, int status, steady_time now);
     duration remaining(steady_time now) const;
     extra_attempts& budget();
--- a/src/gateway/session_pins.cpp
+++ b/src/gateway/session_pins.cpp
@@ -9,8 +9,7 @@
     auto const it = p.by_session.find(session);
     bool const is_known =
         it != p.by_session.end() && now - it->second.last < session_memory;
-    return is_known ? std::string_view(it->second.version)
-                    : std::string_view();
+    return is_known ? std::string_view(it->second.version) : std::string_view();
 }
 
 void note_session(
@@ -24,8 +23,8 @@
 void expire_sessions(session_pins& p, steady_time now)
 {
     std::erase_if(
-        p.by_session, [&](auto const& it)
-        { return now - it.second.last >= session_memory; });
+        p.by_session,
+        [&](auto const& it) { return now - it.second.last >= session_memory; });
 }
 
 } // namespace marjorambeam
--- a/src/gateway/shared_limits.cpp
+++ b/src/gateway/shared_limits.cpp
@@ -9,19 +9,20 @@
 {
 
 bool may_send_again(
-    extra_attempts& b, extra_attempt_limits const& limits,
-    std::size_t gateways, steady_time now)
+    extra_attempts& b, extra_attempt_limits const& limits, std::size_t gateways,
+    steady_time now)
 {
     double const requests = static_cast<double>(b.requests.count(now));
     double const extras = static_cast<double>(b.extras.count(now));
-    double const share = limits.allowance * allowance_part /
-                         static_cast<double>(std::max<std::size_t>(gateways, 1));
+    double const share =
+        limits.allowance * allowance_part /
+        static_cast<double>(std::max<std::size_t>(gateways, 1));
     return extras + 1 <= limits.ratio * ratio_part * requests + share;
 }
 
 std::size_t cold_share(
-    cold_limits const& limits, std::string_view upstream,
-    std::string_view self, std::span<std::string const> gateways)
+    cold_limits const& limits, std::string_view upstream, std::string_view self,
+    std::span<std::string const> gateways)
 {
     std::size_t const sharers =
         std::clamp<std::size_t>(gateways.size(), 1, cold_sharers);
--- a/src/gateway/shared_limits.hpp
+++ b/src/gateway/shared_limits.hpp
@@ -25,9 +25,11 @@
 // Bound of the arrivals at a service beyond the first of each request.
 struct extra_attempt_limits
 {
-    double ratio = 0;  // of the requests in the window
+    double ratio = 0;     // of the requests in the window
     double allowance = 0; // besides, over all gateways
     duration window = std::chrono::seconds(10);
+
+    bool operator==(extra_attempt_limits const&) const = default;
 };
 
 // Part of `ratio` that is used: windows of gateways don't begin together, and
@@ -47,8 +49,8 @@
 // Whether one more attempt keeps this gateway within its share.
 // Precondition: `gateways` is at least 1.
 bool may_send_again(
-    extra_attempts& b, extra_attempt_limits const& limits,
-    std::size_t gateways, steady_time now);
+    extra_attempts& b, extra_attempt_limits const& limits, std::size_t gateways,
+    steady_time now);
 
 // Bound of what all gateways may send to one cold upstream in a second.
 struct cold_limits
@@ -68,7 +70,7 @@
 // How many requests `self` may send to the cold upstream per second; zero when
 // other gateways share it. `gateways` are all registered names with `self`.
 std::size_t cold_share(
-    cold_limits const& limits, std::string_view upstream,
-    std::string_view self, std::span<std::string const> gateways);
+    cold_limits const& limits, std::string_view upstream, std::string_view self,
+    std::span<std::string const> gateways);
 
 } // namespace marjorambeam
--- a/src/gateway/store_controller.cpp
+++ b/src/gateway/store_controller.cpp
@@ -84,8 +84,8 @@
           loop, client, protocol, state.settings.store_address,
           std::string(documents.gateway_kind), long_timing(gateway_settle),
           handlers(
-              &store_controller::take_gateways,
-              &store_controller::take_gateway, false))
+              &store_controller::take_gateways, &store_controller::take_gateway,
+              false))
     , register_timer_(loop, [this] { register_self(); })
 {
 }
@@ -224,7 +224,8 @@
         return;
     }
     std::shared_ptr<upstream_state>& u = state_.upstreams.by_id[info->id];
-    bool const is_new = !u || u->info.started_unix_ms != info->started_unix_ms ||
+    bool const is_new = !u ||
+                        u->info.started_unix_ms != info->started_unix_ms ||
                         u->info.address != info->address;
     if (is_new && u)
         confirm_crash(state_.blame, info->id, now);
@@ -274,10 +275,12 @@
 void store_controller::take_shifts(std::vector<platform_object>&& all)
 {
     std::erase_if(
-        state_.shifts, [&](auto const& known)
+        state_.shifts,
+        [&](auto const& known)
         {
             return std::none_of(
-                all.begin(), all.end(), [&](platform_object const& o)
+                all.begin(), all.end(),
+                [&](platform_object const& o)
                 { return o.name == known.first; });
         });
     for (platform_object& it : all)
@@ -298,8 +301,8 @@
         return;
     }
     auto const it = state_.shifts.find(order->service);
-    bool const is_new = it == state_.shifts.end() ||
-                        it->second.order.target != order->target;
+    bool const is_new =
+        it == state_.shifts.end() || it->second.order.target != order->target;
     if (is_new)
     {
         shift_track t;
@@ -381,9 +384,9 @@
         state_.gateways.push_back(name);
     state_.gateways.push_back(state_.settings.instance);
     config_.set_wait(std::min(
-        config_timing.wait + config_wait_per_gateway *
-                                 static_cast<duration::rep>(
-                                     state_.gateways.size() - 1),
+        config_timing.wait +
+            config_wait_per_gateway *
+                static_cast<duration::rep>(state_.gateways.size() - 1),
         longest_config_wait));
 }
 
--- a/src/gateway/store_controller.hpp
+++ b/src/gateway/store_controller.hpp
@@ -63,8 +63,7 @@
 private:
     watch_handlers handlers(
         void (store_controller::*on_all)(std::vector<platform_object>&&),
-        void (store_controller::*on_change)(platform_object&&),
-        bool is_config);
+        void (store_controller::*on_change)(platform_object&&), bool is_config);
     void on_contact(steady_time as_of, bool is_config);
     void on_failure(error const& why, bool is_config);
     void take_configs(std::vector<platform_object>&& all);
--- a/src/gateway/upstream_board.cpp
+++ b/src/gateway/upstream_board.cpp
@@ -60,8 +60,7 @@
 {
     if (u.pace <= 0 || mean_pace <= 0)
         return 1;
-    return std::clamp(
-        u.pace / mean_pace, 1 / most_pace_ratio, most_pace_ratio);
+    return std::clamp(u.pace / mean_pace, 1 / most_pace_ratio, most_pace_ratio);
 }
 
 double mean_pace(std::span<candidate const> all)
@@ -146,7 +145,8 @@
 {
     constexpr std::size_t part = 4;
     std::sort(
-        all.begin(), all.end(), [](candidate const& a, candidate const& b)
+        all.begin(), all.end(),
+        [](candidate const& a, candidate const& b)
         { return a.upstream->info.id < b.upstream->info.id; });
     all.resize((all.size() + part - 1) / part);
 }
@@ -181,8 +181,8 @@
     return n == 0 ? 0 : sum / n;
 }
 
-upstream_choice choose_upstream(
-    upstream_board& b, choice_question const& q, steady_time now)
+upstream_choice
+choose_upstream(upstream_board& b, choice_question const& q, steady_time now)
 {
     std::vector<candidate> all;
     std::vector<candidate> unsound;
@@ -221,8 +221,8 @@
     else
         set_plain_costs(all, q, now);
     auto const best = std::min_element(
-        all.begin(), all.end(), [](candidate const& a, candidate const& b)
-        { return a.cost < b.cost; });
+        all.begin(), all.end(),
+        [](candidate const& a, candidate const& b) { return a.cost < b.cost; });
     return {
         best->upstream, duration(static_cast<duration::rep>(best->expected)),
         choice_failure::none};
@@ -233,8 +233,7 @@
     if (work < min_pace_work)
         return;
     double const sample = static_cast<double>(took.count()) / work;
-    u.pace = u.pace <= 0 ? sample
-                         : u.pace + (sample - u.pace) * pace_smoothing;
+    u.pace = u.pace <= 0 ? sample : u.pace + (sample - u.pace) * pace_smoothing;
 }
 
 duration avoid_time(std::uint32_t failures)
--- a/src/gateway/upstream_board.hpp
+++ b/src/gateway/upstream_board.hpp
@@ -48,10 +48,10 @@
 struct upstream_state
 {
     upstream_info info;
-    std::uint32_t number = 0;       // its short name in reports
-    steady_time cold_until{};       // bears few requests before
-    steady_time avoid_until{};      // gets none before, after a failure
-    bool is_missing = false; // unlisted while the list was unsure
+    std::uint32_t number = 0;  // its short name in reports
+    steady_time cold_until{};  // bears few requests before
+    steady_time avoid_until{}; // gets none before, after a failure
+    bool is_missing = false;   // unlisted while the list was unsure
     std::uint32_t failures_in_row = 0;
     double failure_rate = 0; // of recent attempts, see note_outcome()
     steady_time outcome_at{};
@@ -104,13 +104,13 @@
 struct choice_question
 {
     std::string_view service;
-    std::string_view only_version;  // empty: any
-    std::string_view never_version; // empty: none
-    std::string_view zone;          // of this gateway
-    std::string_view affinity;      // key of the prompt's shared parts
+    std::string_view only_version;      // empty: any
+    std::string_view never_version;     // empty: none
+    std::string_view zone;              // of this gateway
+    std::string_view affinity;          // key of the prompt's shared parts
     std::span<std::string const> tried; // ids, not to be used again
     request_work work;
-    std::uint64_t seed = 0; // differs between requests
+    std::uint64_t seed = 0;   // differs between requests
     bool prefers_few = false; // gather the requests on few upstreams
     bool is_engine = false;
     std::uint32_t max_requests = 0; // at one upstream, of all; 0: any number
@@ -138,8 +138,8 @@
 // Returns the best upstream: for an engine the one that is expected to begin
 // the answer first, where the upstreams that rank first for the affinity key
 // are expected to have its shared parts; else the least loaded one.
-upstream_choice choose_upstream(
-    upstream_board& b, choice_question const& q, steady_time now);
+upstream_choice
+choose_upstream(upstream_board& b, choice_question const& q, steady_time now);
 
 // Requests at the upstream as far as known: this gateway's, the others', and
 // what the upstream itself has told lately.
@@ -157,8 +157,7 @@
 
 // Notes a failure to reach the upstream, or a crash; it counts as cold when it
 // is back.
-void note_unreachable(
-    upstream_state& u, duration cold_start, steady_time now);
+void note_unreachable(upstream_state& u, duration cold_start, steady_time now);
 
 // Notes how an attempt ended. Failures weigh more the more recent they are; an
 // upstream that fails most of its attempts gets none while others are sound.
--- a/src/gateway/upstream_board_test.cpp
+++ b/src/gateway/upstream_board_test.cpp
@@ -84,7 +84,8 @@
     upstream_board b;
     for (char c = 'a'; c < 'i'; ++c)
         add(b, std::string(1, c));
-    choice_question q{.service = "pool", .affinity = "prefix", .is_engine = true};
+    choice_question q{
+        .service = "pool", .affinity = "prefix", .is_engine = true};
     q.work = {.prefill = 10'000, .shared = 5'000};
     std::string const home = chosen(b, q);
     CHECK(chosen(b, q) == home);
@@ -148,7 +149,8 @@
 
 // Guards against upstreams that reset each connection at once: they look idle
 // and drew all requests (nakhla-keyword-grown, scale-1: 750 lost).
-TEST_CASE("An upstream that fails most attempts gets none while others are sound")
+TEST_CASE(
+    "An upstream that fails most attempts gets none while others are sound")
 {
     upstream_board b;
     auto const broken = add(b, "broken");
--- a/src/gateway/upstream_pool.cpp
+++ b/src/gateway/upstream_pool.cpp
@@ -24,7 +24,8 @@
 {
     int const s =
         c.idle_seconds() > 0 ? c.idle_seconds() : default_idle_seconds;
-    return std::max(duration(seconds(s)) - idle_margin, duration(seconds(1)) / 2);
+    return std::max(
+        duration(seconds(s)) - idle_margin, duration(seconds(1)) / 2);
 }
 
 } // namespace
@@ -246,7 +247,8 @@
     {
         bool const is_listed = board.by_id.contains(it->first);
         std::erase_if(
-            it->second, [&](std::shared_ptr<upstream_connection> const& c)
+            it->second,
+            [&](std::shared_ptr<upstream_connection> const& c)
             {
                 return !is_listed || !c->is_reusable() ||
                        now - c->idle_since > idle_limit(*c);
--- a/src/gateway/version_shift.cpp
+++ b/src/gateway/version_shift.cpp
@@ -25,9 +25,9 @@
 
 double bad_rate(answer_counts const& c)
 {
-    return c.answers == 0 ? 0
-                          : static_cast<double>(c.bad) /
-                                static_cast<double>(c.answers);
+    return c.answers == 0
+               ? 0
+               : static_cast<double>(c.bad) / static_cast<double>(c.answers);
 }
 
 } // namespace
@@ -37,7 +37,8 @@
     if (e.target.bad < min_bad)
         return false;
     double const usual = bad_rate(e.others);
-    return bad_rate(e.target) > std::max(usual * bad_factor, usual + bad_excess);
+    return bad_rate(e.target) >
+           std::max(usual * bad_factor, usual + bad_excess);
 }
 
 shift_decision decide_shift(
@@ -49,8 +50,8 @@
         return {order.state, order.state == shift_state::completed, "decided"};
     if (is_bad_version(e))
         return {shift_state::reverted, false, "bad_answers"};
-    double const part = to_seconds(elapsed) /
-                        std::max(to_seconds(order.time_limit), 0.001);
+    double const part =
+        to_seconds(elapsed) / std::max(to_seconds(order.time_limit), 0.001);
     bool const has_all = is_decided && order.takes_all;
     if (has_all && part >= completed_from)
         return {shift_state::completed, true, "good_answers"};
@@ -59,8 +60,8 @@
     return {shift_state::in_progress, false, "trial"};
 }
 
-double trial_probability(
-    trial_counts const& c, bool has_session, bool is_first_half)
+double
+trial_probability(trial_counts const& c, bool has_session, bool is_first_half)
 {
     if (!is_first_half)
         return trial_share;
--- a/src/gateway/version_shift.hpp
+++ b/src/gateway/version_shift.hpp
@@ -80,8 +80,8 @@
 // the time only requests without a session are: a session that goes on at
 // another gateway may have begun on the other version there, and must not
 // change. `is_first_half` is the rule's, by the time since the order.
-double trial_probability(
-    trial_counts const& c, bool has_session, bool is_first_half);
+double
+trial_probability(trial_counts const& c, bool has_session, bool is_first_half);
 
 // Whether a shift is in the time in which sessions must not change.
 bool is_first_half(shift_order const& order, duration elapsed);
--- a/src/gateway/version_shift_test.cpp
+++ b/src/gateway/version_shift_test.cpp
@@ -68,11 +68,11 @@
 TEST_CASE("A decided shift stays decided")
 {
     CHECK(
-        decide_shift(order_of(shift_state::completed), bad, seconds(30)).state ==
-        shift_state::completed);
+        decide_shift(order_of(shift_state::completed), bad, seconds(30))
+            .state == shift_state::completed);
     CHECK(
-        decide_shift(order_of(shift_state::reverted), good, seconds(12)).state ==
-        shift_state::reverted);
+        decide_shift(order_of(shift_state::reverted), good, seconds(12))
+            .state == shift_state::reverted);
 }
 
 // Guards against a status that was written for an earlier target.
@@ -107,8 +107,9 @@
         CHECK_FALSE(rule_for(o, false, "v2", trial_share, i).may_leave);
     }
     CHECK(
-        rule_for(order_of(shift_state::in_progress, true), false, "v1",
-            trial_share, 5)
+        rule_for(
+            order_of(shift_state::in_progress, true), false, "v1", trial_share,
+            5)
             .only == "v2");
     CHECK(rule_for(o, true, "v2", trial_share, 5).never == "v2");
 }
--- a/src/http_stream/event_stream_test.cpp
+++ b/src/http_stream/event_stream_test.cpp
@@ -24,8 +24,8 @@
 {
     event_splitter s;
     s.start_after(4);
-    CHECK(s.put("id: 4\ndata: x\n\nid: 5\ndata: y\n\n") ==
-          "id: 5\ndata: y\n\n");
+    CHECK(
+        s.put("id: 4\ndata: x\n\nid: 5\ndata: y\n\n") == "id: 5\ndata: y\n\n");
     CHECK_FALSE(s.has_gap());
 }
 
--- a/src/http_stream/http_reader.cpp
+++ b/src/http_stream/http_reader.cpp
@@ -75,8 +75,7 @@
     while (used < bytes.size() && !parser.is_done())
     {
         std::size_t const n = parser.put(
-            boost::asio::const_buffer(
-                bytes.data() + used, bytes.size() - used),
+            boost::asio::const_buffer(bytes.data() + used, bytes.size() - used),
             ec);
         used += n;
         if (ec == http::error::need_more)
@@ -136,8 +135,8 @@
 
 std::string_view status_text(int status)
 {
-    auto const s = http::obsolete_reason(http::int_to_status(
-        static_cast<unsigned>(status)));
+    auto const s = http::obsolete_reason(
+        http::int_to_status(static_cast<unsigned>(status)));
     return {s.data(), s.size()};
 }
 
@@ -181,8 +180,7 @@
 
 bool request_reader::expects_continue() const
 {
-    return iequals(
-        impl_->parser.get()[http::field::expect], "100-continue");
+    return iequals(impl_->parser.get()[http::field::expect], "100-continue");
 }
 
 http_request_message request_reader::take()
@@ -228,9 +226,8 @@
         used += feed(*impl_->parser, bytes.substr(used), ec);
         if (ec)
             return fail(error_kind::answer_corrupt, ec.message());
-        bool const is_interim =
-            impl_->parser->is_header_done() &&
-            impl_->parser->get().result_int() / 100 == 1;
+        bool const is_interim = impl_->parser->is_header_done() &&
+                                impl_->parser->get().result_int() / 100 == 1;
         if (!is_interim)
             return used;
         impl_->restart(has_no_body_);
--- a/src/http_stream/http_reader_test.cpp
+++ b/src/http_stream/http_reader_test.cpp
@@ -18,9 +18,10 @@
 // Guards against a request that depends on how the network cuts its bytes.
 TEST_CASE("A request is the same whether it comes whole or byte by byte")
 {
-    std::string const bytes = "POST /a/b?c=1 HTTP/1.1\r\nHost: h\r\nX-One: 1\r\n"
-                              "Transfer-Encoding: chunked\r\n\r\n"
-                              "3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n";
+    std::string const bytes =
+        "POST /a/b?c=1 HTTP/1.1\r\nHost: h\r\nX-One: 1\r\n"
+        "Transfer-Encoding: chunked\r\n\r\n"
+        "3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n";
     request_reader whole({});
     REQUIRE(whole.put(bytes) == bytes.size());
     request_reader slow({});
@@ -83,8 +84,8 @@
         read_request(head + "X: " + std::string(2000, 'a') + "\r\n\r\n");
     REQUIRE_FALSE(long_head);
     CHECK(long_head.error().kind == error_kind::header_too_large);
-    auto const long_body =
-        read_request(head + "Content-Length: 65\r\n\r\n" + std::string(65, 'a'));
+    auto const long_body = read_request(
+        head + "Content-Length: 65\r\n\r\n" + std::string(65, 'a'));
     REQUIRE_FALSE(long_body);
     CHECK(long_body.error().kind == error_kind::body_too_large);
 }
--- a/src/http_stream/tcp_stream.cpp
+++ b/src/http_stream/tcp_stream.cpp
@@ -58,8 +58,7 @@
     set_option(fd, IPPROTO_TCP, TCP_KEEPIDLE, limits.probe_after_s);
     set_option(fd, IPPROTO_TCP, TCP_KEEPINTVL, 1);
     set_option(fd, IPPROTO_TCP, TCP_KEEPCNT, limits.probes);
-    set_option(
-        fd, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(ms.count()));
+    set_option(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(ms.count()));
 }
 
 void release_if_empty(std::string& buf, std::size_t& start)
@@ -159,8 +158,7 @@
         return;
     if (!is_connecting_ && unsent() == 0)
     {
-        ssize_t const n =
-            ::send(fd_, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+        ssize_t const n = ::send(fd_, bytes.data(), bytes.size(), MSG_NOSIGNAL);
         if (n > 0)
             bytes.remove_prefix(static_cast<std::size_t>(n));
     }
@@ -174,8 +172,8 @@
 {
     while (unsent() > 0)
     {
-        ssize_t const n = ::send(
-            fd_, output_.data() + output_start_, unsent(), MSG_NOSIGNAL);
+        ssize_t const n =
+            ::send(fd_, output_.data() + output_start_, unsent(), MSG_NOSIGNAL);
         if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))
             return;
         if (n < 0)
@@ -314,8 +312,7 @@
             ::accept4(fd_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
         if (fd < 0)
             return;
-        on_connection_(
-            std::make_shared<tcp_stream>(loop_, fd, false, limits_));
+        on_connection_(std::make_shared<tcp_stream>(loop_, fd, false, limits_));
     }
 }
 
--- a/src/http_stream/tcp_stream.hpp
+++ b/src/http_stream/tcp_stream.hpp
@@ -49,8 +49,8 @@
 public:
     // Starts to connect. Returns nothing when no socket can be had.
     // Precondition: `address` is an IPv4 address and port.
-    static std::shared_ptr<tcp_stream> connect(
-        ev::loop_ref loop, std::string_view address, stream_limits limits);
+    static std::shared_ptr<tcp_stream>
+    connect(ev::loop_ref loop, std::string_view address, stream_limits limits);
 
     // Takes over a socket that does not block.
     tcp_stream(
--- a/src/log/log.cpp
+++ b/src/log/log.cpp
@@ -8,7 +8,10 @@
 #include <boost/log/utility/setup/common_attributes.hpp>
 #include <boost/log/utility/setup/console.hpp>
 #include <boost/shared_ptr.hpp>
+#include <ctime>
 #include <iostream>
+#include <poll.h>
+#include <unistd.h>
 
 namespace marjorambeam
 {
@@ -57,12 +60,46 @@
     out << '"';
 }
 
+// Whether the target takes a line without waiting. A pipe that has room tells
+// so when it takes PIPE_BUF bytes, more than a line has.
+bool has_room(int fd)
+{
+    pollfd p{.fd = fd, .events = POLLOUT, .revents = 0};
+    return poll(&p, 1, 0) == 1 && (p.revents & POLLOUT) != 0;
+}
+
+log_budget budget;
+int target_fd = STDERR_FILENO;
+
 } // namespace
 
-void init_log(
-    log_level level, std::string_view instance, log_target target)
+bool take_line(
+    log_budget& b, log_level level, std::int64_t second, int& held_back_before)
+{
+    held_back_before = 0;
+    if (second != b.second)
+    {
+        held_back_before = b.held_back;
+        b.second = second;
+        b.written = 0;
+        b.held_back = 0;
+    }
+    int const limit =
+        level <= log_level::info ? max_info_lines_per_s : max_lines_per_s;
+    if (b.written < limit)
+    {
+        ++b.written;
+        return true;
+    }
+    ++b.held_back;
+    ++b.held_back_in_all;
+    return false;
+}
+
+void init_log(log_level level, std::string_view instance, log_target target)
 {
     threshold = level;
+    target_fd = target == log_target::output ? STDOUT_FILENO : STDERR_FILENO;
     logging::add_common_attributes();
     boost::shared_ptr<
         logging::sinks::synchronous_sink<logging::sinks::text_ostream_backend>>
@@ -93,12 +130,27 @@
 {
     if (level < threshold)
         return;
+    int held_back = 0;
+    bool const may_write =
+        take_line(budget, level, std::time(nullptr), held_back);
+    if (held_back > 0 && has_room(target_fd))
+        write_line(
+            log_level::warning, "log", "Lines were held back.",
+            {{"lines", std::to_string(held_back)}});
+    if (may_write && has_room(target_fd))
+        write_line(level, part_, sentence, fields);
+}
+
+void logger::write_line(
+    log_level level, std::string_view part, std::string_view sentence,
+    std::initializer_list<log_field> fields)
+{
     static logging::sources::logger_mt source;
     logging::record rec = source.open_record();
     if (!rec)
         return;
     logging::record_ostream out(rec);
-    out << level_name(level) << ' ' << part_ << ": " << sentence;
+    out << level_name(level) << ' ' << part << ": " << sentence;
     for (log_field const& it : fields)
     {
         out << ' ' << it.name << '=';
--- /dev/null
+++ b/tests/soak/soak_fleet.cpp
@@ -0,0 +1,467 @@
+#include "soak/soak_fleet.hpp"
+
+#include "platform/testing/gateway_world.hpp"
+
+#include <algorithm>
+#include <csignal>
+#include <fstream>
+
+namespace marjorambeam
+{
+namespace
+{
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr int gateways = 3;
+constexpr int engines = 3;
+constexpr int plain = 2; // upstreams of each plain service
+constexpr int stream_events = 6;
+constexpr duration give_up_after = seconds(8);
+constexpr duration key_bound = seconds(5);
+// Between the store's taking of a configuration and this process's clock, and
+// between a caller's sending and an upstream's reading.
+constexpr duration key_slack = milliseconds(300);
+constexpr std::uint64_t key_count = 4;
+
+std::string key_name(std::uint64_t i)
+{
+    return "key-" + std::to_string(i);
+}
+
+json settings_of(
+    std::string const& name, std::string const& ip, int port,
+    std::string const& store)
+{
+    auto at = [&](int offset)
+    { return ip + ":" + std::to_string(port + offset); };
+    return {
+        {"nodeName", name},
+        {"zone", "z1"},
+        {"ip", ip},
+        {"internalPortRange", {port + 2, port + 6}},
+        {"listen", {{"frontend", at(0)}, {"readiness", at(1)}}},
+        {"platform", {{"address", store}}},
+        {"limits", {{"fileDescriptors", 1000}}},
+        {"bounds",
+         {{"gracePeriodS", 8},
+          {"revocationStrict", true},
+          {"revocationMs",
+           std::chrono::duration_cast<milliseconds>(key_bound).count()},
+          {"retryBudgetRatio", 0.9},
+          {"retryBudgetExtra", 54},
+          {"budgetWindowS", 10},
+          {"coldFactor", 1.5},
+          {"coldTolerance", 5}}}};
+}
+
+} // namespace
+
+soak_fleet::soak_fleet(
+    ev::loop_ref loop, std::string directory, std::uint64_t seed)
+    : loop_(loop)
+    , directory_(std::move(directory))
+    , random_(seed)
+    , network_(1 + seed % 250)
+    , store_(loop)
+    , store_relay_(std::make_unique<fake_relay>(
+          loop, fake_relay_settings{.target = store_.address()}))
+    , config_(platform::gateway_world::default_config())
+{
+    json keys = json::array();
+    for (std::uint64_t i = 0; i < key_count; ++i)
+        keys.push_back(key_name(i));
+    config_["tenants"][0]["apiKeys"] = keys;
+    for (int i = 0; i < engines; ++i)
+        add_upstream("pool", i);
+    for (int i = 0; i < plain; ++i)
+    {
+        add_upstream("once", i);
+        add_upstream("read", i);
+    }
+}
+
+soak_fleet::~soak_fleet() = default;
+
+std::uint64_t soak_fleet::draw(std::uint64_t n)
+{
+    return random_() % n;
+}
+
+void soak_fleet::add_upstream(std::string const& service, int number)
+{
+    std::string const id = service + "-" + std::to_string(number);
+    auto server = std::make_unique<platform::scripted_upstream>(
+        loop_,
+        [this, id](platform::upstream_request& r) { run_request(id, r); });
+    auto relay = std::make_unique<fake_relay>(
+        loop_, fake_relay_settings{.target = server->address()});
+    store_.put(
+        "servers", id,
+        {{"service", service},
+         {"address", relay->address()},
+         {"zone", "z1"},
+         {"version", "v1"},
+         {"slots", 8},
+         {"state", "ready"},
+         {"coldRemainingMs", 0},
+         {"born", 1}});
+    upstreams_.push_back({id, std::move(server), std::move(relay)});
+}
+
+void soak_fleet::run_request(
+    std::string const& id, platform::upstream_request& r)
+{
+    using namespace platform;
+    std::string const attempt(r.header("Attempt-Id"));
+    if (r.header("Expected-Instance") != id)
+        note_violation(attempt, "reached another instance than was named");
+    if (r.header("Tenant") != "o" || !r.header("Authorization").empty())
+        note_violation(attempt, "wrong organisation, or the key was passed on");
+    constexpr std::uint64_t refuse_one_in = 20;
+    if (draw(refuse_one_in) == 0)
+    {
+        r.send("HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\n"
+               "Content-Length: 0\r\n\r\n");
+        return;
+    }
+    int const run = ++runs_[attempt];
+    bool const is_once = r.message.target.starts_with("/n/");
+    if (is_once && run > 1)
+        note_violation(attempt, "non-idempotent work ran twice");
+    if (refused_.contains(attempt))
+        note_violation(attempt, "ran after it was answered \"not run\"");
+    std::string const key(r.header("X-Key"));
+    auto const end = key_end_.find(key);
+    steady_time const sent(
+        milliseconds(std::stoll("0" + std::string(r.header("X-Sent-Ms")))));
+    if (end != key_end_.end() && sent > end->second + key_bound + key_slack)
+        note_violation(attempt, "ran with a key that was taken away");
+    if (!r.message.target.starts_with("/s/"))
+    {
+        r.send(answer_text(r, 200, "answer to " + attempt));
+        return;
+    }
+    std::string_view const after = r.header("Last-Event-Id");
+    int const first = after.empty() ? 0 : std::stoi(std::string(after)) + 1;
+    r.send(stream_head(r, {{"Confidence", "90"}}));
+    constexpr std::uint64_t break_one_in = 10;
+    for (int i = first; i < stream_events; ++i)
+    {
+        if (draw(break_one_in) == 0)
+        {
+            r.send("20\r\nid: ");
+            r.stream->close();
+            return;
+        }
+        r.send(event_chunk(i));
+    }
+    r.send(last_chunk);
+}
+
+void soak_fleet::put_config()
+{
+    store_.put("config", "main", config_);
+}
+
+void soak_fleet::start()
+{
+    put_config();
+    gateways_.resize(gateways);
+    for (int i = 0; i < gateways; ++i)
+        start_gateway(i);
+}
+
+void soak_fleet::start_gateway(int number)
+{
+    constexpr int base_port = 17400;
+    constexpr int ports_each = 20;
+    std::string const name = "gateway-" + std::to_string(number);
+    // Runs of other seeds may go on beside this one.
+    std::string const ip =
+        "127.0." + std::to_string(network_) + "." + std::to_string(number + 2);
+    int const port = base_port + number * ports_each;
+    std::string const path = directory_ + "/" + name + ".json";
+    std::ofstream(path)
+        << settings_of(name, ip, port, store_relay_->address()).dump();
+    gateway& g = gateways_[static_cast<std::size_t>(number)];
+    g.address = ip + ":" + std::to_string(port);
+    g.process = std::make_unique<child_process>(
+        directory_, name,
+        std::vector<std::string>{
+            "marjorambeam-gateway", "--settings-file", path});
+}
+
+void soak_fleet::note_violation(
+    std::string const& attempt, std::string const& what)
+{
+    violations_.push_back(attempt + ": " + what);
+}
+
+void soak_fleet::send_request(steady_time now)
+{
+    pending_request p;
+    p.attempt = "a" + std::to_string(++last_attempt_);
+    p.kind = static_cast<soak_kind>(draw(3));
+    p.sent = now;
+    gateway const& g = gateways_[draw(gateways)];
+    std::string const key = key_name(draw(key_count));
+    p.has_withdrawn_key = key_end_.contains(key);
+    auto const sent_ms =
+        std::chrono::duration_cast<milliseconds>(now.time_since_epoch());
+    header_list const headers{
+        {"Authorization", "Bearer " + key},
+        {"Deadline-Remaining", "5000"},
+        {"X-Key", key},
+        {"X-Sent-Ms", std::to_string(sent_ms.count())}};
+    p.caller = std::make_unique<platform::scripted_caller>(loop_, g.address);
+    switch (p.kind)
+    {
+    case soak_kind::once:
+        p.caller->send(
+            platform::request_text("POST", "/n/x", p.attempt, headers, "work"));
+        break;
+    case soak_kind::read:
+        p.caller->send(
+            platform::request_text("GET", "/i/x", p.attempt, headers));
+        break;
+    case soak_kind::stream:
+        p.caller->send(platform::request_text(
+            "POST", "/s/x", p.attempt, headers, "prompt"));
+        break;
+    }
+    ++counts_.sent;
+    pending_.push_back(std::move(p));
+}
+
+void soak_fleet::judge_stream(pending_request const& p)
+{
+    std::string whole;
+    for (int i = 0; i < stream_events; ++i)
+        whole += "id: " + std::to_string(i) + "\ndata: x" + std::to_string(i) +
+                 "\n\n";
+    std::string const& body = p.caller->body();
+    bool const is_prefix = whole.compare(0, body.size(), body) == 0;
+    if (!is_prefix)
+        note_violation(p.attempt, "a stream with a piece missing or twice");
+    if (p.caller->is_done() && body != whole)
+        note_violation(p.attempt, "an incomplete stream that looks complete");
+}
+
+void soak_fleet::judge(pending_request const& p)
+{
+    if (!p.caller->has_head())
+    {
+        ++counts_.failed;
+        return;
+    }
+    http_response_head const head = p.caller->head();
+    bool const is_refusal = head.status == 503 || head.status == 429 ||
+                            head.status == 408 || head.status == 421;
+    if (head.status == 200)
+    {
+        if (find_header(head.headers, "Attempt-Id") != p.attempt)
+            note_violation(p.attempt, "an answer to another request");
+        if (p.kind == soak_kind::stream)
+            judge_stream(p);
+        else if (
+            p.caller->is_done() && p.caller->body() != "answer to " + p.attempt)
+            note_violation(p.attempt, "a changed answer");
+        ++(p.caller->is_done() ? counts_.served : counts_.failed);
+        return;
+    }
+    if (is_refusal)
+    {
+        ++counts_.refused;
+        refused_.insert(p.attempt);
+        if (p.kind == soak_kind::once && runs_[p.attempt] > 0)
+            note_violation(p.attempt, "answered \"not run\" and had run");
+        if (p.caller->is_done() &&
+            find_header(head.headers, "Retry-After").empty())
+            note_violation(p.attempt, "refused without a time to come back");
+        return;
+    }
+    ++counts_.failed;
+    if (head.status == 401 && !p.has_withdrawn_key && !key_end_.empty())
+        return; // its key was taken away on the way
+    if (head.status == 401 && !p.has_withdrawn_key)
+        note_violation(p.attempt, "a valid key was refused");
+    if (head.status == 404)
+        note_violation(p.attempt, "a known route was refused");
+}
+
+void soak_fleet::collect(steady_time now)
+{
+    for (auto it = pending_.begin(); it != pending_.end();)
+    {
+        bool const is_over = it->caller->is_done() || it->caller->has_ended() ||
+                             now - it->sent > give_up_after;
+        if (!is_over)
+        {
+            ++it;
+            continue;
+        }
+        judge(*it);
+        it->caller->close();
+        it = pending_.erase(it);
+    }
+}
+
+void soak_fleet::end_later(steady_time now, std::function<void()> end)
+{
+    constexpr std::uint64_t longest_ms = 3000;
+    ends_.push_back(
+        {now + milliseconds(300 + draw(longest_ms)), std::move(end)});
+}
+
+void soak_fleet::fault_gateway(steady_time now)
+{
+    gateway& g = gateways_[draw(gateways)];
+    switch (draw(4))
+    {
+    case 0:
+        g.may_end = true;
+        g.process->signal(SIGKILL);
+        break;
+    case 1:
+        g.may_end = true;
+        g.process->signal(SIGTERM);
+        break;
+    case 2:
+        g.process->signal(SIGHUP);
+        break;
+    default:
+        g.is_stopped = true;
+        g.process->signal(SIGSTOP);
+        end_later(
+            now,
+            [&g]
+            {
+                g.is_stopped = false;
+                g.process->signal(SIGCONT);
+            });
+    }
+}
+
+void soak_fleet::fault_upstream(steady_time now)
+{
+    fake_relay& relay = *upstreams_[draw(upstreams_.size())].relay;
+    switch (draw(4))
+    {
+    case 0:
+        relay.cut_existing();
+        break;
+    case 1:
+        relay.silence_existing();
+        break;
+    case 2:
+        relay.refuse_new(true);
+        relay.cut_existing();
+        end_later(now, [&relay] { relay.refuse_new(false); });
+        break;
+    default:
+        relay.set_delay(milliseconds(draw(300)));
+        end_later(now, [&relay] { relay.set_delay(duration{0}); });
+    }
+}
+
+void soak_fleet::fault_store(steady_time now)
+{
+    using platform::store_fault;
+    switch (draw(6))
+    {
+    case 0:
+        store_.set_fault(store_fault::busy);
+        end_later(now, [this] { store_.set_fault(store_fault::none); });
+        break;
+    case 1:
+        store_.set_fault(store_fault::silent);
+        store_.silence_watches();
+        end_later(now, [this] { store_.set_fault(store_fault::none); });
+        break;
+    case 2:
+        store_.silence_watches();
+        break;
+    case 3:
+        store_.forget_history();
+        store_relay_->cut_existing();
+        break;
+    case 4:
+        store_relay_->silence_existing();
+        break;
+    default:
+        store_relay_->set_delay(milliseconds(draw(400)));
+        end_later(now, [this] { store_relay_->set_delay(duration{0}); });
+    }
+}
+
+void soak_fleet::withdraw_key(steady_time now)
+{
+    json& keys = config_["tenants"][0]["apiKeys"];
+    if (keys.size() <= 2)
+        return; // callers need some that work
+    std::string const key = keys[draw(keys.size())].get<std::string>();
+    keys.erase(std::find(keys.begin(), keys.end(), json(key)));
+    key_end_[key] = now;
+    config_["version"] = config_["version"].get<int>() + 1;
+    put_config();
+}
+
+void soak_fleet::inject_fault(steady_time now)
+{
+    ++counts_.faults;
+    constexpr std::uint64_t key_one_in = 12;
+    if (draw(key_one_in) == 0)
+        withdraw_key(now);
+    else if (draw(3) == 0)
+        fault_store(now);
+    else if (draw(2) == 0)
+        fault_gateway(now);
+    else
+        fault_upstream(now);
+}
+
+void soak_fleet::tick(steady_time now)
+{
+    for (auto it = ends_.begin(); it != ends_.end();)
+    {
+        if (now < it->at)
+        {
+            ++it;
+            continue;
+        }
+        it->end();
+        it = ends_.erase(it);
+    }
+    constexpr duration restart_after = milliseconds(500);
+    for (gateway& g : gateways_)
+    {
+        std::optional<int> const code = g.process->exit_code();
+        if (!code)
+            continue;
+        if (g.start_again == steady_time{})
+        {
+            g.start_again = now + restart_after;
+            if (!g.may_end)
+                note_violation(
+                    g.address,
+                    "a process ended by itself with " + std::to_string(*code));
+        }
+        if (now < g.start_again)
+            continue;
+        g.start_again = {};
+        g.may_end = false;
+        g.process->start_again();
+    }
+}
+
+void soak_fleet::calm(steady_time now)
+{
+    for (timed_end& it : ends_)
+        it.at = now;
+    tick(now);
+}
+
+} // namespace marjorambeam
--- /dev/null
+++ b/tests/soak/soak_fleet.hpp
@@ -0,0 +1,141 @@
+// Gateways as processes among stand-ins, with the faults of a soak.
+//
+// Example:
+//   soak_fleet fleet(loop, directory, seed);
+//   fleet.start();
+//   fleet.inject_fault(now);
+//   for (std::string const& it : fleet.violations()) ...
+//
+// Not thread-safe.
+#pragma once
+
+#include "base/time.hpp"
+#include "fakes/relay/fake_relay.hpp"
+#include "platform/testing/fake_store.hpp"
+#include "platform/testing/scripted_upstream.hpp"
+#include "tests/process/child_process.hpp"
+
+#include <cstdint>
+#include <list>
+#include <map>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace marjorambeam
+{
+
+// What a caller sends.
+enum class soak_kind : std::uint8_t
+{
+    once,   // may run at most once
+    read,   // may be repeated
+    stream, // may be resumed
+};
+
+struct soak_counts
+{
+    std::uint64_t sent = 0;
+    std::uint64_t served = 0;
+    std::uint64_t refused = 0;
+    std::uint64_t failed = 0;
+    std::uint64_t faults = 0;
+};
+
+class soak_fleet
+{
+public:
+    soak_fleet(ev::loop_ref loop, std::string directory, std::uint64_t seed);
+    ~soak_fleet();
+    soak_fleet(soak_fleet const&) = delete;
+    soak_fleet& operator=(soak_fleet const&) = delete;
+
+    // Writes the store's objects and starts the gateways.
+    void start();
+    // Sends one request of a random kind to a random gateway.
+    void send_request(steady_time now);
+    // Injects one random fault; most end by themselves after some seconds.
+    void inject_fault(steady_time now);
+    // Ends faults whose time has come, and starts ended processes again.
+    void tick(steady_time now);
+    // Ends all faults.
+    void calm(steady_time now);
+    // Judges answers that have come, and gives up old requests.
+    void collect(steady_time now);
+
+    soak_counts const& counts() const
+    {
+        return counts_;
+    }
+    // Promises that were broken, in words.
+    std::vector<std::string> const& violations() const
+    {
+        return violations_;
+    }
+
+private:
+    struct upstream
+    {
+        std::string id;
+        std::unique_ptr<platform::scripted_upstream> server;
+        std::unique_ptr<fake_relay> relay;
+    };
+    struct gateway
+    {
+        std::string address;
+        std::unique_ptr<child_process> process;
+        bool is_stopped = false;   // by SIGSTOP
+        bool may_end = false;      // a signal told it to
+        steady_time start_again{}; // when it has ended
+    };
+    struct pending_request
+    {
+        std::string attempt;
+        soak_kind kind = soak_kind::read;
+        bool has_withdrawn_key = false;
+        steady_time sent{};
+        std::unique_ptr<platform::scripted_caller> caller;
+    };
+    struct timed_end
+    {
+        steady_time at{};
+        std::function<void()> end;
+    };
+
+    void add_upstream(std::string const& service, int number);
+    void run_request(std::string const& id, platform::upstream_request& r);
+    void put_config();
+    void start_gateway(int number);
+    void judge(pending_request const& p);
+    void judge_stream(pending_request const& p);
+    void note_violation(std::string const& attempt, std::string const& what);
+    void end_later(steady_time now, std::function<void()> end);
+    void fault_gateway(steady_time now);
+    void fault_upstream(steady_time now);
+    void fault_store(steady_time now);
+    void withdraw_key(steady_time now);
+    std::uint64_t draw(std::uint64_t n);
+
+    ev::loop_ref loop_;
+    std::string directory_;
+    std::mt19937_64 random_;
+    std::uint64_t network_; // third number of the gateways' addresses
+    platform::fake_store store_;
+    std::unique_ptr<fake_relay> store_relay_;
+    nlohmann::json config_;
+    std::vector<upstream> upstreams_;
+    std::vector<gateway> gateways_;
+    std::list<pending_request> pending_;
+    std::list<timed_end> ends_;
+    std::map<std::string, int> runs_;            // by attempt
+    std::set<std::string> refused_;              // attempts answered "not run"
+    std::map<std::string, steady_time> key_end_; // withdrawn keys
+    std::vector<std::string> violations_;
+    soak_counts counts_;
+    std::uint64_t last_attempt_ = 0;
+};
+
+} // namespace marjorambeam
