--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <cstdio>
+#include <utility>
 
 namespace marjorambeam
 {
@@ -164,7 +165,7 @@
          .is_resumed = request_.resume_after.has_value()}));
     wait_until_ = now + longest_wait();
     if (send(now) == send_outcome::none)
-        wait_or_refuse(choice_failure::no_upstream, now);
+        wait_or_refuse(now);
 }
 
 choice_question request_run::question(version_rule const& rule) const
@@ -230,7 +231,6 @@
     work_left_ = work_.total();
     upstream_->work += work_left_;
     work_before_ = upstream_->work + upstream_->peers.work - work_.decode;
-    upstream_->sends.add(now);
     if (now < upstream_->cold_until)
         upstream_->cold_sends.add(now);
     if (attempts_.arrivals > 0)
@@ -323,7 +323,7 @@
     return std::min(target / 2, (deadline_ - started_) / 4);
 }
 
-void request_run::wait_or_refuse(choice_failure, steady_time now)
+void request_run::wait_or_refuse(steady_time now)
 {
     bool const may_wait =
         now < wait_until_ && now < deadline_ && !context_.state.drain_started;
@@ -354,7 +354,7 @@
         return false;
     send_outcome const o = send(now);
     if (o == send_outcome::none)
-        wait_or_refuse(choice_failure::no_upstream, now);
+        wait_or_refuse(now);
     else
         is_waiting_ = false;
     return is_waiting_ && !is_done_;
@@ -434,7 +434,7 @@
     if (!dispatch(c.chosen, now))
     {
         wait_until_ = now + longest_wait();
-        wait_or_refuse(choice_failure::no_upstream, now);
+        wait_or_refuse(now);
     }
     return true;
 }
@@ -492,7 +492,8 @@
         judge_version(false);
         note_outcome(*upstream_, false, now);
         note_whole(context_.state.blame, fingerprint_);
-        std::shared_ptr<upstream_connection> const c = std::move(connection_);
+        std::shared_ptr<upstream_connection> const c =
+            std::exchange(connection_, nullptr);
         release();
         context_.pool.give_back(c, now);
         client_->end_stream();
@@ -507,7 +508,8 @@
     bool const is_failure = head_.status >= 500;
     judge_version(is_failure);
     note_outcome(*upstream_, is_failure, now);
-    std::shared_ptr<upstream_connection> const c = std::move(connection_);
+    std::shared_ptr<upstream_connection> const c =
+        std::exchange(connection_, nullptr);
     release();
     context_.pool.give_back(c, now);
     if (is_failure && route_.kind != route_kind::non_idempotent)
@@ -603,7 +605,7 @@
     {
         wait_until_ = now + longest_wait();
         if (send(now) == send_outcome::none)
-            wait_or_refuse(choice_failure::no_upstream, now);
+            wait_or_refuse(now);
         return;
     }
     if (ran_ == run_state::not_run)
--- a/src/gateway/request_run.hpp
+++ b/src/gateway/request_run.hpp
@@ -91,7 +91,7 @@
     void set_model(std::size_t model);
     choice_question question(version_rule const& rule) const;
     bool dispatch(std::shared_ptr<upstream_state> u, steady_time now);
-    void wait_or_refuse(choice_failure why, steady_time now);
+    void wait_or_refuse(steady_time now);
     duration longest_wait() const;
     void release();
     void drop_work(double part);
--- a/src/gateway/upstream_board.hpp
+++ b/src/gateway/upstream_board.hpp
@@ -65,7 +65,6 @@
     // microseconds per unit of work; zero before the first.
     double pace = 0;
     rate_window cold_sends{std::chrono::seconds(1)};
-    rate_window sends{std::chrono::seconds(1)};
 };
 
 // Work of a request at an engine, in prompt tokens read by the smallest model.
@@ -145,9 +144,6 @@
 // what the upstream itself has told lately.
 double known_requests(upstream_state const& u, steady_time now);
 
-// Mean of the work per upstream of a service, over those that are usable.
-double mean_work(upstream_board const& b, std::string_view service);
-
 // Notes how long the first event took. `work` is what was to be done before
 // it, at the time of sending.
 void note_first_event(upstream_state& u, double work, duration took);
