--- a/src/gateway/object_watch.hpp
+++ b/src/gateway/object_watch.hpp
@@ -51,9 +51,6 @@
     http_call (*create)(
         std::string_view address, std::string_view kind, std::string_view name,
         nlohmann::json const& specification);
-    http_call (*remove)(
-        std::string_view address, std::string_view kind, std::string_view name,
-        std::uint64_t revision);
     // Replaces the status of an object that has `revision`.
     http_call (*put_status)(
         std::string_view address, std::string_view kind, std::string_view name,
--- a/src/gateway/shared_limits_test.cpp
+++ b/src/gateway/shared_limits_test.cpp
@@ -57,6 +57,7 @@
                 .tolerance = 5};
             std::vector<std::string> names;
             int const n = *rc::gen::inRange(1, 40);
+            names.reserve(static_cast<std::size_t>(n));
             for (int i = 0; i < n; ++i)
                 names.push_back("gateway-" + std::to_string(i));
             std::size_t sum = 0;
@@ -72,8 +73,10 @@
 // Guards against a fleet so large that each share of a cold upstream is zero.
 TEST_CASE("A cold upstream gets requests from a large fleet")
 {
+    constexpr int gateways = 31;
     std::vector<std::string> names;
-    for (int i = 0; i < 31; ++i)
+    names.reserve(gateways);
+    for (int i = 0; i < gateways; ++i)
         names.push_back("gateway-" + std::to_string(i));
     std::size_t sum = 0;
     for (std::string const& it : names)
--- a/src/gateway/store_controller.cpp
+++ b/src/gateway/store_controller.cpp
@@ -177,13 +177,13 @@
 {
     steady_time const now = boot_now();
     std::vector<std::string> gone;
-    for (auto const& [id, u] : state_.upstreams.by_id)
+    for (auto const& it : state_.upstreams.by_id)
     {
         bool const is_listed = std::any_of(
             all.begin(), all.end(),
-            [&](platform_object const& o) { return o.name == id; });
+            [&](platform_object const& o) { return o.name == it.first; });
         if (!is_listed)
-            gone.push_back(id);
+            gone.push_back(it.first);
     }
     for (std::string const& id : gone)
         lose_upstream(id, now);
--- a/src/gateway/upstream_board.cpp
+++ b/src/gateway/upstream_board.cpp
@@ -167,20 +167,6 @@
     return std::max(counted, told);
 }
 
-double mean_work(upstream_board const& b, std::string_view service)
-{
-    double sum = 0;
-    double n = 0;
-    for (auto const& [id, u] : b.by_id)
-    {
-        if (u->info.service != service || !is_usable(b, *u))
-            continue;
-        sum += work_of(*u);
-        n += 1;
-    }
-    return n == 0 ? 0 : sum / n;
-}
-
 upstream_choice
 choose_upstream(upstream_board& b, choice_question const& q, steady_time now)
 {
