Hold requests during a start, and measure the pace of engines by sums

Change: - A request that comes during the start waits for a second or a quarter of its time at most, then is served or refused. - Pace is kept as sums of time and work, with a usual pace before the first samples and a prior for each engine; work counts the shared parts that are expected to be kept. Nothing is sampled in the first second. - A larger model is asked by the queue of the best engine (none from 0.4 of the time left), besides the time its own answer needs. - Refusals spread over 0.6 to 1.4 of their Retry-After.

--- a/src/gateway/gateway_benchmark.cpp
+++ b/src/gateway/gateway_benchmark.cpp
@@ -44,9 +44,10 @@
         u->info.service = "pool";
         u->info.slots = 64;
         u->work = 100.0 * i;
-        u->pace = 10;
+        u->pace = {.took_us = 1e6, .work = 1e5, .samples = 10};
         b.by_id[u->info.id] = u;
     }
+    b.pace = {.took_us = 1e7, .work = 1e6, .samples = 100};
     return b;
 }
 
--- a/src/gateway/gateway_state.cpp
+++ b/src/gateway/gateway_state.cpp
@@ -14,6 +14,9 @@
 // within a second does not use its share twice.
 constexpr duration cold_send_pause = std::chrono::seconds(1);
 
+// A gateway that has not read the store by then will not do so in a moment.
+constexpr duration longest_start = std::chrono::seconds(2);
+
 } // namespace
 
 void confirm_config(gateway_state& s, steady_time as_of)
@@ -53,6 +56,12 @@
     return s.is_store_lost || now - s.store_back < relist_grace;
 }
 
+bool is_starting(gateway_state const& s, steady_time now)
+{
+    bool const has_all = s.config && s.has_upstreams;
+    return !has_all && !s.drain_started && now - s.started < longest_start;
+}
+
 bool is_ready(gateway_state const& s, steady_time now)
 {
     return s.config && s.has_upstreams && !s.drain_started &&
--- a/src/gateway/gateway_state.hpp
+++ b/src/gateway/gateway_state.hpp
@@ -118,6 +118,9 @@
 // within two seconds of its return.
 constexpr duration relist_grace = std::chrono::milliseconds(2000);
 
+// Whether this gateway has just started and has yet to read what it needs.
+bool is_starting(gateway_state const& s, steady_time now);
+
 // Whether the load balancer may send new connections here.
 bool is_ready(gateway_state const& s, steady_time now);
 
--- a/src/gateway/model_choice.hpp
+++ b/src/gateway/model_choice.hpp
@@ -31,6 +31,7 @@
 struct larger_model_time
 {
     duration expected{0}; // from now
+    duration queued{0};   // part of `expected` that others' work takes
     duration left{0};     // of the target
 };
 
@@ -46,6 +47,13 @@
 // Times the time left from which no larger model is asked.
 constexpr double hopeless_part = 2.5;
 
+// Part of the time left that the queue of the best engine may take. A larger
+// model's answer takes ten times the work, which all behind it wait for, so
+// that engines with a queue are left to first answers.
+constexpr double free_queue_part = 0.1;
+// The same from which no larger model is asked.
+constexpr double full_queue_part = 0.4;
+
 // Index of the model to ask first.
 std::size_t first_model(model_question const& q);
 
--- /dev/null
+++ b/src/gateway/model_choice_test.cpp
@@ -0,0 +1,48 @@
+#include "gateway/model_choice.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace marjorambeam;
+using std::chrono::milliseconds;
+
+namespace
+{
+
+model_question unsure(int confidence)
+{
+    return {.models = 2, .asked = 0, .confidence = confidence};
+}
+
+} // namespace
+
+// Guards against a larger model for answers that are sure, and against none
+// for unsure ones while there is time.
+TEST_CASE("a larger model is asked for an unsure answer that has time")
+{
+    larger_model_time const idle{
+        .expected = milliseconds(600), .left = milliseconds(1900)};
+    CHECK(next_model(unsure(30)) == std::size_t{1});
+    CHECK_FALSE(next_model(unsure(min_confidence)));
+    CHECK(is_worth_asking(unsure(30), idle));
+    CHECK_FALSE(is_worth_asking(
+        unsure(30),
+        {.expected = milliseconds(6000), .left = milliseconds(1900)}));
+}
+
+// Guards against larger models that keep the engines behind for ten seconds
+// after a burst, as when all gateways were killed and all callers came back at
+// once (somfast-beam-grown, trouble-3).
+TEST_CASE("engines with a queue are left to first answers")
+{
+    auto asks = [](int confidence, int queued_ms)
+    {
+        return is_worth_asking(
+            unsure(confidence), {.expected = milliseconds(queued_ms + 600),
+                                 .queued = milliseconds(queued_ms),
+                                 .left = milliseconds(1900)});
+    };
+    CHECK(asks(50, 100));
+    CHECK_FALSE(asks(50, 500));
+    CHECK(asks(10, 500));
+    CHECK_FALSE(asks(10, 800));
+}
--- a/src/gateway/own_answer.cpp
+++ b/src/gateway/own_answer.cpp
@@ -34,6 +34,12 @@
 
 } // namespace
 
+duration spread(duration d, std::uint64_t hash)
+{
+    double const part = 0.6 + 0.8 * static_cast<double>(hash % 1000) / 1000.0;
+    return from_seconds(to_seconds(d) * part);
+}
+
 own_answer make_own_answer(
     call_protocol const& protocol, error const& e, std::string_view attempt_id)
 {
--- a/src/gateway/own_answer.hpp
+++ b/src/gateway/own_answer.hpp
@@ -10,6 +10,7 @@
 #include "error/error.hpp"
 #include "gateway/call_protocol.hpp"
 
+#include <cstdint>
 #include <string>
 #include <string_view>
 
@@ -27,4 +28,8 @@
 own_answer make_own_answer(
     call_protocol const& protocol, error const& e, std::string_view attempt_id);
 
+// Spreads callers that were refused together over a time around `d`. `hash` is
+// uniform.
+duration spread(duration d, std::uint64_t hash);
+
 } // namespace marjorambeam
--- a/src/gateway/request_answer.cpp
+++ b/src/gateway/request_answer.cpp
@@ -12,6 +12,9 @@
 
 // Unsent bytes of a stream from which its upstream is not read any more.
 constexpr std::size_t pause_at_bytes = std::size_t{64} << 10U;
+// After a start the loads that other gateways have put on upstreams are not
+// known yet, so that upstreams would look slow.
+constexpr duration loads_unknown = std::chrono::milliseconds(1000);
 
 } // namespace
 
@@ -38,7 +41,9 @@
         return;
     }
     ran_ = run_state::ran;
-    note_first_event(*upstream_, work_before_, now - sent_);
+    if (sent_ - context_.state.started > loads_unknown)
+        note_first_event(
+            context_.state.upstreams, *upstream_, work_before_, now - sent_);
     drop_work(work_.prefill);
     if (ask_larger_model(a, now))
         return;
@@ -82,7 +87,9 @@
     set_model(*next);
     upstream_choice const c = choose(now);
     larger_model_time const t{
-        .expected = c.expected, .left = started_ + route_.target - now};
+        .expected = c.expected,
+        .queued = c.queued,
+        .left = started_ + route_.target - now};
     if (!c.chosen || !is_worth_asking(q, t))
     {
         set_model(present);
--- a/src/gateway/request_controller.cpp
+++ b/src/gateway/request_controller.cpp
@@ -1,5 +1,6 @@
 #include "gateway/request_controller.hpp"
 
+#include "base/hash.hpp"
 #include "gateway/own_answer.hpp"
 
 #include <algorithm>
@@ -21,6 +22,9 @@
 constexpr duration serve_while_draining = milliseconds(3000);
 constexpr duration retry_elsewhere = milliseconds(100);
 constexpr duration retry_when_ready = milliseconds(400);
+// A gateway that has just started is ready within a quarter of a second when
+// the store answers; callers whose requests wait for it need no second try.
+constexpr duration longest_hold = milliseconds(1000);
 
 } // namespace
 
@@ -76,7 +80,8 @@
 {
     error e = make_error(kind, "the request has not run");
     e.run = run_state::not_run;
-    e.retry_after = retry_after;
+    // Callers that were refused together come back apart.
+    e.retry_after = spread(retry_after, hash64(attempt_id));
     state_.counters.count("refusals_total", to_string(kind));
     std::string const age =
         state_.config_confirmed ? in_ms(now - *state_.config_confirmed) : "-";
@@ -84,7 +89,7 @@
         log_event::request_refused,
         {{"request_id", std::string(attempt_id)},
          {"kind", std::string(to_string(kind))},
-         {"retry_after_ms", in_ms(retry_after)},
+         {"retry_after_ms", in_ms(e.retry_after)},
          {"config", std::to_string(state_.config ? state_.config->version : 0)},
          {"config_age_ms", age}});
     own_answer const a = make_own_answer(protocol_, e, attempt_id);
@@ -100,21 +105,64 @@
         refuse(client, {}, message.error().kind, seconds(1), boot_now());
         return;
     }
-    serve(client, std::move(*message), boot_now());
-}
-
-void request_controller::serve(
-    std::shared_ptr<client_connection> const& client,
-    http_request_message&& message, steady_time now)
-{
+    steady_time const now = boot_now();
     result<gateway_request> request =
-        protocol_.decode_request(std::move(message));
+        protocol_.decode_request(std::move(*message));
     if (!request)
     {
         refuse(client, {}, request.error().kind, duration{0}, now);
         return;
     }
-    std::string const id = request->attempt_id;
+    if (is_starting(state_, now))
+        hold(client, std::move(*request), now);
+    else
+        serve(client, std::move(*request), now);
+}
+
+void request_controller::hold(
+    std::shared_ptr<client_connection> const& client, gateway_request&& request,
+    steady_time now)
+{
+    state_.counters.count("requests_held_total");
+    duration const patience =
+        request.remaining ? *request.remaining / 4 : longest_hold;
+    held_.push_back(
+        {client, std::move(request), now + std::min(patience, longest_hold)});
+    auto const it = std::prev(held_.end());
+    client->on_leave(
+        [this, it]
+        {
+            state_.counters.count("requests_total", "caller_left");
+            log_.write(
+                log_event::request_left,
+                {{"request_id", it->request.attempt_id},
+                 {"kind", "caller_left"}});
+            held_.erase(it);
+        });
+}
+
+void request_controller::serve_held(steady_time now)
+{
+    bool const is_over = !is_starting(state_, now);
+    for (auto it = held_.begin(); it != held_.end();)
+    {
+        if (!is_over && now < it->until)
+        {
+            ++it;
+            continue;
+        }
+        held_request r = std::move(*it);
+        it = held_.erase(it);
+        r.client->on_leave({});
+        serve(r.client, std::move(r.request), now);
+    }
+}
+
+void request_controller::serve(
+    std::shared_ptr<client_connection> const& client, gateway_request&& request,
+    steady_time now)
+{
+    std::string const id = request.attempt_id;
     if (!state_.config || !state_.has_upstreams)
     {
         refuse(client, id, error_kind::not_ready, retry_when_ready, now);
@@ -128,7 +176,7 @@
     }
     std::shared_ptr<gateway_config const> const config = state_.config;
     gateway_route const* const route =
-        find_route(*config, request->host, path_of(request->target));
+        find_route(*config, request.host, path_of(request.target));
     organisation const* owner = nullptr;
     bool const is_keyed = route != nullptr && !route->is_anonymous &&
                           !config->organisations.empty();
@@ -145,14 +193,14 @@
         return;
     }
     if (is_keyed)
-        owner = find_organisation(*config, request->key);
+        owner = find_organisation(*config, request.key);
     if (is_keyed && owner == nullptr)
     {
         refuse(client, id, error_kind::unauthorized, duration{0}, now);
         return;
     }
     auto const run = std::make_shared<request_run>(
-        context_, client, config, *route, owner, std::move(*request), now);
+        context_, client, config, *route, owner, std::move(request), now);
     runs_.push_back(run);
     run->start(now);
 }
@@ -178,6 +226,7 @@
 
 void request_controller::dispatch_waiting(steady_time now)
 {
+    serve_held(now);
     if (waiting_.empty())
         return;
     std::vector<std::shared_ptr<request_run>> all(
--- a/src/gateway/request_controller.hpp
+++ b/src/gateway/request_controller.hpp
@@ -52,9 +52,21 @@
     void on_request(
         std::shared_ptr<client_connection> const& client,
         result<http_request_message> message);
+    // A request that came before this gateway knew what to do with it.
+    struct held_request
+    {
+        std::shared_ptr<client_connection> client;
+        gateway_request request;
+        steady_time until{};
+    };
+
     void serve(
         std::shared_ptr<client_connection> const& client,
-        http_request_message&& message, steady_time now);
+        gateway_request&& request, steady_time now);
+    void hold(
+        std::shared_ptr<client_connection> const& client,
+        gateway_request&& request, steady_time now);
+    void serve_held(steady_time now);
     void refuse(
         std::shared_ptr<client_connection> const& client,
         std::string_view attempt_id, error_kind kind, duration retry_after,
@@ -72,6 +84,7 @@
     run_context context_;
     std::list<std::shared_ptr<client_connection>> clients_;
     std::list<std::shared_ptr<request_run>> runs_;
+    std::list<held_request> held_;
     tcp_listener listener_;
     loop_timer sweep_timer_;
     loop_timer waiting_timer_;
--- a/src/gateway/request_end.cpp
+++ b/src/gateway/request_end.cpp
@@ -21,13 +21,6 @@
 // this long; its other streams would show life.
 constexpr duration silent_for = milliseconds(1200);
 
-// Spreads callers that were refused together over a time.
-duration spread(duration d, std::uint64_t hash)
-{
-    double const part = 0.6 + 0.8 * static_cast<double>(hash % 1000) / 1000.0;
-    return from_seconds(to_seconds(d) * part);
-}
-
 std::string number_text(double n)
 {
     return std::to_string(static_cast<std::int64_t>(n));
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -210,7 +210,7 @@
     upstream_->requests += 1;
     work_left_ = work_.total();
     upstream_->work += work_left_;
-    work_before_ = upstream_->work + upstream_->peers.work - work_.decode;
+    work_before_ = c.work;
     if (now < upstream_->cold_until)
         upstream_->cold_sends.add(now);
     if (attempts_.arrivals > 0)
--- a/src/gateway/request_run.hpp
+++ b/src/gateway/request_run.hpp
@@ -159,7 +159,7 @@
     std::size_t model_ = 0;
     request_work work_;
     double work_left_ = 0;   // of the present attempt, at its upstream
-    double work_before_ = 0; // at the upstream when it was sent, with its own
+    double work_before_ = 0; // expected until the first event
     attempt_record attempts_;
     choice_inputs inputs_;
     steady_time wait_until_{};
--- a/src/gateway/upstream_board.cpp
+++ b/src/gateway/upstream_board.cpp
@@ -22,8 +22,13 @@
 constexpr std::array shared_rank_parts{1.0, 0.6, 0.3};
 // A part that is read again costs time and a price, and pushes out others.
 constexpr double shared_worth = 1.5;
-// Weight of a new sample of an upstream's pace.
-constexpr double pace_smoothing = 0.1;
+// Parts of the sums of samples that are left at the next one. The common pace
+// follows an overload within some thirty requests, one or two seconds.
+constexpr double upstream_pace_decay = 0.9;
+constexpr double common_pace_decay = 0.97;
+// An upstream is taken to be as fast as the others until it has had more
+// samples than this; a gateway of a large fleet has few of each.
+constexpr double prior_pace_samples = 5;
 // Samples below this work say more of the network than of the upstream.
 constexpr double min_pace_work = 300;
 constexpr double most_pace_ratio = 4;
@@ -47,7 +52,7 @@
 {
     std::shared_ptr<upstream_state> upstream;
     double cost = 0;
-    double expected = 0; // microseconds until the first event
+    double work = 0; // until the first event
 };
 
 double work_of(upstream_state const& u)
@@ -55,26 +60,26 @@
     return u.work + u.peers.work;
 }
 
-// Pace against the mean of the candidates; 1 while it is not known.
-double relative_pace(upstream_state const& u, double mean_pace)
+double per_work(work_pace const& p)
 {
-    if (u.pace <= 0 || mean_pace <= 0)
-        return 1;
-    return std::clamp(u.pace / mean_pace, 1 / most_pace_ratio, most_pace_ratio);
+    return p.took_us / p.work;
 }
 
-double mean_pace(std::span<candidate const> all)
+// Pace against that of all engines.
+double relative_pace(upstream_board const& b, upstream_state const& u)
 {
-    double sum = 0;
-    double n = 0;
-    for (candidate const& it : all)
-    {
-        if (it.upstream->pace <= 0)
-            continue;
-        sum += it.upstream->pace;
-        n += 1;
-    }
-    return n == 0 ? 0 : sum / n;
+    double const common = per_work(b.pace);
+    double const prior = prior_pace_samples * b.pace.work / b.pace.samples;
+    double const own =
+        (u.pace.took_us + common * prior) / (u.pace.work + prior);
+    return std::clamp(own / common, 1 / most_pace_ratio, most_pace_ratio);
+}
+
+void add_sample(work_pace& p, double decay, double work, double took_us)
+{
+    p.took_us = p.took_us * decay + took_us;
+    p.work = p.work * decay + work;
+    p.samples = p.samples * decay + 1;
 }
 
 // Credits the upstreams that rank first for the key with its shared parts.
@@ -97,24 +102,29 @@
     for (std::size_t i = 0; i < best.size(); ++i)
     {
         if (best[i].second != nullptr)
-            best[i].second->cost -=
-                q.work.shared * shared_rank_parts[i] * shared_worth;
+        {
+            double const spared = q.work.shared * shared_rank_parts[i];
+            best[i].second->work -= spared;
+            best[i].second->cost -= spared * shared_worth;
+        }
     }
 }
 
 void set_engine_costs(
-    std::span<candidate> all, choice_question const& q, steady_time now)
+    upstream_board const& b, std::span<candidate> all, choice_question const& q,
+    steady_time now)
 {
-    double const mean = mean_pace(all);
     for (candidate& it : all)
-        it.cost = work_of(*it.upstream) + q.work.prefill;
+    {
+        it.work = work_of(*it.upstream) + q.work.prefill;
+        it.cost = it.work;
+    }
     if (!q.affinity.empty())
         credit_affinity(all, q);
     for (candidate& it : all)
     {
-        double const pace = relative_pace(*it.upstream, mean);
+        double const pace = relative_pace(b, *it.upstream);
         it.cost = it.cost > 0 ? it.cost * pace : it.cost / pace;
-        it.expected = std::max(it.cost, 0.0) * mean;
         it.cost += failure_rate(*it.upstream, now) * engine_failure_cost;
     }
 }
@@ -199,27 +209,37 @@
     if (all.empty())
         all = std::move(unsound);
     if (all.empty())
-        return {nullptr, duration{0}, failure};
+        return {.failure = failure};
     if (q.prefers_few)
         keep_few(all);
     if (q.is_engine)
-        set_engine_costs(all, q, now);
+        set_engine_costs(b, all, q, now);
     else
         set_plain_costs(all, q, now);
     auto const best = std::min_element(
         all.begin(), all.end(),
         [](candidate const& a, candidate const& b) { return a.cost < b.cost; });
-    return {
-        best->upstream, duration(static_cast<duration::rep>(best->expected)),
-        choice_failure::none};
+    upstream_choice c{.chosen = best->upstream, .work = best->work};
+    if (q.is_engine)
+    {
+        double const pace =
+            relative_pace(b, *best->upstream) * per_work(b.pace);
+        auto to_time = [pace](double work)
+        { return duration(static_cast<duration::rep>(work * pace)); };
+        c.expected = to_time(best->work);
+        c.queued = to_time(work_of(*best->upstream));
+    }
+    return c;
 }
 
-void note_first_event(upstream_state& u, double work, duration took)
+void note_first_event(
+    upstream_board& b, upstream_state& u, double work, duration took)
 {
     if (work < min_pace_work)
         return;
-    double const sample = static_cast<double>(took.count()) / work;
-    u.pace = u.pace <= 0 ? sample : u.pace + (sample - u.pace) * pace_smoothing;
+    auto const took_us = static_cast<double>(took.count());
+    add_sample(u.pace, upstream_pace_decay, work, took_us);
+    add_sample(b.pace, common_pace_decay, work, took_us);
 }
 
 duration avoid_time(std::uint32_t failures)
--- a/src/gateway/upstream_board.hpp
+++ b/src/gateway/upstream_board.hpp
@@ -45,6 +45,16 @@
     double work = 0;
 };
 
+// How long first events took against the work that was to be done before them,
+// as sums over samples that weigh less the older they are. Sums, because a
+// mean of ratios is led by the samples with little work.
+struct work_pace
+{
+    double took_us = 0;
+    double work = 0;
+    double samples = 0;
+};
+
 struct upstream_state
 {
     upstream_info info;
@@ -61,9 +71,7 @@
     told_load told;
     steady_time told_at{};
     steady_time heard_at{}; // last byte received on any connection
-    // Time to the first event against what its work let expect, smoothed, in
-    // microseconds per unit of work; zero before the first.
-    double pace = 0;
+    work_pace pace;
     rate_window cold_sends{std::chrono::seconds(1)};
 };
 
@@ -85,10 +93,16 @@
 // are read, so that one more stream hardly delays a prompt.
 constexpr double output_token_work = 0.5;
 
+// Pace that is assumed before the first samples: 100 prompt tokens per
+// millisecond, as engines of this kind read them, with the weight of three
+// long prompts.
+constexpr work_pace usual_pace{.took_us = 3e5, .work = 3e4, .samples = 3};
+
 struct upstream_board
 {
     std::map<std::string, std::shared_ptr<upstream_state>, std::less<>> by_id;
     std::set<std::string, std::less<>> zones_out; // get no new work
+    work_pace pace = usual_pace;                  // of all engines
 };
 
 // Whether the upstream may get new work at all: listed, not leaving, in a zone
@@ -131,6 +145,8 @@
 {
     std::shared_ptr<upstream_state> chosen;
     duration expected{0}; // until the first event; engines only
+    duration queued{0};   // part of it for the work of other requests
+    double work = 0;      // that is expected before it, see note_first_event()
     choice_failure failure = choice_failure::none;
 };
 
@@ -146,7 +162,8 @@
 
 // Notes how long the first event took. `work` is what was to be done before
 // it, at the time of sending.
-void note_first_event(upstream_state& u, double work, duration took);
+void note_first_event(
+    upstream_board& b, upstream_state& u, double work, duration took);
 
 // Time for which an upstream is avoided after `failures` failures in a row.
 duration avoid_time(std::uint32_t failures);
