Let four gateways ask for the configuration often, and the others hear of it

Change: the first four live gateways by rendezvous hash watch with the short wait, the others with 20 s. A gateway asks at once when nobody's word is fresh (0.7 of the time for which it serves keys), or when a peer has had a newer configuration for 400 ms. A short answer no longer vouches for the time in which a watch may have been deaf. A peer's word that it kept the store counts only if it heard the store since the loss; a gateway that asks seldom may not have noticed. A request without any listed upstream is told to come back after a second.

--- a/src/gateway/gateway_state.hpp
+++ b/src/gateway/gateway_state.hpp
@@ -82,6 +82,9 @@
     std::vector<std::string> gateways; // registered names, this one included
     // The store vouches for the configuration as of this time.
     std::optional<steady_time> config_confirmed;
+    // A peer has had a newer configuration since then.
+    std::optional<steady_time> config_behind;
+    std::optional<steady_time> store_heard; // last answer of the store
     bool is_store_lost = false;
     steady_time store_lost{}; // begin of the last loss of the store
     steady_time store_back{}; // its end
@@ -96,6 +99,9 @@
     metrics counters;
 };
 
+// A peer that was heard this recently is alive and can hold a duty.
+constexpr duration live_peer = std::chrono::milliseconds(1500);
+
 // Notes that the configuration in force was the newest one at `as_of`.
 void confirm_config(gateway_state& s, steady_time as_of);
 
@@ -107,8 +113,24 @@
 // is lost.
 std::optional<duration> store_kept_for(gateway_state const& s, steady_time now);
 
-// Notes that another gateway has had the store for `kept`.
-void note_peer_store(gateway_state& s, duration kept, steady_time now);
+// What another gateway tells of its store.
+struct peer_store
+{
+    duration kept{0};  // time without a loss that it noticed
+    duration heard{0}; // time since the last answer
+};
+
+// Notes what another gateway tells of its store.
+void note_peer_store(gateway_state& s, peer_store const& p, steady_time now);
+
+// How long the next watch of the configuration waits. The answers of a few
+// gateways vouch for the configuration of all, which hear of it in reports;
+// the others ask seldom while that word is fresh.
+duration config_wait(gateway_state const& s, steady_time now);
+
+// Whether the configuration is to be asked for at once: nobody's word on it is
+// fresh, or a peer has had a newer one for longer than a watch needs.
+bool must_ask_config(gateway_state const& s, steady_time now);
 
 // Whether entries that are missing from a list may have lapsed because the
 // store was away, and be back in a moment.
--- a/src/gateway/gateway_state_test.cpp
+++ b/src/gateway/gateway_state_test.cpp
@@ -83,9 +83,15 @@
     s.store_back = now + seconds(4);
     CHECK(is_list_unsure(s, now + seconds(5)));
     CHECK_FALSE(is_list_unsure(s, now + seconds(7)));
-    note_peer_store(s, seconds(2), now + seconds(5)); // it lost it as well
+    note_peer_store(
+        s, {.kept = seconds(2), .heard = milliseconds(10)},
+        now + seconds(5)); // it lost it as well
     CHECK(is_list_unsure(s, now + seconds(5)));
-    note_peer_store(s, seconds(30), now + seconds(5));
+    note_peer_store(
+        s, {.kept = seconds(30), .heard = seconds(6)}, now + seconds(5));
+    CHECK(is_list_unsure(s, now + seconds(5))); // not heard since the loss
+    note_peer_store(
+        s, {.kept = seconds(30), .heard = milliseconds(10)}, now + seconds(5));
     CHECK_FALSE(is_list_unsure(s, now + seconds(5)));
 }
 
@@ -160,3 +166,51 @@
     expire_sessions(p, now + session_memory);
     CHECK(p.by_session.empty());
 }
+
+// Guards against a fleet of which each gateway asks the store as often as if it
+// were alone (nakhla-keyword-grown: 2000 calls in a quiet minute), and against
+// one in which nobody asks.
+TEST_CASE("a few gateways ask for the configuration often")
+{
+    std::vector<std::string> names;
+    for (int i = 0; i < 31; ++i)
+        names.push_back("e" + std::to_string(i));
+    auto wait_of = [&](std::string const& self, std::size_t dead)
+    {
+        gateway_state s;
+        s.settings.instance = self;
+        for (std::size_t i = dead; i < names.size(); ++i)
+        {
+            if (names[i] != self)
+                s.peers[names[i]].heard_at = now;
+        }
+        return config_wait(s, now);
+    };
+    int often = 0;
+    for (std::string const& it : names)
+        often += wait_of(it, 0) < seconds(2) ? 1 : 0;
+    CHECK(often == 4);
+    // Of those that are left, the first four by rank take over.
+    often = 0;
+    for (std::size_t i = 20; i < names.size(); ++i)
+        often += wait_of(names[i], 20) < seconds(2) ? 1 : 0;
+    CHECK(often == 4);
+    CHECK(wait_of("e30", 28) < seconds(2));
+}
+
+// Guards against a gateway that serves an old configuration, or refuses keys,
+// because those that ask for it are gone.
+TEST_CASE("the configuration is asked for when no word on it is fresh")
+{
+    gateway_state s;
+    s.settings.key_bound = seconds(5);
+    s.config = std::make_shared<gateway_config const>();
+    confirm_config(s, now);
+    CHECK_FALSE(must_ask_config(s, now + seconds(3)));
+    CHECK(must_ask_config(s, now + milliseconds(3300)));
+    s.config_behind = now;
+    CHECK_FALSE(must_ask_config(s, now + milliseconds(300)));
+    CHECK(must_ask_config(s, now + milliseconds(500)));
+    s.is_store_lost = true; // it is asked all the time
+    CHECK_FALSE(must_ask_config(s, now + milliseconds(500)));
+}
--- a/src/gateway/object_watch.cpp
+++ b/src/gateway/object_watch.cpp
@@ -36,12 +36,20 @@
     send();
 }
 
+void object_watch::ask_now()
+{
+    asks_now_ = true;
+    renew();
+}
+
 void object_watch::send()
 {
     // After a failure the first answer shows that the store is back; it is not
     // to be waited for.
+    bool const is_short = has_failed_ || asks_now_;
+    asks_now_ = false;
     duration const wait =
-        has_failed_ ? duration(std::chrono::milliseconds(1)) : timing_.wait;
+        is_short ? duration(std::chrono::milliseconds(1)) : timing_.wait;
     http_call call = is_listed_
                          ? protocol_.watch(address_, kind_, revision_, wait)
                          : protocol_.list(address_, kind_, after_);
@@ -78,9 +86,7 @@
     has_failed_ = false;
     // A watch without a change was answered after its whole wait.
     bool const has_waited = is_listed_ && objects->objects.empty();
-    duration const vouched =
-        has_waited ? std::max(wait - timing_.deafness, duration{0})
-                   : duration{0};
+    duration const vouched = has_waited ? wait - timing_.deafness : duration{0};
     on_objects(std::move(*objects));
     bool const has_more = !after_.empty();
     handlers_.on_contact(sent + vouched);
--- a/src/gateway/object_watch.hpp
+++ b/src/gateway/object_watch.hpp
@@ -104,6 +104,8 @@
     {
         timing_.wait = wait;
     }
+    // Asks for changes at once. Precondition: started.
+    void ask_now();
     // Sends its call again on another connection, because the one in use may
     // be dead. Precondition: started.
     void renew();
@@ -125,6 +127,7 @@
     std::string after_;
     bool is_listed_ = false;
     bool has_failed_ = false; // the last call
+    bool asks_now_ = false;   // the next call
     std::uint64_t revision_ = 0;
     std::uint64_t first_page_revision_ = 0;
     duration delay_{0};
--- a/src/gateway/peer_report.cpp
+++ b/src/gateway/peer_report.cpp
@@ -75,6 +75,8 @@
     }
     if (auto const kept = store_kept_for(s, now))
         r.store_kept_ms = kept->count() / 1000;
+    if (s.store_heard)
+        r.store_heard_ms = (now - *s.store_heard).count() / 1000 + 1;
     for (auto const& [id, u] : s.upstreams.by_id)
     {
         if (u->requests > 0)
@@ -100,8 +102,14 @@
     if (is_prompt && r.config_age_ms >= 0 && s.config &&
         s.config->version == r.config_version)
         confirm_config(s, now - std::chrono::milliseconds(r.config_age_ms));
-    if (is_prompt && r.store_kept_ms >= 0)
-        note_peer_store(s, std::chrono::milliseconds(r.store_kept_ms), now);
+    if (is_prompt && r.store_kept_ms >= 0 && r.store_heard_ms >= 0)
+        note_peer_store(
+            s,
+            {.kept = std::chrono::milliseconds(r.store_kept_ms),
+             .heard = std::chrono::milliseconds(r.store_heard_ms)},
+            now);
+    if (s.config && r.config_version > s.config->version && !s.config_behind)
+        s.config_behind = now;
     peer->second.heard_at = now;
     peer->second.loads.clear();
     for (reported_load const& it : r.loads)
--- a/src/gateway/peer_report.hpp
+++ b/src/gateway/peer_report.hpp
@@ -22,7 +22,7 @@
 {
 
 // Names of the peer_calls that carry these bodies.
-constexpr std::string_view gateway_report_call = "gateway_report";
+constexpr std::string_view gateway_report_call = "gateway_report_2";
 constexpr std::string_view upstream_break_call = "upstream_break";
 
 struct reported_load
@@ -62,13 +62,15 @@
     std::int64_t config_version = 0;
     std::int64_t config_age_ms = -1;  // since it was confirmed; -1: never
     std::int64_t store_kept_ms = -1;  // without a loss; -1: it is lost
+    std::int64_t store_heard_ms = -1; // since its last answer; -1: never
     std::vector<reported_load> loads; // of upstreams with work
     std::vector<reported_shift> shifts;
 
     template <class Archive>
     void serialize(Archive& ar)
     {
-        ar(sender, config_version, config_age_ms, store_kept_ms, loads, shifts);
+        ar(sender, config_version, config_age_ms, store_kept_ms, store_heard_ms,
+           loads, shifts);
     }
 };
 
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -17,6 +17,10 @@
 // this much late.
 constexpr duration check_period = milliseconds(200);
 
+// Upstreams that start, or whose entries lapsed, are listed within a second or
+// two.
+constexpr duration retry_when_listed = std::chrono::seconds(1);
+
 // The parts of a prompt that other requests share decide where it is read; the
 // last one is the request's own.
 std::string affinity_key(gateway_request const& r)
@@ -325,7 +329,12 @@
     if (has_answer_head_ || ran_ != run_state::not_run)
         give_up(error_kind::upstream_failed, ran_, now);
     else
-        refuse(kind, std::max(route_.target / 4, shortest_retry_after), now);
+        refuse(
+            kind,
+            kind == error_kind::no_upstream
+                ? retry_when_listed
+                : std::max(route_.target / 4, shortest_retry_after),
+            now);
 }
 
 bool request_run::try_again(steady_time now)
--- a/src/gateway/store_controller.cpp
+++ b/src/gateway/store_controller.cpp
@@ -12,17 +12,13 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-// Each answer of this watch vouches for the keys, so it is short against the
-// bound of a withdrawn key. Gateways vouch for one another, so that it may be
-// longer where there are many.
+// The wait changes with the other gateways, see config_wait().
 constexpr watch_timing config_timing{
     .wait = milliseconds(1300),
     .patience = milliseconds(800),
     .first_retry = milliseconds(100),
     .longest_retry = milliseconds(250),
     .settle = milliseconds(120)};
-constexpr duration longest_config_wait = milliseconds(1800);
-constexpr duration config_wait_per_gateway = milliseconds(25);
 
 // Each call is priced; dead connections are found by TCP probes.
 watch_timing long_timing(duration settle)
@@ -42,8 +38,8 @@
 constexpr duration order_settle = milliseconds(50);
 // Gateways are registered when they start, before they take requests.
 constexpr duration gateway_settle = milliseconds(1000);
-// A peer that was heard this recently can hold the duty of roll-outs.
-constexpr duration live_peer = milliseconds(1500);
+// Between two calls for the configuration that nobody vouches for.
+constexpr duration config_ask_pause = milliseconds(1000);
 constexpr duration write_pause = milliseconds(500);
 constexpr duration write_patience = seconds(2);
 
@@ -117,8 +113,12 @@
 void store_controller::on_contact(steady_time as_of, bool is_config)
 {
     steady_time const now = boot_now();
+    state_.store_heard = now;
     if (is_config)
+    {
         confirm_config(state_, as_of);
+        config_.set_wait(config_wait(state_, now));
+    }
     if (!is_config || !state_.is_store_lost)
         return;
     state_.is_store_lost = false;
@@ -173,6 +173,7 @@
          {"routes", std::to_string(c->routes.size())},
          {"organisations", std::to_string(c->organisations.size())}});
     state_.config = std::make_shared<gateway_config const>(std::move(*c));
+    state_.config_behind.reset();
 }
 
 void store_controller::take_upstreams(std::vector<platform_object>&& all)
@@ -386,11 +387,6 @@
     for (auto const& [name, p] : state_.peers)
         state_.gateways.push_back(name);
     state_.gateways.push_back(state_.settings.instance);
-    config_.set_wait(std::min(
-        config_timing.wait +
-            config_wait_per_gateway *
-                static_cast<duration::rep>(state_.gateways.size() - 1),
-        longest_config_wait));
 }
 
 void store_controller::register_self()
@@ -487,6 +483,12 @@
 
 void store_controller::tick(steady_time now)
 {
+    if (must_ask_config(state_, now) && now >= next_config_ask_)
+    {
+        next_config_ask_ = now + config_ask_pause;
+        state_.counters.count("config_asked_total");
+        config_.ask_now();
+    }
     for (auto& [service, t] : state_.shifts)
         act_on_shift(t, now);
     for (auto it = state_.upstreams.by_id.begin();
--- a/src/gateway/store_controller.hpp
+++ b/src/gateway/store_controller.hpp
@@ -95,6 +95,7 @@
     object_watch gateways_;
     loop_timer register_timer_;
     bool is_registered_ = false;
+    steady_time next_config_ask_{};
     bool is_writing_ = false;
     steady_time next_write_{};
 };
