Take more changes of the store together in a large fleet

Change: watches of upstreams and of the configuration pause for 20 ms more per gateway, up to 1 s and 0.4 s, which leaves half of the times within which drains and configurations must be in force.

--- a/src/gateway/object_watch.hpp
+++ b/src/gateway/object_watch.hpp
@@ -104,6 +104,11 @@
     {
         timing_.wait = wait;
     }
+    // Changes the pause after changes.
+    void set_settle(duration settle)
+    {
+        timing_.settle = settle;
+    }
     // Asks for changes at once. Precondition: started.
     void ask_now();
     // Sends its call again on another connection, because the one in use may
--- a/src/gateway/store_controller.cpp
+++ b/src/gateway/store_controller.cpp
@@ -35,6 +35,12 @@
 // An upstream that leaves may get requests for two seconds; many of them
 // register or leave within a moment.
 constexpr duration upstream_settle = milliseconds(400);
+// In a larger fleet each change costs a call of each gateway, so that more of
+// them are taken together. The longest pauses leave a half of the times within
+// which drains and configurations must be in force.
+constexpr duration settle_per_gateway = milliseconds(20);
+constexpr duration longest_upstream_settle = milliseconds(1000);
+constexpr duration longest_config_settle = milliseconds(400);
 constexpr duration order_settle = milliseconds(50);
 // Gateways are registered when they start, before they take requests.
 constexpr duration gateway_settle = milliseconds(1000);
@@ -387,6 +393,12 @@
     for (auto const& [name, p] : state_.peers)
         state_.gateways.push_back(name);
     state_.gateways.push_back(state_.settings.instance);
+    duration const more =
+        settle_per_gateway * static_cast<duration::rep>(state_.peers.size());
+    upstreams_.set_settle(
+        std::min(upstream_settle + more, longest_upstream_settle));
+    config_.set_settle(
+        std::min(config_timing.settle + more, longest_config_settle));
 }
 
 void store_controller::register_self()
