--- a/src/gateway/gateway_state.cpp
+++ b/src/gateway/gateway_state.cpp
@@ -25,8 +25,8 @@
 // Each call is priced; a change ends the wait at once.
 constexpr duration seldom_config_wait = std::chrono::seconds(20);
 // Part of the time for which keys may be served without a word that passes
-// before this gateway asks by itself; the rest is left for the call. A watcher's
-// word is up to three seconds old when the next one comes.
+// before this gateway asks by itself; the rest is left for the call. A
+// watcher's word is up to three seconds old when the next one comes.
 constexpr double unvouched_part = 0.7;
 // A watch that is well tells of a change within half a second of the peers'.
 constexpr duration longest_behind = std::chrono::milliseconds(400);
