Cut long values in logs, so that a line never waits for its reader

Cause: found by reading the change: a pipe that has room takes PIPE_BUF bytes without waiting, and a caller may send an id of 8 kB, which goes into a line. The process would wait for its reader.

Change: values are cut at 150 bytes and lines at PIPE_BUF.

--- a/src/gateway/upstream_board.cpp
+++ b/src/gateway/upstream_board.cpp
@@ -31,6 +31,8 @@
 constexpr double prior_pace_samples = 5;
 // Samples below this work say more of the network than of the upstream.
 constexpr double min_pace_work = 300;
+// Engines of one service differ in speed by less; more is a fault of the
+// samples.
 constexpr double most_pace_ratio = 4;
 // Weight of the latest outcome in the failure rate.
 constexpr double outcome_weight = 0.4;
--- a/src/log/log.cpp
+++ b/src/log/log.cpp
@@ -24,10 +24,16 @@
 
 log_level threshold = log_level::off;
 
+// A caller chooses some values, such as ids; a longer one is cut.
+constexpr std::size_t max_value_bytes = 150;
+// A pipe that has room takes this much without waiting.
+constexpr std::size_t max_line_bytes = PIPE_BUF - 1;
+
 // Values are quoted when they hold a space or a quote, so that a line can be
 // split into fields again.
 void add_value(std::string& out, std::string_view value)
 {
+    value = value.substr(0, max_value_bytes);
     if (value.find_first_of(" \"\n") == std::string_view::npos)
     {
         out += value;
@@ -84,7 +90,7 @@
 std::uint64_t told_unread = 0; // of totals.unread, by a line
 int target_fd = STDERR_FILENO;
 std::string instance_name;
-// Lines that wait, at most PIPE_BUF bytes with their ends.
+// Lines that wait, at most max_line_bytes.
 std::string pending;
 std::uint64_t pending_lines = 0;
 
@@ -194,7 +200,9 @@
         text.append(" ").append(it.name).append("=");
         add_value(text, it.value);
     }
-    if (pending.size() + text.size() >= PIPE_BUF)
+    if (text.size() > max_line_bytes)
+        text.resize(max_line_bytes);
+    if (pending.size() + text.size() + 1 > max_line_bytes)
         flush_log();
     if (!pending.empty())
         pending += '\n';
--- a/src/log/log_test.cpp
+++ b/src/log/log_test.cpp
@@ -1,6 +1,7 @@
 #include "log/log.hpp"
 
 #include <algorithm>
+#include <array>
 #include <catch2/catch.hpp>
 #include <fcntl.h>
 #include <set>
@@ -75,45 +76,98 @@
     }
 }
 
-// Guards against lines that are lost, cut or out of order when they wait for
-// one another.
-TEST_CASE("lines that wait are written in order before a failure's")
+namespace
 {
-    int ends[2];
-    REQUIRE(pipe(ends) == 0);
-    int const output = dup(STDOUT_FILENO);
-    dup2(ends[1], STDOUT_FILENO);
-    init_log(log_level::info, "e1", log_target::output, {.is_buffered = true});
-    logger const log("test");
-    auto read_all = [&]
+
+// Lets logs go into a pipe instead of standard output while it lives.
+class log_pipe
+{
+public:
+    log_pipe()
+        : output_(dup(STDOUT_FILENO))
+    {
+        REQUIRE(pipe(ends_.data()) == 0);
+        fcntl(ends_[0], F_SETFL, O_NONBLOCK);
+        dup2(ends_[1], STDOUT_FILENO);
+        init_log(
+            log_level::info, "e1", log_target::output, {.is_buffered = true});
+    }
+    log_pipe(log_pipe const&) = delete;
+    log_pipe& operator=(log_pipe const&) = delete;
+    ~log_pipe()
+    {
+        dup2(output_, STDOUT_FILENO);
+        init_log(log_level::off, "e1");
+        for (int it : {output_, ends_[0], ends_[1]})
+            close(it);
+    }
+
+    // What was written since the last call.
+    std::string take() const
     {
         std::string text(1 << 16U, '\0');
-        fcntl(ends[0], F_SETFL, O_NONBLOCK);
-        ssize_t const n = read(ends[0], text.data(), text.size());
+        ssize_t const n = read(ends_[0], text.data(), text.size());
         text.resize(n < 0 ? 0 : static_cast<std::size_t>(n));
         return text;
-    };
-    log.write(log_event::config_bad); // tells of lines lost before as well
-    read_all();
-    log.write(log_event::request_served, {{"request_id", "a1"}});
-    std::string const before = read_all();
-    log.write(log_event::request_failed, {{"request_id", "a2"}});
-    std::string const after = read_all();
-    // More than fits at once is written without a flush.
-    for (int i = 0; i < 100; ++i)
-        log.write(log_event::request_served, {{"i", std::to_string(i)}});
-    std::string many = read_all();
-    flush_log();
-    many += read_all();
-    dup2(output, STDOUT_FILENO);
-    close(output);
-    init_log(log_level::off, "e1");
+    }
+
+private:
+    int output_;
+    std::array<int, 2> ends_{};
+};
+
+std::ptrdiff_t lines_in(std::string const& text)
+{
+    return std::count(text.begin(), text.end(), '\n');
+}
+
+} // namespace
+
+// Guards against lines that are lost, cut or out of order when they wait for
+// one another.
+TEST_CASE("lines that wait are written in order before a failure's")
+{
+    std::string before;
+    std::string after;
+    std::string many;
+    {
+        log_pipe const out;
+        logger const log("test");
+        log.write(log_event::config_bad); // tells of lines lost before as well
+        out.take();
+        log.write(log_event::request_served, {{"request_id", "a1"}});
+        before = out.take();
+        log.write(log_event::request_failed, {{"request_id", "a2"}});
+        after = out.take();
+        // More than fits at once is written without a flush.
+        for (int i = 0; i < 100; ++i)
+            log.write(log_event::request_served, {{"i", std::to_string(i)}});
+        many = out.take();
+        flush_log();
+        many += out.take();
+    }
     CHECK(before.empty());
     CHECK(after.find("a1") < after.find("a2"));
-    CHECK(std::count(after.begin(), after.end(), '\n') == 2);
-    CHECK(std::count(many.begin(), many.end(), '\n') == 100);
+    CHECK(lines_in(after) == 2);
+    CHECK(lines_in(many) == 100);
     CHECK(many.find("i=99\n") == many.size() - 5);
     CHECK(many.find("i=7\n") < many.find("i=8\n"));
-    close(ends[0]);
-    close(ends[1]);
+}
+
+// Guards against a process that waits for its reader because a caller sent a
+// long id: a pipe that has room takes no more than PIPE_BUF bytes at once.
+TEST_CASE("long values are cut, and a line fits into what a pipe takes")
+{
+    std::string text;
+    {
+        log_pipe const out;
+        std::string const id(8000, 'x');
+        logger("test").write(
+            log_event::config_bad, {{"request_id", id}, {"why", "short"}});
+        text = out.take();
+    }
+    CHECK(text.find("why=short\n") != std::string::npos);
+    std::size_t const line = text.rfind("request_id=");
+    REQUIRE(line != std::string::npos);
+    CHECK(text.size() - line < 300);
 }
