Renew all watches when one finds its history gone

The store drops its history at 2 s and cuts the watches that wait without a word. The watch of the configuration was in the pause after a change at that moment, found its history gone with its next call and listed again; that of the upstreams stayed deaf until its call timed out after 21.5 s.

Change: a watch that finds its history gone makes the others send their calls anew if they were sent before, and reports tell the other gateways, whose own watches may all wait long. What is seen of one drop within three seconds counts once.

--- a/src/gateway/gateway_state.cpp
+++ b/src/gateway/gateway_state.cpp
@@ -34,6 +34,8 @@
 // within a second does not use its share twice.
 constexpr duration cold_send_pause = std::chrono::seconds(1);
 
+// Gateways see one drop of the history within this time.
+constexpr duration one_drop = std::chrono::seconds(3);
 // A gateway that has not read the store by then will not do so in a moment.
 constexpr duration longest_start = std::chrono::seconds(2);
 
@@ -69,6 +71,12 @@
         s.has_peer_kept_store = true;
 }
 
+void note_history_dropped(gateway_state& s, steady_time at)
+{
+    if (!s.history_dropped || at > *s.history_dropped + one_drop)
+        s.history_dropped = at;
+}
+
 duration config_wait(gateway_state const& s, steady_time now)
 {
     std::vector<std::string> live{s.settings.instance};
--- a/src/gateway/gateway_state.hpp
+++ b/src/gateway/gateway_state.hpp
@@ -85,6 +85,8 @@
     // A peer has had a newer configuration since then.
     std::optional<steady_time> config_behind;
     std::optional<steady_time> store_heard; // last answer of the store
+    // The store was seen, here or by a peer, to have dropped its history.
+    std::optional<steady_time> history_dropped;
     bool is_store_lost = false;
     steady_time store_lost{}; // begin of the last loss of the store
     steady_time store_back{}; // its end
@@ -123,6 +125,10 @@
 // Notes what another gateway tells of its store.
 void note_peer_store(gateway_state& s, peer_store const& p, steady_time now);
 
+// Notes that a watch of this gateway or of a peer found its history gone at
+// `at`. What several watches see of one drop counts once.
+void note_history_dropped(gateway_state& s, steady_time at);
+
 // How long the next watch of the configuration waits. The answers of a few
 // gateways vouch for the configuration of all, which hear of it in reports;
 // the others ask seldom while that word is fresh.
--- a/src/gateway/gateway_state_test.cpp
+++ b/src/gateway/gateway_state_test.cpp
@@ -214,3 +214,22 @@
     s.is_store_lost = true; // it is asked all the time
     CHECK_FALSE(must_ask_config(s, now + milliseconds(500)));
 }
+
+// Guards against watches that the store has cut without a word while another
+// gateway knows (nakhla-keyword, scale-1: an upstream that leaves was used for
+// two seconds more, because its watch was deaf for twenty).
+TEST_CASE("a dropped history is told to the other gateways once")
+{
+    gateway_state a = state_of("a", "b");
+    gateway_state b = state_of("b", "a");
+    note_history_dropped(a, now);
+    auto const told = report_of(to_call(make_report(a, now + seconds(1))));
+    REQUIRE(told);
+    apply_report(b, *told, true, now + seconds(1));
+    REQUIRE(b.history_dropped);
+    CHECK(*b.history_dropped == now);
+    note_history_dropped(b, now + seconds(2)); // the same drop, seen later
+    CHECK(*b.history_dropped == now);
+    note_history_dropped(b, now + seconds(4));
+    CHECK(*b.history_dropped == now + seconds(4));
+}
--- a/src/gateway/object_watch.cpp
+++ b/src/gateway/object_watch.cpp
@@ -55,6 +55,7 @@
                          : protocol_.list(address_, kind_, after_);
     call.timeout = timing_.patience + (is_listed_ ? wait : duration{0});
     steady_time const sent = boot_now();
+    sent_at_ = sent;
     call_ = client_.send(
         std::move(call), [this, sent, wait](result<http_reply> reply)
         { on_reply(sent, wait, std::move(reply)); });
@@ -74,6 +75,7 @@
         is_listed_ = false;
         after_.clear();
         listed_.clear();
+        handlers_.on_history_dropped();
         send();
         return;
     }
--- a/src/gateway/object_watch.hpp
+++ b/src/gateway/object_watch.hpp
@@ -83,6 +83,8 @@
     // The store answered. What was read holds as of this time at least.
     std::function<void(steady_time as_of)> on_contact;
     std::function<void(error const&)> on_failure;
+    // The history that the watch needs is gone; it lists again.
+    std::function<void()> on_history_dropped;
 };
 
 class object_watch
@@ -114,6 +116,12 @@
     // Sends its call again on another connection, because the one in use may
     // be dead. Precondition: started.
     void renew();
+    // Does so if its call was sent before `t`. Precondition: as above.
+    void renew_older_than(steady_time t)
+    {
+        if (sent_at_ < t)
+            renew();
+    }
 
 private:
     void send();
@@ -135,6 +143,7 @@
     bool asks_now_ = false;   // the next call
     std::uint64_t revision_ = 0;
     std::uint64_t first_page_revision_ = 0;
+    steady_time sent_at_{}; // the present call
     duration delay_{0};
     http_client::call_id call_ = 0;
 };
--- a/src/gateway/peer_report.cpp
+++ b/src/gateway/peer_report.cpp
@@ -77,6 +77,8 @@
         r.store_kept_ms = kept->count() / 1000;
     if (s.store_heard)
         r.store_heard_ms = (now - *s.store_heard).count() / 1000 + 1;
+    if (s.history_dropped)
+        r.history_dropped_ms = (now - *s.history_dropped).count() / 1000;
     for (auto const& [id, u] : s.upstreams.by_id)
     {
         if (u->requests > 0)
@@ -108,6 +110,9 @@
             {.kept = std::chrono::milliseconds(r.store_kept_ms),
              .heard = std::chrono::milliseconds(r.store_heard_ms)},
             now);
+    if (is_prompt && r.history_dropped_ms >= 0)
+        note_history_dropped(
+            s, now - std::chrono::milliseconds(r.history_dropped_ms));
     if (s.config && r.config_version > s.config->version && !s.config_behind)
         s.config_behind = now;
     peer->second.heard_at = now;
--- a/src/gateway/peer_report.hpp
+++ b/src/gateway/peer_report.hpp
@@ -60,17 +60,18 @@
 {
     std::string sender;
     std::int64_t config_version = 0;
-    std::int64_t config_age_ms = -1;  // since it was confirmed; -1: never
-    std::int64_t store_kept_ms = -1;  // without a loss; -1: it is lost
-    std::int64_t store_heard_ms = -1; // since its last answer; -1: never
-    std::vector<reported_load> loads; // of upstreams with work
+    std::int64_t config_age_ms = -1;      // since it was confirmed; -1: never
+    std::int64_t store_kept_ms = -1;      // without a loss; -1: it is lost
+    std::int64_t store_heard_ms = -1;     // since its last answer; -1: never
+    std::int64_t history_dropped_ms = -1; // since it was seen; -1: never
+    std::vector<reported_load> loads;     // of upstreams with work
     std::vector<reported_shift> shifts;
 
     template <class Archive>
     void serialize(Archive& ar)
     {
         ar(sender, config_version, config_age_ms, store_kept_ms, store_heard_ms,
-           loads, shifts);
+           history_dropped_ms, loads, shifts);
     }
 };
 
--- a/src/gateway/store_controller.cpp
+++ b/src/gateway/store_controller.cpp
@@ -104,7 +104,9 @@
         .on_contact = [this, is_config](steady_time as_of)
         { on_contact(as_of, is_config); },
         .on_failure = [this, is_config](error const& why)
-        { on_failure(why, is_config); }};
+        { on_failure(why, is_config); },
+        .on_history_dropped = [this]
+        { note_history_dropped(state_, boot_now()); }};
 }
 
 void store_controller::start()
@@ -493,8 +495,25 @@
         });
 }
 
+// The store drops its history for all watches at once, and may cut those that
+// wait without a word.
+void store_controller::renew_after_drop()
+{
+    if (!state_.history_dropped || state_.history_dropped == renewed_for_)
+        return;
+    renewed_for_ = state_.history_dropped;
+    state_.counters.count("watches_renewed_total");
+    config_.renew_older_than(*renewed_for_);
+    upstreams_.renew_older_than(*renewed_for_);
+    shifts_.renew_older_than(*renewed_for_);
+    zones_.renew_older_than(*renewed_for_);
+    if (is_registered_)
+        gateways_.renew_older_than(*renewed_for_);
+}
+
 void store_controller::tick(steady_time now)
 {
+    renew_after_drop();
     if (must_ask_config(state_, now) && now >= next_config_ask_)
     {
         next_config_ask_ = now + config_ask_pause;
--- a/src/gateway/store_controller.hpp
+++ b/src/gateway/store_controller.hpp
@@ -79,6 +79,7 @@
     void take_gateway(platform_object&& o);
     void set_usual_version(std::string const& service);
     void set_gateways();
+    void renew_after_drop();
     void register_self();
     void act_on_shift(shift_track& t, steady_time now);
     bool is_duty_holder(steady_time now) const;
@@ -96,6 +97,7 @@
     loop_timer register_timer_;
     bool is_registered_ = false;
     steady_time next_config_ask_{};
+    std::optional<steady_time> renewed_for_; // of gateway_state
     bool is_writing_ = false;
     steady_time next_write_{};
 };
