--- a/src/gateway/gateway_state_test.cpp
+++ b/src/gateway/gateway_state_test.cpp
@@ -173,6 +173,7 @@
 TEST_CASE("a few gateways ask for the configuration often")
 {
     std::vector<std::string> names;
+    names.reserve(31);
     for (int i = 0; i < 31; ++i)
         names.push_back("e" + std::to_string(i));
     auto wait_of = [&](std::string const& self, std::size_t dead)
