Never believe a length in a message that its input can't hold

Cause: cereal's archive resizes a container to the length that it reads before it finds the input too short. This is the fault "one malformed message takes a whole process down".

Change: bounded_input_archive reads the same encoding and checks each length against what is left. Frames, reports, sessions, quarantine, allowances and roll-out evidence are read by it.

Ruled out: a limit on memory (the process would still end); a smaller frame limit (a datagram of 1,400 bytes was enough).

Conclusion: no parser of cereal messages allocates more than a multiple of its input.

--- a/src/entry/admission_controller.cpp
+++ b/src/entry/admission_controller.cpp
@@ -1,5 +1,7 @@
 #include "entry/admission_controller.hpp"
 
+#include "wire/bounded_archive.hpp"
+
 #include <cereal/archives/portable_binary.hpp>
 #include <sstream>
 
@@ -24,13 +26,12 @@
 template <class T>
 std::optional<T> decode(std::string_view bytes)
 {
-    std::istringstream in{std::string(bytes)};
     try
     {
         T value;
-        cereal::PortableBinaryInputArchive ar(in);
+        bounded_input_archive ar(bytes);
         ar(value);
-        if (in.peek() == std::istringstream::traits_type::eof())
+        if (ar.remaining() == 0)
             return value;
     }
     catch (std::exception const&)
--- a/src/entry/quarantine_controller.cpp
+++ b/src/entry/quarantine_controller.cpp
@@ -2,6 +2,7 @@
 
 #include "base/hash.hpp"
 #include "base/id.hpp"
+#include "wire/bounded_archive.hpp"
 
 #include <algorithm>
 #include <cereal/archives/portable_binary.hpp>
@@ -48,11 +49,10 @@
 
 std::optional<trial_question> decode(std::string_view body)
 {
-    std::istringstream in{std::string(body)};
     trial_question q;
     try
     {
-        cereal::PortableBinaryInputArchive ar(in);
+        bounded_input_archive ar(body);
         ar(q);
     }
     catch (std::exception const&)
--- a/src/entry/rollout_controller.cpp
+++ b/src/entry/rollout_controller.cpp
@@ -2,6 +2,7 @@
 
 #include "base/id.hpp"
 #include "config_edit/document_change.hpp"
+#include "wire/bounded_archive.hpp"
 
 #include <cereal/archives/portable_binary.hpp>
 #include <cereal/types/vector.hpp>
@@ -142,11 +143,10 @@
 
 void rollout_controller::take_counts(std::string_view body)
 {
-    std::istringstream in{std::string(body)};
     std::vector<rollout_evidence> all;
     try
     {
-        cereal::PortableBinaryInputArchive ar(in);
+        bounded_input_archive ar(body);
         ar(all);
     }
     catch (std::exception const&)
--- a/src/quarantine/quarantine.cpp
+++ b/src/quarantine/quarantine.cpp
@@ -1,5 +1,7 @@
 #include "quarantine/quarantine.hpp"
 
+#include "wire/bounded_archive.hpp"
+
 #include <algorithm>
 #include <cereal/archives/portable_binary.hpp>
 #include <set>
@@ -28,19 +30,19 @@
 
 result<crash_report> decode_crash_report(std::string_view body)
 {
-    std::istringstream in{std::string(body)};
     crash_report r;
+    bool has_rest = false;
     try
     {
-        cereal::PortableBinaryInputArchive ar(in);
+        bounded_input_archive ar(body);
         ar(r);
+        has_rest = ar.remaining() > 0;
     }
     catch (std::exception const&)
     {
         return fail(error_kind::frame_corrupt, "crash_report is damaged");
     }
-    bool const is_whole = in.peek() == std::istringstream::traits_type::eof() &&
-                          r.standing <= crash_standing::cleared &&
+    bool const is_whole = !has_rest && r.standing <= crash_standing::cleared &&
                           r.remaining_ms >= 0;
     if (!is_whole)
         return fail(error_kind::frame_corrupt, "crash_report is damaged");
--- a/src/session/session.cpp
+++ b/src/session/session.cpp
@@ -1,6 +1,7 @@
 #include "session/session.hpp"
 
 #include "base/hash.hpp"
+#include "wire/bounded_archive.hpp"
 
 #include <algorithm>
 #include <cereal/archives/portable_binary.hpp>
@@ -33,17 +34,16 @@
 template <class T>
 bool decode(std::string_view bytes, T& value)
 {
-    std::istringstream in{std::string(bytes)};
     try
     {
-        cereal::PortableBinaryInputArchive ar(in);
+        bounded_input_archive ar(bytes);
         ar(value);
+        return ar.remaining() == 0;
     }
     catch (std::exception const&)
     {
         return false;
     }
-    return in.peek() == std::istringstream::traits_type::eof();
 }
 
 std::string to_base64(std::string_view bytes)
--- a/src/wire/frame.cpp
+++ b/src/wire/frame.cpp
@@ -1,6 +1,7 @@
 #include "wire/frame.hpp"
 
 #include "base/hash.hpp"
+#include "wire/bounded_archive.hpp"
 
 #include <array>
 #include <boost/endian/conversion.hpp>
@@ -8,7 +9,6 @@
 #include <cereal/types/string.hpp>
 #include <cereal/types/utility.hpp>
 #include <cereal/types/vector.hpp>
-#include <istream>
 #include <ostream>
 #include <streambuf>
 
@@ -44,21 +44,6 @@
     std::string& out_;
 };
 
-// Reads from a view.
-class view_source : public std::streambuf
-{
-public:
-    explicit view_source(std::string_view bytes)
-    {
-        char* begin = const_cast<char*>(bytes.data());
-        setg(begin, begin, begin + bytes.size());
-    }
-    bool is_empty() const
-    {
-        return gptr() == egptr();
-    }
-};
-
 struct frame_header
 {
     std::uint32_t magic = 0;
@@ -117,11 +102,9 @@
             return decode_body<Index + 1>(type, body);
     }
     std::variant_alternative_t<Index, message> value;
-    view_source source(body);
-    std::istream in(&source);
-    cereal::PortableBinaryInputArchive archive(in);
+    bounded_input_archive archive(body);
     archive(value);
-    if (!source.is_empty())
+    if (archive.remaining() > 0)
         throw cereal::Exception("bytes after the message");
     return value;
 }
@@ -133,8 +116,7 @@
         return fail(
             error_kind::frame_corrupt, "the frame has a wrong checksum");
     }
-    // cereal reports malformed input by exceptions, among them
-    // std::length_error for a length that was made up.
+    // cereal reports malformed input by exceptions.
     try
     {
         return decode_body(h.type, body);
--- a/src/wire/frame_test.cpp
+++ b/src/wire/frame_test.cpp
@@ -1,6 +1,10 @@
 #include "wire/frame.hpp"
 
+#include "wire/bounded_archive.hpp"
+
 #include <catch2/catch.hpp>
+#include <cereal/types/string.hpp>
+#include <cereal/types/vector.hpp>
 #include <random>
 
 using namespace marjorambeam;
@@ -75,3 +79,21 @@
     REQUIRE_FALSE(m);
     CHECK(m.error().kind == error_kind::frame_too_large);
 }
+
+// Guards against a process that is killed for its memory by one message with a
+// made-up length.
+TEST_CASE("a length that the input can't hold is refused before it is used")
+{
+    std::string bytes;
+    bytes.push_back(1); // little endian
+    std::uint64_t const huge = std::uint64_t{1} << 36U;
+    bytes.append(reinterpret_cast<char const*>(&huge), sizeof huge);
+    bytes.append(64, 'x');
+    std::vector<std::string> many;
+    std::string text;
+    CHECK_THROWS_AS(bounded_input_archive(bytes)(many), cereal::Exception);
+    CHECK_THROWS_AS(bounded_input_archive(bytes)(text), cereal::Exception);
+    CHECK(many.empty());
+    CHECK(text.empty());
+    CHECK_THROWS_AS(bounded_input_archive(""), cereal::Exception);
+}
