--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -1,5 +1,7 @@
 #include "gateway/gateway_daemon.hpp"
 
+#include "gateway/store_duty.hpp"
+
 namespace marjorambeam
 {
 namespace
@@ -14,10 +16,6 @@
 constexpr duration expiry_period = std::chrono::seconds(1);
 // A tick that is later than this shows that the process has been paused.
 constexpr duration prompt_within = milliseconds(300);
-// Time between reports, for each gateway that hears them, so that the cost of
-// hearing all others stays the same when there are more of them.
-constexpr duration report_period_per_peer = milliseconds(8);
-constexpr duration shortest_report_period = milliseconds(150);
 // What is at work this long before the process is killed is cut, so that its
 // callers see an end.
 constexpr duration cut_margin = milliseconds(600);
@@ -49,7 +47,8 @@
           { state_.counters.count("bad_datagrams_total", to_string(e.kind)); })
     , requests_(
           loop, state_, protocols.calls, pool_)
-    , store_(loop, state_, client_, protocols.store, protocols.documents)
+    , store_(
+          loop, state_, client_, peers_, protocols.store, protocols.documents)
     , readiness_(
           loop, admin_settings(settings.readiness_address),
           [this](std::shared_ptr<http_exchange> const& ex) { on_admin(ex); })
@@ -102,7 +101,8 @@
 {
     for (auto const& [name, p] : state_.peers)
     {
-        bool const is_heard = now - p.heard_at < report_memory;
+        bool const is_heard =
+            now - p.heard_at < report_memory(state_.peers.size());
         auto const it = heard_peers_.find(name);
         if (is_heard && it == heard_peers_.end())
         {
@@ -134,14 +134,13 @@
 
 void gateway_daemon::send_reports(steady_time now)
 {
-    if (now < next_report_ || state_.peers.empty())
+    bool const is_due = now >= next_report_ || state_.is_report_due;
+    if (!is_due || state_.peers.empty())
         return;
-    next_report_ =
-        now + std::max(
-                  shortest_report_period,
-                  report_period_per_peer *
-                      static_cast<duration::rep>(state_.peers.size()));
+    state_.is_report_due = false;
+    next_report_ = now + report_period(state_.peers.size(), state_.is_reader);
     message const m = to_call(make_report(state_, now));
+    ++state_.reports_sent;
     for (auto const& [name, p] : state_.peers)
         peers_.send(p.address, m);
 }
@@ -169,10 +168,22 @@
     if (call != nullptr && call->name == gateway_report_call)
     {
         result<gateway_report> const r = report_of(*call);
-        if (r)
-            apply_report(state_, *r, now - last_tick_ < prompt_within, now);
-        else
+        if (!r)
+        {
             state_.counters.count("bad_datagrams_total", "report");
+            return;
+        }
+        bool const is_prompt = now - last_tick_ < prompt_within;
+        if (apply_report(state_, *r, is_prompt, now) != report_outcome::applied)
+            state_.counters.count("bad_datagrams_total", "unfit report");
+    }
+    else if (call != nullptr && call->name == state_change_call)
+    {
+        result<state_change> c = change_of(*call);
+        if (c)
+            store_.take_relayed(std::move(*c), now);
+        else
+            state_.counters.count("bad_datagrams_total", "relay");
     }
     else if (call != nullptr && call->name == upstream_break_call)
     {
--- a/src/gateway/gateway_state.cpp
+++ b/src/gateway/gateway_state.cpp
@@ -9,27 +9,12 @@
 namespace
 {
 
-// Part of the key bound that is used. The rest covers the time that another
-// gateway's word takes.
-constexpr double key_bound_part = 0.9;
-// Gateways that ask for the configuration often. With several, one that is
-// frozen or cut off is not missed.
-constexpr std::size_t config_watchers = 4;
-constexpr std::string_view config_duty = "config";
 // Each answer of this watch vouches for the keys, so that its wait is short
 // against the bound of a withdrawn key; longer in a large fleet, where
 // gateways vouch for one another.
 constexpr duration shortest_config_wait = std::chrono::milliseconds(1300);
 constexpr duration longest_config_wait = std::chrono::milliseconds(1800);
 constexpr duration config_wait_per_gateway = std::chrono::milliseconds(25);
-// Each call is priced; a change ends the wait at once.
-constexpr duration seldom_config_wait = std::chrono::seconds(20);
-// Part of the time for which keys may be served without a word that passes
-// before this gateway asks by itself; the rest is left for the call. A
-// watcher's word is up to three seconds old when the next one comes.
-constexpr double unvouched_part = 0.7;
-// A watch that is well tells of a change within half a second of the peers'.
-constexpr duration longest_behind = std::chrono::milliseconds(400);
 // Without cold sends in this time after a start, a gateway that restarts
 // within a second does not use its share twice.
 constexpr duration cold_send_pause = std::chrono::seconds(1);
@@ -77,47 +62,32 @@
         s.history_dropped = at;
 }
 
-duration config_wait(gateway_state const& s, steady_time now)
+duration config_wait(gateway_state const& s)
 {
-    std::vector<std::string> live{s.settings.instance};
-    for (auto const& [name, p] : s.peers)
-    {
-        if (now - p.heard_at < live_peer)
-            live.push_back(name);
-    }
-    duration const often = std::min(
-        shortest_config_wait +
-            config_wait_per_gateway * static_cast<duration::rep>(live.size()),
+    auto const n = static_cast<duration::rep>(s.peers.size() + 1);
+    return std::min(
+        shortest_config_wait + config_wait_per_gateway * n,
         longest_config_wait);
-    if (live.size() <= config_watchers)
-        return often;
-    auto const order = rendezvous_order(config_duty, live, config_watchers);
-    // The first of `live` is this gateway.
-    bool const is_watcher =
-        std::find(order.begin(), order.end(), std::size_t{0}) != order.end();
-    return is_watcher ? often : seldom_config_wait;
-}
-
-bool must_ask_config(gateway_state const& s, steady_time now)
-{
-    if (s.is_store_lost || !s.config || !s.config_confirmed)
-        return false; // it is being asked for
-    bool const is_behind =
-        s.config_behind && now - *s.config_behind > longest_behind;
-    double const served =
-        to_seconds(s.settings.key_bound.value_or(seldom_config_wait)) *
-        key_bound_part;
-    double const age = to_seconds(now - *s.config_confirmed);
-    return is_behind || age > served * unvouched_part;
 }
 
 bool is_list_unsure(gateway_state const& s, steady_time now)
 {
+    if (now < s.unsure_until)
+        return true;
     if (s.has_peer_kept_store)
         return false;
     return s.is_store_lost || now - s.store_back < relist_grace;
 }
 
+duration unsure_for(gateway_state const& s, steady_time now)
+{
+    if (!is_list_unsure(s, now))
+        return duration{0};
+    duration const own = s.is_store_lost ? duration(relist_grace)
+                                         : s.store_back + relist_grace - now;
+    return std::max({own, s.unsure_until - now, duration{0}});
+}
+
 bool is_starting(gateway_state const& s, steady_time now)
 {
     bool const has_all = s.config && s.has_upstreams;
--- a/src/gateway/gateway_state.hpp
+++ b/src/gateway/gateway_state.hpp
@@ -15,10 +15,12 @@
 #include "gateway/gateway_config.hpp"
 #include "gateway/session_pins.hpp"
 #include "gateway/shared_limits.hpp"
+#include "gateway/state_relay.hpp"
 #include "gateway/upstream_board.hpp"
 #include "gateway/version_shift.hpp"
 #include "metrics/metrics.hpp"
 
+#include <array>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -61,14 +63,39 @@
     std::map<std::string, shift_evidence, std::less<>> peers;
 };
 
+// A reader's copy of one kind of objects, as it tells of it.
+struct peer_copy
+{
+    std::uint64_t digest = 0;
+    std::uint64_t revision = 0; // of the store, as of which it is whole
+    std::uint64_t settled = 0;  // see note_asked()
+};
+
 // Another gateway.
 struct gateway_peer
 {
     std::string address;
     steady_time heard_at{};
+    incarnation lifetime = 0;
+    incarnation last_lifetime = 0; // the one before
+    std::uint64_t sequence = 0;    // of its latest report
+    bool is_reader = false;        // reads the store for others
+    bool has_store = true;         // has not lost it
+    bool is_stopping = false;
+    steady_time store_heard{}; // when the store last answered it
+    std::array<peer_copy, state_kinds> copies{};
     std::map<std::uint32_t, peer_load> loads; // by upstream_state::number
 };
 
+// This gateway's copy of one kind of objects, compared with the readers'.
+struct kind_view
+{
+    bool is_listed = false;
+    std::uint64_t digest = 0;
+    std::uint64_t revision = 0; // of the store, as of which it is whole
+    std::optional<steady_time> differs_since;
+};
+
 struct gateway_state
 {
     gateway_settings settings;
@@ -80,6 +107,12 @@
     std::map<std::string, std::string, std::less<>> usual_version;
     std::map<std::string, gateway_peer, std::less<>> peers;
     std::vector<std::string> gateways; // registered names, this one included
+    bool is_reader = true; // reads the store by itself, see store_duty.hpp
+    std::optional<steady_time> fed_at; // a reader was last heard
+    std::optional<steady_time> chosen_since;
+    std::array<kind_view, state_kinds> kinds{};
+    std::uint64_t reports_sent = 0;
+    bool is_report_due = false; // others are to hear something at once
     // The store vouches for the configuration as of this time.
     std::optional<steady_time> config_confirmed;
     // A peer has had a newer configuration since then.
@@ -93,6 +126,8 @@
     // Another gateway kept the store during the last loss, so that what
     // changed meanwhile was not the work of an outage.
     bool has_peer_kept_store = false;
+    // A reader was unsure of missing entries until then.
+    steady_time unsure_until{};
     std::map<std::string, extra_attempts, std::less<>> attempts; // by service
     crash_blame blame;
     session_pins sessions;
@@ -101,7 +136,8 @@
     metrics counters;
 };
 
-// A peer that was heard this recently is alive and can hold a duty.
+// A peer that was heard this recently is alive and can hold a duty; longer
+// in a fleet whose gateways report seldom, see live_window().
 constexpr duration live_peer = std::chrono::milliseconds(1500);
 
 // Notes that the configuration in force was the newest one at `as_of`.
@@ -129,19 +165,21 @@
 // `at`. What several watches see of one drop counts once.
 void note_history_dropped(gateway_state& s, steady_time at);
 
-// How long the next watch of the configuration waits. The answers of a few
-// gateways vouch for the configuration of all, which hear of it in reports;
-// the others ask seldom while that word is fresh.
-duration config_wait(gateway_state const& s, steady_time now);
+// How long a watch of the configuration waits. Its answers vouch for the
+// configuration of all gateways, which hear of it in reports.
+duration config_wait(gateway_state const& s);
 
-// Whether the configuration is to be asked for at once: nobody's word on it is
-// fresh, or a peer has had a newer one for longer than a watch needs.
-bool must_ask_config(gateway_state const& s, steady_time now);
+// Part of the key bound that is used. The rest covers the time that another
+// gateway's word takes.
+constexpr double key_bound_part = 0.9;
 
 // Whether entries that are missing from a list may have lapsed because the
 // store was away, and be back in a moment.
 bool is_list_unsure(gateway_state const& s, steady_time now);
 
+// For how much longer that may be so; zero when it is not.
+duration unsure_for(gateway_state const& s, steady_time now);
+
 // Upstreams whose entries lapsed while the store was away register again
 // within two seconds of its return.
 constexpr duration relist_grace = std::chrono::milliseconds(2000);
--- a/src/gateway/gateway_state_test.cpp
+++ b/src/gateway/gateway_state_test.cpp
@@ -1,6 +1,7 @@
 #include "gateway/gateway_state.hpp"
 
 #include "gateway/peer_report.hpp"
+#include "gateway/store_duty.hpp"
 
 #include <catch2/catch.hpp>
 
@@ -54,7 +55,8 @@
     REQUIRE(r);
     apply_report(a, *r, false, now + seconds(9));
     CHECK_FALSE(a.config_confirmed);
-    apply_report(a, *r, true, now + seconds(1));
+    ++b.reports_sent;
+    apply_report(a, make_report(b, now + seconds(1)), true, now + seconds(1));
     REQUIRE(a.config_confirmed);
     CHECK(*a.config_confirmed <= now);
     CHECK(*a.config_confirmed > now - milliseconds(5));
@@ -176,7 +178,7 @@
     names.reserve(31);
     for (int i = 0; i < 31; ++i)
         names.push_back("e" + std::to_string(i));
-    auto wait_of = [&](std::string const& self, std::size_t dead)
+    auto is_reader_in = [&](std::string const& self, std::size_t dead)
     {
         gateway_state s;
         s.settings.instance = self;
@@ -185,18 +187,18 @@
             if (names[i] != self)
                 s.peers[names[i]].heard_at = now;
         }
-        return config_wait(s, now);
+        return is_chosen_reader(s, now);
     };
     int often = 0;
     for (std::string const& it : names)
-        often += wait_of(it, 0) < seconds(2) ? 1 : 0;
+        often += is_reader_in(it, 0) ? 1 : 0;
     CHECK(often == 4);
     // Of those that are left, the first four by rank take over.
     often = 0;
     for (std::size_t i = 20; i < names.size(); ++i)
-        often += wait_of(names[i], 20) < seconds(2) ? 1 : 0;
+        often += is_reader_in(names[i], 20) ? 1 : 0;
     CHECK(often == 4);
-    CHECK(wait_of("e30", 28) < seconds(2));
+    CHECK(is_reader_in("e30", 28));
 }
 
 // Guards against a gateway that serves an old configuration, or refuses keys,
--- a/src/gateway/object_watch.cpp
+++ b/src/gateway/object_watch.cpp
@@ -1,9 +1,44 @@
 #include "gateway/object_watch.hpp"
 
 #include <algorithm>
+#include <iterator>
+#include <set>
+#include <string_view>
+#include <utility>
 
 namespace marjorambeam
 {
+namespace
+{
+
+// Strings of other writers may not be UTF-8, which dump() throws at.
+std::string text_of(nlohmann::json const& j)
+{
+    return j.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+// What can't be parsed is null, which names no object of any kind.
+platform_object object_of(relayed_object&& r)
+{
+    return {
+        .name = std::move(r.name),
+        .revision = r.revision,
+        .is_deleted = r.is_deleted,
+        .specification = nlohmann::json::parse(r.specification, nullptr, false),
+        .status = nlohmann::json::parse(r.status, nullptr, false)};
+}
+
+std::vector<relayed_object>
+values_of(std::map<std::string, relayed_object>&& by_name)
+{
+    std::vector<relayed_object> all;
+    all.reserve(by_name.size());
+    for (auto& [name, it] : by_name)
+        all.push_back(std::move(it));
+    return all;
+}
+
+} // namespace
 
 object_watch::object_watch(
     ev::loop_ref loop, http_client& client,
@@ -29,6 +64,12 @@
     send();
 }
 
+void object_watch::start_stale()
+{
+    list_how_ = freshness::may_be_stale;
+    send();
+}
+
 void object_watch::renew()
 {
     client_.cancel(call_);
@@ -42,18 +83,128 @@
     renew();
 }
 
+void object_watch::list_now(freshness how)
+{
+    client_.cancel(call_);
+    retry_timer_.stop();
+    list_again(how);
+}
+
+void object_watch::list_again(freshness how)
+{
+    list_how_ = how;
+    is_listing_ = true;
+    after_.clear();
+    listed_.clear();
+    send();
+}
+
+void object_watch::park()
+{
+    if (is_parked_)
+        return;
+    is_parked_ = true;
+    if (!is_listed_ || has_failed_ || is_listing_)
+        return; // the call under way is still needed
+    client_.cancel(call_);
+    retry_timer_.stop();
+}
+
+void object_watch::resume()
+{
+    if (!is_parked_)
+        return;
+    is_parked_ = false;
+    renew();
+}
+
+// Takes the object to the digest; returns what is to be relayed of it, nothing
+// when it is not in another state than before.
+std::optional<relayed_object> object_watch::note(platform_object const& o)
+{
+    auto const it = copied_.find(o.name);
+    relayed_object r{
+        .name = o.name, .revision = o.revision, .is_deleted = o.is_deleted};
+    object_essence e;
+    if (!o.is_deleted)
+    {
+        e = protocol_.essence(o);
+        if (it != copied_.end() && it->second == e.signature)
+            return std::nullopt;
+        r.specification = text_of(e.specification);
+        r.status = text_of(o.status);
+    }
+    if (it != copied_.end())
+    {
+        digest_ ^= object_digest(o.name, it->second);
+        copied_.erase(it);
+    }
+    if (!o.is_deleted)
+    {
+        copied_.emplace(o.name, e.signature);
+        digest_ ^= object_digest(o.name, e.signature);
+    }
+    return r;
+}
+
+std::vector<std::string>
+object_watch::names_not_in(std::vector<platform_object> const& all) const
+{
+    std::set<std::string_view> listed;
+    for (platform_object const& it : all)
+    {
+        if (!it.is_deleted)
+            listed.insert(it.name);
+    }
+    std::vector<std::string> names;
+    for (auto const& [name, revision] : copied_)
+    {
+        if (!listed.contains(name))
+            names.push_back(name);
+    }
+    return names;
+}
+
+void object_watch::tell_copied(
+    copy_state before, std::vector<relayed_object>&& changed) const
+{
+    if (!handlers_.on_copied)
+        return;
+    handlers_.on_copied(
+        {.before = before.digest,
+         .after = digest_,
+         .from = before.revision,
+         .revision = revision_,
+         .objects = std::move(changed)});
+}
+
+bool object_watch::apply(state_change&& change)
+{
+    if (!is_listed_ || !is_fit(change, digest_, revision_))
+        return false;
+    revision_ = change.revision;
+    for (relayed_object& it : change.objects)
+    {
+        platform_object o = object_of(std::move(it));
+        note(o);
+        handlers_.on_change(std::move(o));
+    }
+    return true;
+}
+
 void object_watch::send()
 {
     // After a failure the first answer shows that the store is back; it is not
     // to be waited for.
-    bool const is_short = has_failed_ || asks_now_;
+    bool const is_short = has_failed_ || asks_now_ || is_parked_;
     asks_now_ = false;
+    has_watched_ = has_watched_ || !is_listing_;
     duration const wait =
         is_short ? duration(std::chrono::milliseconds(1)) : timing_.wait;
-    http_call call = is_listed_
-                         ? protocol_.watch(address_, kind_, revision_, wait)
-                         : protocol_.list(address_, kind_, after_);
-    call.timeout = timing_.patience + (is_listed_ ? wait : duration{0});
+    http_call call = is_listing_
+                         ? protocol_.list(address_, kind_, after_, list_how_)
+                         : protocol_.watch(address_, kind_, revision_, wait);
+    call.timeout = timing_.patience + (is_listing_ ? duration{0} : wait);
     steady_time const sent = boot_now();
     sent_at_ = sent;
     call_ = client_.send(
@@ -72,11 +223,10 @@
     result<platform_objects> objects = protocol_.decode(*reply);
     if (!objects && objects.error().kind == error_kind::frame_stale)
     {
-        is_listed_ = false;
-        after_.clear();
-        listed_.clear();
-        handlers_.on_history_dropped();
-        send();
+        // A copy that was parked may be older than the history that is kept.
+        if (!is_parked_)
+            handlers_.on_history_dropped();
+        list_again(freshness::newest);
         return;
     }
     if (!objects)
@@ -87,24 +237,49 @@
     delay_ = duration{0};
     has_failed_ = false;
     // A watch without a change was answered after its whole wait.
-    bool const has_waited = is_listed_ && objects->objects.empty();
+    bool const has_waited = !is_listing_ && objects->objects.empty();
     duration const vouched = has_waited ? wait - timing_.deafness : duration{0};
+    bool const may_be_stale =
+        is_listing_ && list_how_ == freshness::may_be_stale;
     on_objects(std::move(*objects));
     bool const has_more = !after_.empty();
-    handlers_.on_contact(sent + vouched);
-    if (has_waited || has_more || timing_.settle == duration{0})
+    handlers_.on_contact(
+        may_be_stale ? std::nullopt : std::optional(sent + vouched));
+    if (has_more)
+        send();
+    else if (!is_parked_)
+        send_after(
+            has_waited     ? duration{0}
+            : has_watched_ ? timing_.settle
+                           : timing_.first_pause);
+}
+
+void object_watch::send_after(duration pause)
+{
+    if (pause == duration{0})
         send();
     else
-        retry_timer_.start(timing_.settle);
+        retry_timer_.start(pause);
 }
 
 void object_watch::on_objects(platform_objects&& objects)
 {
-    if (is_listed_)
+    copy_state const before{digest_, revision_};
+    if (!is_listing_)
     {
+        // A relayed change has overtaken the answer.
+        if (objects.revision != 0 && objects.revision < revision_)
+            return;
         revision_ = std::max(revision_, objects.revision);
+        // Only the last state of each object is relayed.
+        std::map<std::string, relayed_object> changed;
         for (platform_object& it : objects.objects)
+        {
+            if (auto relayed = note(it))
+                changed[it.name] = std::move(*relayed);
             handlers_.on_change(std::move(it));
+        }
+        tell_copied(before, values_of(std::move(changed)));
         return;
     }
     if (after_.empty())
@@ -118,17 +293,48 @@
         return;
     }
     is_listed_ = true;
+    is_listing_ = false;
     after_.clear();
+    bool const is_overtaken = first_page_revision_ < revision_;
+    if (is_overtaken && list_how_ == freshness::may_be_stale)
+    {
+        listed_.clear(); // what is known is newer
+        return;
+    }
     // Changes made while later pages were read are seen again by the watch.
     revision_ = first_page_revision_;
-    handlers_.on_all(std::move(listed_));
-    listed_.clear();
+    take_list(before);
+}
+
+// Takes what was listed, and tells how it differs from the copy before.
+void object_watch::take_list(copy_state before)
+{
+    std::map<std::string, relayed_object> changed;
+    for (std::string const& name : names_not_in(listed_))
+    {
+        if (auto relayed = note({.name = name, .is_deleted = true}))
+            changed[name] = std::move(*relayed);
+    }
+    for (platform_object const& it : listed_)
+    {
+        if (it.is_deleted)
+            continue;
+        if (auto relayed = note(it))
+            changed[it.name] = std::move(*relayed);
+    }
+    handlers_.on_all(std::exchange(listed_, {}));
+    tell_copied(before, values_of(std::move(changed)));
 }
 
 void object_watch::retry(error const& why)
 {
     has_failed_ = true;
     handlers_.on_failure(why);
+    if (is_parked_ && is_listed_)
+    {
+        is_listing_ = false;
+        return; // it is asked again when it is known to be behind
+    }
     delay_ = std::clamp(delay_ * 2, timing_.first_retry, timing_.longest_retry);
     retry_timer_.start(delay_);
 }
--- a/src/gateway/object_watch.hpp
+++ b/src/gateway/object_watch.hpp
@@ -1,5 +1,5 @@
-// Keeps a copy of one kind of objects in the platform's store by a list and
-// long watches.
+// Keeps a copy of one kind of objects in the platform's store: by a list and
+// long watches, or, while parked, by the changes that a reader relays.
 //
 // Example:
 //   object_watch w(loop, client, protocol, "routes", {}, handlers);
@@ -9,11 +9,14 @@
 #pragma once
 
 #include "event_loop/event_loop.hpp"
+#include "gateway/state_relay.hpp"
 #include "http_client/http_client.hpp"
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -39,12 +42,28 @@
     bool has_more = false;
 };
 
+// What other gateways need of an object.
+struct object_essence
+{
+    nlohmann::json specification;
+    // Differs between states of the object that matter.
+    std::uint64_t signature = 0;
+};
+
+// How new an answer of the store must be. A stale one may be seconds old; it
+// costs little and does not count toward the store's rates.
+enum class freshness : std::uint8_t
+{
+    newest,
+    may_be_stale
+};
+
 // Calls of a deployment's store, built and taken apart.
 struct platform_store_protocol
 {
     http_call (*list)(
-        std::string_view address, std::string_view kind,
-        std::string_view after);
+        std::string_view address, std::string_view kind, std::string_view after,
+        freshness how);
     http_call (*watch)(
         std::string_view address, std::string_view kind, std::uint64_t revision,
         duration wait);
@@ -58,6 +77,7 @@
     // Errors: frame_stale when the history of the watch is gone; conflict;
     // store_rate_limited; store_unavailable.
     result<platform_objects> (*decode)(http_reply const& reply);
+    object_essence (*essence)(platform_object const& o);
 };
 
 struct watch_timing
@@ -69,6 +89,9 @@
     duration longest_retry = std::chrono::milliseconds(1000);
     // Pause after changes, so that those that follow soon come with one call.
     duration settle{0};
+    // Pause after the first list, in which a gateway hears of the readers and
+    // may park its watch.
+    duration first_pause{0};
     // When its history is compacted, the store's watches may hear nothing for
     // a second although objects change.
     duration deafness = std::chrono::milliseconds(1200);
@@ -80,11 +103,15 @@
     std::function<void(std::vector<platform_object>&&)> on_all;
     // One that has changed or is deleted.
     std::function<void(platform_object&&)> on_change;
-    // The store answered. What was read holds as of this time at least.
-    std::function<void(steady_time as_of)> on_contact;
+    // The store answered. What was read holds as of this time at least, if it
+    // is known.
+    std::function<void(std::optional<steady_time> as_of)> on_contact;
     std::function<void(error const&)> on_failure;
     // The history that the watch needs is gone; it lists again.
     std::function<void()> on_history_dropped;
+    // The copy has changed by an answer of the store; `sender`, `lifetime`,
+    // `kind` and `unsure_ms` are not set.
+    std::function<void(state_change&&)> on_copied;
 };
 
 class object_watch
@@ -101,6 +128,8 @@
 
     // Lists the objects and then watches them. Precondition: not started.
     void start();
+    // The same with a first list that may be stale; the watch goes on from it.
+    void start_stale();
     // Changes how long each watch call waits. Thread safety as above.
     void set_wait(duration wait)
     {
@@ -111,8 +140,45 @@
     {
         timing_.settle = settle;
     }
-    // Asks for changes at once. Precondition: started.
+    // Changes the pauses between calls that fail.
+    void set_retries(duration first, duration longest)
+    {
+        timing_.first_retry = first;
+        timing_.longest_retry = longest;
+    }
+    // Asks for changes at once; a parked watch asks once. Precondition:
+    // started.
     void ask_now();
+    // Lists all objects at once; cheaper than ask_now() when the store may have
+    // dropped the history since the last change. Precondition: started.
+    void list_now(freshness how);
+    // Sends no more calls by itself, until it is resumed. A list that is under
+    // way is finished. Precondition: started.
+    void park();
+    // Watches again. Precondition: started.
+    void resume();
+    bool is_parked() const
+    {
+        return is_parked_;
+    }
+    // Whether all objects were listed.
+    bool is_listed() const
+    {
+        return is_listed_;
+    }
+    // Digest of the objects in the copy.
+    std::uint64_t digest() const
+    {
+        return digest_;
+    }
+    // Revision of the store as of which the copy is whole.
+    std::uint64_t revision() const
+    {
+        return revision_;
+    }
+    // Takes a relayed change if it starts from this copy's state and is newer;
+    // whether it did. Precondition: `is_parked()`.
+    bool apply(state_change&& change);
     // Sends its call again on another connection, because the one in use may
     // be dead. Precondition: started.
     void renew();
@@ -127,7 +193,22 @@
     void send();
     void on_reply(steady_time sent, duration wait, result<http_reply> reply);
     void on_objects(platform_objects&& objects);
+    // A copy as of a revision of the store.
+    struct copy_state
+    {
+        std::uint64_t digest = 0;
+        std::uint64_t revision = 0;
+    };
+
+    void list_again(freshness how);
+    void take_list(copy_state before);
     void retry(error const& why);
+    void send_after(duration pause);
+    std::optional<relayed_object> note(platform_object const& o);
+    std::vector<std::string>
+    names_not_in(std::vector<platform_object> const& all) const;
+    void
+    tell_copied(copy_state before, std::vector<relayed_object>&& changed) const;
 
     http_client& client_;
     platform_store_protocol const& protocol_;
@@ -138,7 +219,14 @@
     loop_timer retry_timer_;
     std::vector<platform_object> listed_; // pages read so far
     std::string after_;
+    std::map<std::string, std::uint64_t, std::less<>> copied_; // signatures
+    std::uint64_t digest_ = 0;                                 // of copied_
     bool is_listed_ = false;
+    bool is_listing_ = true; // the present or next call is a list
+    // A first list may be old; the watch goes on from there.
+    freshness list_how_ = freshness::newest;
+    bool has_watched_ = false;
+    bool is_parked_ = false;
     bool has_failed_ = false; // the last call
     bool asks_now_ = false;   // the next call
     std::uint64_t revision_ = 0;
--- a/src/gateway/peer_report.cpp
+++ b/src/gateway/peer_report.cpp
@@ -1,39 +1,52 @@
 #include "gateway/peer_report.hpp"
 
 #include "base/hash.hpp"
+#include "gateway/peer_body.hpp"
+#include "gateway/store_duty.hpp"
 
-#include <cereal/archives/portable_binary.hpp>
-#include <sstream>
+#include <algorithm>
+#include <span>
 #include <unordered_map>
+#include <utility>
 
 namespace marjorambeam
 {
 namespace
 {
 
-template <class T>
-peer_call encode(std::string_view name, T const& body)
+std::unordered_map<std::uint32_t, upstream_state*>
+upstreams_by_number(gateway_state const& s)
 {
-    std::ostringstream out;
-    cereal::PortableBinaryOutputArchive archive(out);
-    archive(body);
-    return {.name = std::string(name), .body = out.str()};
+    std::unordered_map<std::uint32_t, upstream_state*> by_number;
+    for (auto const& [id, u] : s.upstreams.by_id)
+        by_number[u->number] = u.get();
+    return by_number;
 }
 
-template <class T>
-result<T> decode(peer_call const& call)
+// Replaces what a peer has told before by what it tells now, without looking at
+// the others: hundreds of them report each second.
+void replace_loads(
+    gateway_state& s, gateway_peer& p, std::span<reported_load const> loads)
 {
-    try
+    auto const by_number = upstreams_by_number(s);
+    for (auto const& [number, load] : p.loads)
     {
-        std::istringstream in(call.body);
-        cereal::PortableBinaryInputArchive archive(in);
-        T body;
-        archive(body);
-        return body;
+        auto const it = by_number.find(number);
+        if (it == by_number.end())
+            continue;
+        peer_load& sum = it->second->peers;
+        sum.requests -= std::min(sum.requests, load.requests);
+        sum.work = std::max(sum.work - load.work, 0.0);
     }
-    catch (std::exception const& e)
+    p.loads.clear();
+    for (reported_load const& it : loads)
     {
-        return fail(error_kind::frame_corrupt, e.what());
+        p.loads[it.upstream] = {it.requests, it.work};
+        auto const u = by_number.find(it.upstream);
+        if (u == by_number.end())
+            continue;
+        u->second->peers.requests += it.requests;
+        u->second->peers.work += it.work;
     }
 }
 
@@ -41,9 +54,7 @@
 {
     for (auto const& [id, u] : s.upstreams.by_id)
         u->peers = {};
-    std::unordered_map<std::uint32_t, upstream_state*> by_number;
-    for (auto const& [id, u] : s.upstreams.by_id)
-        by_number[u->number] = u.get();
+    auto const by_number = upstreams_by_number(s);
     for (auto const& [name, p] : s.peers)
     {
         for (auto const& [number, load] : p.loads)
@@ -57,8 +68,48 @@
     }
 }
 
+// Notes which process of the instance the report is of; whether the report is
+// the latest one as far as is known.
+bool note_lifetime(gateway_peer& p, gateway_report const& r)
+{
+    if (r.lifetime == p.lifetime)
+    {
+        if (r.sequence <= p.sequence)
+            return false;
+        p.sequence = r.sequence;
+        return true;
+    }
+    if (r.lifetime == p.last_lifetime)
+        return false;
+    p.last_lifetime = std::exchange(p.lifetime, r.lifetime);
+    p.sequence = r.sequence;
+    return true;
+}
+
+void note_reader(
+    gateway_peer& p, gateway_report const& r, bool is_prompt, steady_time now)
+{
+    p.is_reader = r.is_reader && r.copies.size() == state_kinds;
+    p.has_store = r.store_kept_ms >= 0;
+    p.is_stopping = r.is_stopping;
+    if (is_prompt && r.store_heard_ms >= 0)
+        p.store_heard = now - std::chrono::milliseconds(r.store_heard_ms);
+    for (std::size_t i = 0; p.is_reader && i < state_kinds; ++i)
+    {
+        p.copies[i].digest = r.copies[i].digest;
+        p.copies[i].revision = r.copies[i].revision;
+    }
+}
+
+constexpr duration shortest_report_memory = std::chrono::milliseconds(2500);
+
 } // namespace
 
+duration report_memory(std::size_t peers)
+{
+    return std::max(shortest_report_memory, live_window(peers, false));
+}
+
 std::uint32_t upstream_number(std::string_view id)
 {
     return static_cast<std::uint32_t>(hash64(id));
@@ -68,6 +119,18 @@
 {
     gateway_report r;
     r.sender = s.settings.instance;
+    r.lifetime = s.self;
+    r.sequence = s.reports_sent + 1;
+    bool const has_copies = std::all_of(
+        s.kinds.begin(), s.kinds.end(),
+        [](kind_view const& it) { return it.is_listed; });
+    r.is_reader = s.is_reader && !s.is_store_lost && has_copies;
+    r.is_stopping = s.drain_started.has_value();
+    if (r.is_reader)
+    {
+        for (kind_view const& it : s.kinds)
+            r.copies.push_back({it.digest, it.revision});
+    }
     if (s.config && s.config_confirmed)
     {
         r.config_version = s.config->version;
@@ -95,12 +158,15 @@
     return r;
 }
 
-void apply_report(
+report_outcome apply_report(
     gateway_state& s, gateway_report const& r, bool is_prompt, steady_time now)
 {
     auto const peer = s.peers.find(r.sender);
     if (peer == s.peers.end())
-        return;
+        return report_outcome::stranger;
+    if (!note_lifetime(peer->second, r))
+        return report_outcome::outdated;
+    note_reader(peer->second, r, is_prompt, now);
     if (is_prompt && r.config_age_ms >= 0 && s.config &&
         s.config->version == r.config_version)
         confirm_config(s, now - std::chrono::milliseconds(r.config_age_ms));
@@ -113,13 +179,11 @@
     if (is_prompt && r.history_dropped_ms >= 0)
         note_history_dropped(
             s, now - std::chrono::milliseconds(r.history_dropped_ms));
-    if (s.config && r.config_version > s.config->version && !s.config_behind)
+    std::int64_t const own_version = s.config ? s.config->version : 0;
+    if (r.config_version > own_version && !s.config_behind)
         s.config_behind = now;
     peer->second.heard_at = now;
-    peer->second.loads.clear();
-    for (reported_load const& it : r.loads)
-        peer->second.loads[it.upstream] = {it.requests, it.work};
-    sum_loads(s);
+    replace_loads(s, peer->second, r.loads);
     for (reported_shift const& it : r.shifts)
     {
         auto const t = s.shifts.find(it.service);
@@ -130,6 +194,7 @@
         if (elapsed > now - t->second.first_seen)
             t->second.first_seen = now - elapsed;
     }
+    return report_outcome::applied;
 }
 
 void expire_reports(gateway_state& s, steady_time now)
@@ -137,7 +202,7 @@
     bool has_expired = false;
     for (auto& [name, p] : s.peers)
     {
-        if (p.loads.empty() || now - p.heard_at < report_memory)
+        if (p.loads.empty() || now - p.heard_at < report_memory(s.peers.size()))
             continue;
         p.loads.clear();
         has_expired = true;
@@ -148,22 +213,22 @@
 
 peer_call to_call(gateway_report const& r)
 {
-    return encode(gateway_report_call, r);
+    return encode_body(gateway_report_call, r);
 }
 
 peer_call to_call(upstream_break const& b)
 {
-    return encode(upstream_break_call, b);
+    return encode_body(upstream_break_call, b);
 }
 
 result<gateway_report> report_of(peer_call const& call)
 {
-    return decode<gateway_report>(call);
+    return decode_body<gateway_report>(call);
 }
 
 result<upstream_break> break_of(peer_call const& call)
 {
-    return decode<upstream_break>(call);
+    return decode_body<upstream_break>(call);
 }
 
 } // namespace marjorambeam
--- a/src/gateway/peer_report.hpp
+++ b/src/gateway/peer_report.hpp
@@ -22,7 +22,7 @@
 {
 
 // Names of the peer_calls that carry these bodies.
-constexpr std::string_view gateway_report_call = "gateway_report_2";
+constexpr std::string_view gateway_report_call = "gateway_report_3";
 constexpr std::string_view upstream_break_call = "upstream_break";
 
 struct reported_load
@@ -53,25 +53,44 @@
 };
 
 // A peer that was silent for this long is taken to hold no load; its requests
-// have ended with its process, or are reported again.
-constexpr duration report_memory = std::chrono::milliseconds(2500);
+// have ended with its process, or are reported again. Thread-safe.
+duration report_memory(std::size_t peers);
+
+// A reader's copy of one kind of objects.
+struct told_copy
+{
+    std::uint64_t digest = 0;
+    std::uint64_t revision = 0; // of the store, as of which it is whole
+
+    template <class Archive>
+    void serialize(Archive& ar)
+    {
+        ar(digest, revision);
+    }
+};
 
 struct gateway_report
 {
     std::string sender;
+    incarnation lifetime = 0;   // of the sender
+    std::uint64_t sequence = 0; // of the report in it, from 1
+    bool is_reader = false;     // reads the store for others
+    bool is_stopping = false;
     std::int64_t config_version = 0;
     std::int64_t config_age_ms = -1;      // since it was confirmed; -1: never
     std::int64_t store_kept_ms = -1;      // without a loss; -1: it is lost
     std::int64_t store_heard_ms = -1;     // since its last answer; -1: never
     std::int64_t history_dropped_ms = -1; // since it was seen; -1: never
+    std::vector<told_copy> copies;        // a reader's, by kind
     std::vector<reported_load> loads;     // of upstreams with work
     std::vector<reported_shift> shifts;
 
     template <class Archive>
     void serialize(Archive& ar)
     {
-        ar(sender, config_version, config_age_ms, store_kept_ms, store_heard_ms,
-           history_dropped_ms, loads, shifts);
+        ar(sender, lifetime, sequence, is_reader, is_stopping, config_version,
+           config_age_ms, store_kept_ms, store_heard_ms, history_dropped_ms,
+           copies, loads, shifts);
     }
 };
 
@@ -94,10 +113,17 @@
 
 gateway_report make_report(gateway_state const& s, steady_time now);
 
-// Takes another gateway's report to the blackboard. One of an unregistered
-// gateway is ignored. `is_prompt`: it was read when it came; after a pause of
-// the process its ages are too small.
-void apply_report(
+// Why a report changes nothing.
+enum class report_outcome : std::uint8_t
+{
+    applied,
+    stranger, // no gateway of that name is registered
+    outdated  // of an earlier process, or overtaken by a later report
+};
+
+// Takes another gateway's report to the blackboard. `is_prompt`: it was read
+// when it came; after a pause of the process its ages are too small.
+report_outcome apply_report(
     gateway_state& s, gateway_report const& r, bool is_prompt, steady_time now);
 
 // Forgets the load that gateways have told which were not heard since.
--- /dev/null
+++ b/src/gateway/state_relay.hpp
@@ -0,0 +1,122 @@
+// Changes of the store's objects as a reader passes them on to gateways that do
+// not ask the store.
+//
+// Example:
+//   for (state_change const& part : split_change(change))
+//       send(to_call(part));
+//   ...
+//   if (auto whole = assembly.put(std::move(part))) watch.apply(*whole);
+//
+// A change holds the last state of each object that changed between two
+// revisions of the store. A copy that is whole as of a revision in between, or
+// has the very state that the change starts from, is whole as of the later one
+// when it has taken it; others refuse it. So a lost, late or repeated change
+// does no harm. No I/O. Not thread-safe.
+#pragma once
+
+#include "base/id.hpp"
+#include "error/error.hpp"
+#include "wire/message.hpp"
+
+#include <cereal/types/string.hpp>
+#include <cereal/types/vector.hpp>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace marjorambeam
+{
+
+// Name of the peer_call that carries a part of a change.
+constexpr std::string_view state_change_call = "state_change_1";
+
+// Kinds of objects that are relayed. The configuration is not: it may be
+// larger than datagrams can carry, and its version tells who lacks it.
+enum class state_kind : std::uint8_t
+{
+    upstreams,
+    shifts,
+    zones,
+    gateways
+};
+constexpr std::size_t state_kinds = 4;
+
+struct relayed_object
+{
+    std::string name;
+    std::uint64_t revision = 0;
+    bool is_deleted = false;
+    std::string specification; // JSON
+    std::string status;        // JSON
+
+    template <class Archive>
+    void serialize(Archive& ar)
+    {
+        ar(name, revision, is_deleted, specification, status);
+    }
+};
+
+// Digest of one object; a state's is the exclusive or over its objects.
+// Thread-safe.
+std::uint64_t object_digest(std::string_view name, std::uint64_t revision);
+
+struct state_change
+{
+    std::string sender;
+    incarnation lifetime = 0; // of the sender
+    std::uint8_t kind = 0;
+    std::uint64_t before = 0;   // digest of the state that it starts from
+    std::uint64_t after = 0;    // digest of the state that it leads to
+    std::uint64_t from = 0;     // revision of the store of `before`
+    std::uint64_t revision = 0; // and of `after`
+    // For how much longer missing entries may have lapsed by an outage.
+    std::int64_t unsure_ms = 0;
+    std::uint16_t part = 0;
+    std::uint16_t parts = 1;
+    std::vector<relayed_object> objects; // the last state of each that changed
+
+    template <class Archive>
+    void serialize(Archive& ar)
+    {
+        ar(sender, lifetime, kind, before, after, from, revision, unsure_ms,
+           part, parts, objects);
+    }
+};
+
+// Whether a copy with this digest that is whole as of `revision` becomes whole
+// as of the change's revision by it. Thread-safe.
+bool is_fit(
+    state_change const& change, std::uint64_t digest, std::uint64_t revision);
+
+// Returns the change in parts that fit into datagrams; nothing when an object
+// is too large for one.
+std::vector<state_change> split_change(state_change const& change);
+
+peer_call to_call(state_change const& part);
+// Errors: frame_corrupt, also for a kind or part that can't be.
+// Precondition: the call has the body's name.
+result<state_change> change_of(peer_call const& call);
+
+// Puts the parts of changes together.
+class change_assembly
+{
+public:
+    // Returns the whole change when `part` was the last one that was missing.
+    // A sender's earlier change of the kind that is not whole is dropped.
+    std::optional<state_change> put(state_change&& part);
+
+private:
+    struct pending
+    {
+        state_change first;
+        std::map<std::uint16_t, std::vector<relayed_object>> parts;
+    };
+    std::map<std::pair<std::string, std::uint8_t>, pending> pending_;
+};
+
+} // namespace marjorambeam
--- /dev/null
+++ b/src/gateway/state_relay_test.cpp
@@ -0,0 +1,139 @@
+#include "gateway/state_relay.hpp"
+
+#include "base/hash.hpp"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <random>
+
+using namespace marjorambeam;
+
+namespace
+{
+
+state_change change_between(std::uint64_t from, std::uint64_t to)
+{
+    return {
+        .sender = "a",
+        .lifetime = 7,
+        .before = hash64("", from),
+        .after = hash64("", to),
+        .from = from,
+        .revision = to};
+}
+
+relayed_object object_of(int i, std::size_t bytes)
+{
+    return {
+        .name = "u" + std::to_string(i),
+        .revision = static_cast<std::uint64_t>(i),
+        .specification = std::string(bytes, 'x')};
+}
+
+} // namespace
+
+// Guards against a copy that goes back to an older state, or that is taken to
+// be whole although a change is missing, when datagrams are late, lost or
+// repeated.
+TEST_CASE("a change fits only copies that it makes whole")
+{
+    state_change const c = change_between(10, 20);
+    CHECK(is_fit(c, c.before, 10));
+    CHECK(is_fit(c, 1, 10));
+    CHECK(is_fit(c, 1, 15)); // ahead of its begin
+    CHECK_FALSE(is_fit(c, 1, 9));
+    CHECK(is_fit(c, c.before, 9)); // nothing of the kind changed since
+    CHECK_FALSE(is_fit(c, c.before, 20));
+    CHECK_FALSE(is_fit(c, c.before, 25));
+}
+
+// Guards against a roll-out of a large fleet, whose new upstreams register
+// within a second, that does not fit into datagrams.
+TEST_CASE("a large change is put together from its parts in any order")
+{
+    state_change c = change_between(10, 20);
+    for (int i = 0; i < 200; ++i)
+        c.objects.push_back(object_of(i, 180));
+    std::vector<state_change> parts = split_change(c);
+    REQUIRE(parts.size() > 20);
+    for (state_change const& it : parts)
+        CHECK(to_call(it).body.size() < 1330);
+    std::mt19937 random(5);
+    std::shuffle(parts.begin(), parts.end(), random);
+    change_assembly assembly;
+    std::optional<state_change> whole;
+    for (std::size_t i = 0; i < parts.size(); ++i)
+    {
+        result<state_change> const read = change_of(to_call(parts[i]));
+        REQUIRE(read);
+        CHECK_FALSE(whole);
+        state_change copy = *read;
+        CHECK_FALSE((i == 3 && assembly.put(state_change(copy)))); // twice
+        whole = assembly.put(std::move(copy));
+    }
+    REQUIRE(whole);
+    CHECK(whole->objects.size() == 200);
+    CHECK(whole->revision == 20);
+}
+
+// Guards against parts of two changes that are taken for one.
+TEST_CASE("parts of an earlier change are dropped")
+{
+    state_change first = change_between(10, 20);
+    state_change second = change_between(20, 30);
+    for (int i = 0; i < 8; ++i)
+    {
+        first.objects.push_back(object_of(i, 900));
+        second.objects.push_back(object_of(i + 100, 900));
+    }
+    std::vector<state_change> const a = split_change(first);
+    std::vector<state_change> const b = split_change(second);
+    REQUIRE(a.size() == b.size());
+    change_assembly assembly;
+    for (std::size_t i = 0; i + 1 < a.size(); ++i)
+        CHECK_FALSE(assembly.put(state_change(a[i])));
+    CHECK_FALSE(assembly.put(state_change(b.back())));
+    CHECK_FALSE(assembly.put(state_change(a.back())));
+    std::optional<state_change> whole;
+    for (state_change const& it : b)
+        whole = assembly.put(state_change(it));
+    REQUIRE(whole);
+    CHECK(whole->revision == 30);
+    for (relayed_object const& it : whole->objects)
+        CHECK(it.revision >= 100);
+}
+
+// Guards against an object of another writer that no datagram can carry; those
+// that hear of the reader's state ask the store themselves.
+TEST_CASE("a change with an object too large is not relayed")
+{
+    state_change c = change_between(10, 20);
+    c.objects = {object_of(1, 100), object_of(2, 4000)};
+    CHECK(split_change(c).empty());
+}
+
+// Guards against a process that ends by a datagram of a damaged or foreign
+// program.
+TEST_CASE("a part of a change that can't be read is an error")
+{
+    state_change c = change_between(10, 20);
+    c.objects = {object_of(1, 100)};
+    peer_call const good = to_call(c);
+    REQUIRE(change_of(good));
+    std::mt19937 random(11);
+    for (int i = 0; i < 20000; ++i)
+    {
+        peer_call bad = good;
+        bad.body[random() % bad.body.size()] = static_cast<char>(random());
+        if (i % 3 == 0)
+            bad.body.resize(random() % bad.body.size());
+        result<state_change> const read = change_of(bad);
+        if (read)
+            CHECK(read->kind < state_kinds);
+    }
+    c.kind = state_kinds;
+    CHECK_FALSE(change_of(to_call(c)));
+    c.kind = 0;
+    c.part = 3;
+    CHECK_FALSE(change_of(to_call(c)));
+}
--- a/src/gateway/store_controller.cpp
+++ b/src/gateway/store_controller.cpp
@@ -1,6 +1,9 @@
 #include "gateway/store_controller.hpp"
 
+#include "base/hash.hpp"
+#include "gateway/own_answer.hpp"
 #include "gateway/peer_report.hpp"
+#include "gateway/store_duty.hpp"
 
 #include <algorithm>
 
@@ -12,13 +15,20 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
+// A gateway that starts hears the readers within this time; watches that are
+// parked then have cost one call each.
+constexpr duration first_pause = milliseconds(1500);
+// The first list of gateways lacks those that start at the same time.
+constexpr duration first_gateways_pause = milliseconds(500);
+
 // The wait changes with the other gateways, see config_wait().
 constexpr watch_timing config_timing{
     .wait = milliseconds(1300),
     .patience = milliseconds(800),
     .first_retry = milliseconds(100),
     .longest_retry = milliseconds(250),
-    .settle = milliseconds(120)};
+    .settle = milliseconds(120),
+    .first_pause = milliseconds(300)};
 
 // Each call is priced; dead connections are found by TCP probes.
 watch_timing long_timing(duration settle)
@@ -29,7 +39,8 @@
         .first_retry = milliseconds(100),
         // The watch of the configuration finds out when the store is back.
         .longest_retry = milliseconds(4000),
-        .settle = settle};
+        .settle = settle,
+        .first_pause = first_pause};
 }
 
 // An upstream that leaves may get requests for two seconds; many of them
@@ -44,8 +55,28 @@
 constexpr duration order_settle = milliseconds(50);
 // Gateways are registered when they start, before they take requests.
 constexpr duration gateway_settle = milliseconds(1000);
-// Between two calls for the configuration that nobody vouches for.
-constexpr duration config_ask_pause = milliseconds(1000);
+
+watch_timing gateway_timing()
+{
+    watch_timing t = long_timing(gateway_settle);
+    t.first_pause = first_gateways_pause;
+    return t;
+}
+
+// Between two calls for what nobody vouches for.
+constexpr duration ask_pause = milliseconds(1000);
+// Calls of a gateway that hears others, or is not among the first to find out
+// that the store is back.
+constexpr duration lost_probe_pause = milliseconds(2000);
+constexpr duration unhurried_retry = milliseconds(6000);
+// After a list that may have been stale.
+constexpr duration stale_ask_pause = milliseconds(300);
+// Relayed changes go out in batches of this many datagrams, which a slow link
+// and the buffers of its sockets hold.
+constexpr std::size_t relay_batch = 32;
+constexpr duration relay_period = milliseconds(20);
+// A process that stood still for longer may have lost datagrams.
+constexpr duration longest_pause = milliseconds(1000);
 constexpr duration write_pause = milliseconds(500);
 constexpr duration write_patience = seconds(2);
 
@@ -53,9 +84,11 @@
 
 store_controller::store_controller(
     ev::loop_ref loop, gateway_state& state, http_client& client,
-    platform_store_protocol const& protocol, store_documents const& documents)
+    datagram_socket& peers, platform_store_protocol const& protocol,
+    store_documents const& documents)
     : state_(state)
     , client_(client)
+    , peers_(peers)
     , protocol_(protocol)
     , documents_(documents)
     , config_(
@@ -63,83 +96,186 @@
           std::string(documents.config_kind), config_timing,
           handlers(
               &store_controller::take_configs, &store_controller::take_config,
-              true))
+              std::nullopt))
     , upstreams_(
           loop, client, protocol, state.settings.store_address,
           std::string(documents.upstream_kind), long_timing(upstream_settle),
           handlers(
               &store_controller::take_upstreams,
-              &store_controller::take_upstream, false))
+              &store_controller::take_upstream, state_kind::upstreams))
     , shifts_(
           loop, client, protocol, state.settings.store_address,
           std::string(documents.shift_kind), long_timing(order_settle),
           handlers(
               &store_controller::take_shifts, &store_controller::take_shift,
-              false))
+              state_kind::shifts))
     , zones_(
           loop, client, protocol, state.settings.store_address,
           std::string(documents.zone_out_kind), long_timing(order_settle),
           handlers(
               &store_controller::take_zones, &store_controller::take_zone,
-              false))
+              state_kind::zones))
     , gateways_(
           loop, client, protocol, state.settings.store_address,
-          std::string(documents.gateway_kind), long_timing(gateway_settle),
+          std::string(documents.gateway_kind), gateway_timing(),
           handlers(
               &store_controller::take_gateways, &store_controller::take_gateway,
-              false))
+              state_kind::gateways))
     , register_timer_(loop, [this] { register_self(); })
+    , relay_timer_(loop, [this] { send_relays(); })
 {
 }
 
 watch_handlers store_controller::handlers(
     void (store_controller::*on_all)(std::vector<platform_object>&&),
-    void (store_controller::*on_change)(platform_object&&), bool is_config)
+    void (store_controller::*on_change)(platform_object&&),
+    std::optional<state_kind> kind)
 {
+    bool const is_config = !kind;
     return {
         .on_all = [this, on_all](std::vector<platform_object>&& all)
         { (this->*on_all)(std::move(all)); },
         .on_change = [this, on_change](platform_object&& o)
         { (this->*on_change)(std::move(o)); },
-        .on_contact = [this, is_config](steady_time as_of)
+        .on_contact = [this, is_config](std::optional<steady_time> as_of)
         { on_contact(as_of, is_config); },
         .on_failure = [this, is_config](error const& why)
         { on_failure(why, is_config); },
         .on_history_dropped = [this]
-        { note_history_dropped(state_, boot_now()); }};
+        { note_history_dropped(state_, boot_now()); },
+        .on_copied =
+            [this, kind](state_change&& change)
+        {
+            if (kind)
+                relay(*kind, std::move(change));
+        }};
+}
+
+object_watch& store_controller::watch_of(state_kind kind)
+{
+    switch (kind)
+    {
+    case state_kind::upstreams:
+        return upstreams_;
+    case state_kind::shifts:
+        return shifts_;
+    case state_kind::zones:
+        return zones_;
+    default:
+        return gateways_;
+    }
+}
+
+// Passes on what this gateway has read of the store.
+void store_controller::relay(state_kind kind, state_change&& change)
+{
+    steady_time const now = boot_now();
+    kind_view& v = state_.kinds[static_cast<std::size_t>(kind)];
+    v.digest = change.after;
+    v.revision = change.revision;
+    v.is_listed = true;
+    bool const is_news = change.before != change.after;
+    if (!state_.is_reader || !is_news)
+        return;
+    change.sender = state_.settings.instance;
+    change.lifetime = state_.self;
+    change.kind = static_cast<std::uint8_t>(kind);
+    change.unsure_ms = unsure_for(state_, now).count() / 1000;
+    std::vector<state_change> const parts = split_change(change);
+    if (parts.empty())
+        state_.counters.count("relays_too_large_total");
+    std::vector<std::string> const to = relay_targets(state_, now);
+    for (state_change const& part : parts)
+    {
+        auto const m = std::make_shared<message const>(to_call(part));
+        for (std::string const& address : to)
+            outbox_.emplace_back(address, m);
+    }
+    state_.counters.count("changes_relayed_total");
+    send_relays();
+}
+
+void store_controller::send_relays()
+{
+    if (relay_timer_.is_active())
+        return;
+    for (std::size_t i = 0; i < relay_batch && !outbox_.empty(); ++i)
+    {
+        auto const& [address, m] = outbox_.front();
+        peers_.send(address, *m);
+        outbox_.pop_front();
+    }
+    if (!outbox_.empty())
+        relay_timer_.start(relay_period);
+}
+
+void store_controller::take_relayed(state_change&& part, steady_time now)
+{
+    auto const peer = state_.peers.find(part.sender);
+    if (peer == state_.peers.end() || peer->second.lifetime != part.lifetime)
+    {
+        state_.counters.count("bad_datagrams_total", "relay of a stranger");
+        return;
+    }
+    std::optional<state_change> whole = relayed_.put(std::move(part));
+    if (!whole)
+        return;
+    auto const kind = static_cast<state_kind>(whole->kind);
+    object_watch& w = watch_of(kind);
+    if (!w.is_parked())
+        return;
+    duration const unsure = std::min<duration>(
+        milliseconds(std::max<std::int64_t>(whole->unsure_ms, 0)),
+        relist_grace);
+    // Before the change is taken, which may hold entries that have lapsed.
+    if (unsure > duration{0})
+        state_.unsure_until = std::max(state_.unsure_until, now + unsure);
+    bool const is_applied = w.apply(std::move(*whole));
+    state_.counters.count(
+        is_applied ? "relays_applied_total" : "relays_unfit_total");
+    kind_view& v = state_.kinds[static_cast<std::size_t>(kind)];
+    v.digest = w.digest();
+    v.revision = w.revision();
 }
 
 void store_controller::start()
 {
     config_.start();
-    upstreams_.start();
-    shifts_.start();
-    zones_.start();
+    upstreams_.start_stale();
+    shifts_.start_stale();
+    zones_.start_stale();
     register_self();
 }
 
-void store_controller::on_contact(steady_time as_of, bool is_config)
+void store_controller::on_contact(
+    std::optional<steady_time> as_of, bool is_config)
 {
     steady_time const now = boot_now();
     state_.store_heard = now;
-    if (is_config)
+    if (!is_config)
+        return;
+    if (as_of)
+        confirm_config(state_, *as_of);
+    config_.set_wait(config_wait(state_));
+    if (!state_.is_store_lost)
     {
-        confirm_config(state_, as_of);
-        config_.set_wait(config_wait(state_, now));
-    }
-    if (!is_config || !state_.is_store_lost)
+        park_or_resume();
         return;
+    }
     state_.is_store_lost = false;
     state_.store_back = now;
+    state_.is_report_due = true;
     log_.write(
         log_event::store_regained,
         {{"lost_ms", in_ms(now - state_.store_lost)}});
     // What silenced one connection may have silenced the others.
-    upstreams_.renew();
-    shifts_.renew();
-    zones_.renew();
-    if (is_registered_)
-        gateways_.renew();
+    for (std::size_t i = 0; i < state_kinds; ++i)
+    {
+        object_watch& w = watch_of(static_cast<state_kind>(i));
+        if (is_started(w) && !w.is_parked())
+            w.renew();
+    }
+    park_or_resume();
 }
 
 void store_controller::on_failure(error const& why, bool is_config)
@@ -153,6 +289,7 @@
     log_.write(
         log_event::store_lost,
         {{"kind", std::string(to_string(why.kind))}, {"why", why.message}});
+    park_or_resume();
 }
 
 void store_controller::take_configs(std::vector<platform_object>&& all)
@@ -182,6 +319,8 @@
          {"organisations", std::to_string(c->organisations.size())}});
     state_.config = std::make_shared<gateway_config const>(std::move(*c));
     state_.config_behind.reset();
+    has_asked_stale_ = false;
+    state_.is_report_due = state_.is_reader;
 }
 
 void store_controller::take_upstreams(std::vector<platform_object>&& all)
@@ -368,7 +507,15 @@
 
 void store_controller::take_gateways(std::vector<platform_object>&& all)
 {
-    state_.peers.clear();
+    std::erase_if(
+        state_.peers,
+        [&](auto const& known)
+        {
+            return std::none_of(
+                all.begin(), all.end(),
+                [&](platform_object const& o)
+                { return o.name == known.first; });
+        });
     for (platform_object& it : all)
         take_gateway(std::move(it));
     set_gateways();
@@ -495,6 +642,11 @@
         });
 }
 
+bool store_controller::is_started(object_watch const& w) const
+{
+    return &w != &gateways_ || is_registered_;
+}
+
 // The store drops its history for all watches at once, and may cut those that
 // wait without a word.
 void store_controller::renew_after_drop()
@@ -502,24 +654,118 @@
     if (!state_.history_dropped || state_.history_dropped == renewed_for_)
         return;
     renewed_for_ = state_.history_dropped;
+    if (config_.is_parked())
+        return; // nothing waits at the store
     state_.counters.count("watches_renewed_total");
     config_.renew_older_than(*renewed_for_);
-    upstreams_.renew_older_than(*renewed_for_);
-    shifts_.renew_older_than(*renewed_for_);
-    zones_.renew_older_than(*renewed_for_);
-    if (is_registered_)
-        gateways_.renew_older_than(*renewed_for_);
+    for (std::size_t i = 0; i < state_kinds; ++i)
+    {
+        object_watch& w = watch_of(static_cast<state_kind>(i));
+        if (is_started(w) && !w.is_parked())
+            w.renew_older_than(*renewed_for_);
+    }
 }
 
-void store_controller::tick(steady_time now)
+void store_controller::set_role(steady_time now)
+{
+    bool const was_reader = state_.is_reader;
+    update_role(state_, now);
+    if (state_.is_reader && !was_reader)
+        reading_since_ = now;
+    if (state_.is_reader != was_reader)
+        log_.write(
+            state_.is_reader ? log_event::reading_began
+                             : log_event::reading_ended,
+            {{"store", state_.is_store_lost ? "lost" : "kept"}});
+    park_or_resume();
+    if (is_prober(state_, now))
+        config_.set_retries(
+            config_timing.first_retry, config_timing.longest_retry);
+    else
+        config_.set_retries(unhurried_retry, unhurried_retry);
+}
+
+// Watches are kept by readers that have the store. Until it has answered the
+// first of them, and while it is lost, only the configuration is asked for.
+void store_controller::park_or_resume()
+{
+    bool const has_all =
+        gateways_.is_listed() && upstreams_.is_listed() && config_.is_listed();
+    bool const reads = state_.is_reader || !has_all;
+    if (reads)
+        config_.resume();
+    else
+        config_.park();
+    bool const is_answered = !state_.is_store_lost && state_.store_heard &&
+                             *state_.store_heard >= reading_since_;
+    for (std::size_t i = 0; i < state_kinds; ++i)
+    {
+        object_watch& w = watch_of(static_cast<state_kind>(i));
+        if (!is_started(w))
+            continue;
+        if (reads && (is_answered || !w.is_listed()))
+            w.resume();
+        else
+            w.park();
+    }
+}
+
+void store_controller::ask_when_behind(steady_time now)
+{
+    // What was relayed during a pause of the process may be lost.
+    bool const has_paused =
+        last_tick_ != steady_time{} && now - last_tick_ > longest_pause;
+    last_tick_ = now;
+    for (std::size_t i = 0; i < state_kinds; ++i)
+    {
+        auto const kind = static_cast<state_kind>(i);
+        object_watch& w = watch_of(kind);
+        if (!w.is_parked() || !w.is_listed() || state_.is_store_lost)
+            continue;
+        bool const must_ask =
+            has_paused || (is_behind(state_, kind, now) && now >= next_ask_[i]);
+        if (!must_ask)
+            continue;
+        next_ask_[i] = now + ask_pause;
+        note_asked(state_, kind);
+        state_.counters.count("state_asked_total");
+        w.ask_now();
+    }
+}
+
+void store_controller::ask_for_config(steady_time now)
 {
-    renew_after_drop();
     if (must_ask_config(state_, now) && now >= next_config_ask_)
     {
-        next_config_ask_ = now + config_ask_pause;
+        next_config_ask_ =
+            now + (has_asked_stale_ ? ask_pause : stale_ask_pause);
         state_.counters.count("config_asked_total");
-        config_.ask_now();
+        if (!config_.is_parked())
+            config_.ask_now();
+        else
+            config_.list_now(
+                std::exchange(has_asked_stale_, !has_asked_stale_)
+                    ? freshness::newest
+                    : freshness::may_be_stale);
     }
+    if (state_.is_store_lost && config_.is_parked() && now >= next_probe_)
+    {
+        next_probe_ =
+            now +
+            spread(
+                lost_probe_pause,
+                hash64(state_.settings.instance) +
+                    static_cast<std::uint64_t>(now.time_since_epoch().count()));
+        config_.list_now(freshness::newest);
+    }
+}
+
+void store_controller::tick(steady_time now)
+{
+    set_role(now);
+    renew_after_drop();
+    ask_for_config(now);
+    ask_when_behind(now);
     for (auto& [service, t] : state_.shifts)
         act_on_shift(t, now);
     for (auto it = state_.upstreams.by_id.begin();
--- a/src/gateway/store_controller.hpp
+++ b/src/gateway/store_controller.hpp
@@ -11,11 +11,18 @@
 #include "event_loop/event_loop.hpp"
 #include "gateway/gateway_state.hpp"
 #include "gateway/object_watch.hpp"
+#include "gateway/state_relay.hpp"
 #include "http_client/http_client.hpp"
 #include "log/log.hpp"
+#include "transport/transport.hpp"
 
+#include <array>
+#include <deque>
+#include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace marjorambeam
@@ -50,21 +57,27 @@
 class store_controller
 {
 public:
-    // The references outlive the controller.
+    // The references outlive the controller. Changes are relayed over
+    // `peers`.
     store_controller(
         ev::loop_ref loop, gateway_state& state, http_client& client,
-        platform_store_protocol const& protocol,
+        datagram_socket& peers, platform_store_protocol const& protocol,
         store_documents const& documents);
 
     void start();
-    // Acts on roll-outs and on upstreams that were not listed again.
+    // Takes a part of a change that a reader relays. One that is not of the
+    // peer's present process is dropped.
+    void take_relayed(state_change&& part, steady_time now);
+    // Chooses between reading and hearing; acts on roll-outs and on upstreams
+    // that were not listed again.
     void tick(steady_time now);
 
 private:
     watch_handlers handlers(
         void (store_controller::*on_all)(std::vector<platform_object>&&),
-        void (store_controller::*on_change)(platform_object&&), bool is_config);
-    void on_contact(steady_time as_of, bool is_config);
+        void (store_controller::*on_change)(platform_object&&),
+        std::optional<state_kind> kind);
+    void on_contact(std::optional<steady_time> as_of, bool is_config);
     void on_failure(error const& why, bool is_config);
     void take_configs(std::vector<platform_object>&& all);
     void take_config(platform_object&& o);
@@ -80,12 +93,21 @@
     void set_usual_version(std::string const& service);
     void set_gateways();
     void renew_after_drop();
+    void relay(state_kind kind, state_change&& change);
+    void send_relays();
+    void set_role(steady_time now);
+    void park_or_resume();
+    void ask_when_behind(steady_time now);
+    void ask_for_config(steady_time now);
+    object_watch& watch_of(state_kind kind);
+    bool is_started(object_watch const& w) const;
     void register_self();
     void act_on_shift(shift_track& t, steady_time now);
     bool is_duty_holder(steady_time now) const;
 
     gateway_state& state_;
     http_client& client_;
+    datagram_socket& peers_;
     platform_store_protocol const& protocol_;
     store_documents const& documents_;
     logger log_{"store"};
@@ -95,8 +117,17 @@
     object_watch zones_;
     object_watch gateways_;
     loop_timer register_timer_;
+    loop_timer relay_timer_;
     bool is_registered_ = false;
+    change_assembly relayed_;
+    // Datagrams that wait for room on the link.
+    std::deque<std::pair<std::string, std::shared_ptr<message const>>> outbox_;
+    steady_time reading_since_{};
+    bool has_asked_stale_ = false; // for the present configuration
     steady_time next_config_ask_{};
+    steady_time next_probe_{};
+    steady_time last_tick_{};
+    std::array<steady_time, state_kinds> next_ask_{};
     std::optional<steady_time> renewed_for_; // of gateway_state
     bool is_writing_ = false;
     steady_time next_write_{};
--- /dev/null
+++ b/src/gateway/store_duty_test.cpp
@@ -0,0 +1,363 @@
+#include "gateway/store_duty.hpp"
+
+#include "gateway/peer_report.hpp"
+
+#include <catch2/catch.hpp>
+#include <map>
+#include <random>
+#include <set>
+
+using namespace marjorambeam;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace
+{
+
+constexpr steady_time start{seconds(100)};
+
+// Gateways that exchange reports in virtual time over links that can be cut.
+struct duty_fleet
+{
+    explicit duty_fleet(int n)
+    {
+        auto const config = std::make_shared<gateway_config>();
+        config->version = 1;
+        for (int i = 0; i < n; ++i)
+            names.push_back("g" + std::to_string(i));
+        for (std::string const& it : names)
+        {
+            gateway_state& s = all[it];
+            s.settings.instance = it;
+            s.settings.key_bound = seconds(5);
+            s.self = 1 + all.size();
+            s.started = start;
+            s.config = config;
+            s.gateways = names;
+            for (std::string const& other : names)
+            {
+                if (other != it)
+                    s.peers[other].address = other;
+            }
+            for (kind_view& k : s.kinds)
+                k.is_listed = true;
+        }
+    }
+
+    bool has_store(std::string const& name) const
+    {
+        return !is_store_down && !no_store.contains(name);
+    }
+
+    // A reader's watch of the configuration is answered every 1.8 s; a
+    // follower that asks is answered at once, and one that has lost the store
+    // asks every 2 s.
+    void ask_store(std::string const& name, gateway_state& s)
+    {
+        bool const must_ask = must_ask_config(s, now);
+        bool const keeps_asking = s.is_reader || s.is_store_lost;
+        if (!must_ask && (!keeps_asking || now < next_call[name]))
+            return;
+        duration pause = milliseconds(1800);
+        if (s.is_store_lost)
+            pause = milliseconds(
+                !s.is_reader        ? 2000
+                : is_prober(s, now) ? 250
+                                    : 6000);
+        next_call[name] = now + pause;
+        ++calls;
+        if (has_store(name))
+        {
+            s.is_store_lost = false;
+            s.store_heard = now;
+            confirm_config(s, now);
+        }
+        else if (!s.is_store_lost)
+        {
+            s.is_store_lost = true;
+            s.store_lost = now;
+        }
+    }
+
+    void step()
+    {
+        now += milliseconds(100);
+        for (auto& [name, s] : all)
+        {
+            if (dead.contains(name))
+                continue;
+            update_role(s, now);
+            ask_store(name, s);
+            if (now < next_report[name])
+                continue;
+            next_report[name] =
+                now + report_period(s.peers.size(), s.is_reader);
+            gateway_report const r = make_report(s, now);
+            ++s.reports_sent;
+            for (auto& [other, t] : all)
+            {
+                bool const is_heard = other != name && !dead.contains(other) &&
+                                      !cut.contains({name, other}) &&
+                                      random() % 100 >= 2;
+                if (is_heard)
+                    apply_report(t, r, true, now);
+            }
+        }
+    }
+
+    void run(duration d)
+    {
+        for (steady_time const end = now + d; now < end;)
+            step();
+    }
+
+    int readers() const
+    {
+        int n = 0;
+        for (auto const& [name, s] : all)
+            n += !dead.contains(name) && s.is_reader ? 1 : 0;
+        return n;
+    }
+
+    // Live gateways with a sound way to the store whose keys are not fresh.
+    int stale() const
+    {
+        int n = 0;
+        for (auto const& [name, s] : all)
+        {
+            bool const counts = !dead.contains(name) && has_store(name);
+            n += counts && !are_keys_fresh(s, now) ? 1 : 0;
+        }
+        return n;
+    }
+
+    std::string a_reader() const
+    {
+        for (auto const& [name, s] : all)
+        {
+            if (s.is_reader && !dead.contains(name))
+                return name;
+        }
+        return {};
+    }
+
+    steady_time now = start;
+    std::vector<std::string> names;
+    std::map<std::string, gateway_state> all;
+    std::map<std::string, steady_time> next_call;
+    std::map<std::string, steady_time> next_report;
+    std::set<std::string> dead;
+    std::set<std::string> no_store;
+    std::set<std::pair<std::string, std::string>> cut; // from, to
+    bool is_store_down = false;
+    int calls = 0;
+    std::mt19937 random{1};
+};
+
+// Runs and checks each step that no sound gateway lacks a word on its keys.
+void run_fresh(duty_fleet& f, duration d)
+{
+    for (steady_time const end = f.now + d; f.now < end;)
+    {
+        f.step();
+        REQUIRE(f.stale() == 0);
+    }
+}
+
+} // namespace
+
+// Guards against a large fleet of which every gateway asks the store
+// (somfast-beam-large: 3,108 to 12,640 calls a day, up to 0.23 of the worth).
+TEST_CASE("four of many gateways read the store")
+{
+    for (int const n : {5, 22, 68, 120})
+    {
+        duty_fleet f(n);
+        f.run(seconds(8));
+        CHECK(f.readers() == 4);
+        f.calls = 0;
+        run_fresh(f, seconds(20));
+        CHECK(f.readers() == 4);
+        CHECK(f.calls <= 4 * 13 + 8);
+    }
+}
+
+// Guards against keys that are refused by sound gateways, and drains and
+// configurations that are not heard of, after readers were killed.
+TEST_CASE("killed readers are replaced before their word is too old")
+{
+    duty_fleet f(68);
+    f.run(seconds(8));
+    for (int i = 0; i < 12; ++i)
+    {
+        f.dead.insert(f.a_reader());
+        run_fresh(f, milliseconds(700));
+    }
+    run_fresh(f, seconds(6));
+    CHECK(f.readers() == 4);
+}
+
+// Guards against a fleet that follows readers which are cut off from the store,
+// and against a reader of its own in each gateway that is cut off.
+TEST_CASE("readers without the store step back, and are fed by others")
+{
+    duty_fleet f(68);
+    f.run(seconds(8));
+    for (auto const& [name, s] : f.all)
+    {
+        if (s.is_reader || f.no_store.size() % 3 == 0)
+            f.no_store.insert(name);
+        if (f.no_store.size() >= 24)
+            break;
+    }
+    run_fresh(f, seconds(12));
+    CHECK(f.readers() == 4);
+    for (std::string const& it : f.no_store)
+        CHECK(are_keys_fresh(f.all[it], f.now));
+    f.no_store.clear();
+    run_fresh(f, seconds(10));
+    CHECK(f.readers() == 4);
+}
+
+// Guards against gateways that wait for a word that can't reach them: cut off
+// from all others, hearing none, heard by none, or with two zones apart while a
+// third reaches both.
+TEST_CASE("a gateway that hears no reader reads by itself")
+{
+    duty_fleet f(30);
+    f.run(seconds(8));
+    SECTION("deaf")
+    {
+        for (std::string const& it : f.names)
+            f.cut.insert({it, "g3"});
+    }
+    SECTION("mute readers")
+    {
+        std::string const reader = f.a_reader();
+        for (std::string const& it : f.names)
+            f.cut.insert({reader, it});
+    }
+    SECTION("apart")
+    {
+        for (std::string const& it : f.names)
+        {
+            f.cut.insert({"g3", it});
+            f.cut.insert({it, "g3"});
+        }
+    }
+    SECTION("two zones apart while a third reaches both")
+    {
+        for (int i = 0; i < 10; ++i)
+        {
+            for (int j = 10; j < 20; ++j)
+            {
+                f.cut.insert({f.names[i], f.names[j]});
+                f.cut.insert({f.names[j], f.names[i]});
+            }
+        }
+    }
+    run_fresh(f, seconds(10));
+    f.cut.clear();
+    run_fresh(f, seconds(8));
+    CHECK(f.readers() == 4);
+}
+
+// Guards against a store that is asked by every gateway several times a second
+// while it is away (somfast-beam-large, trouble-3: two outages, 12,640 calls).
+TEST_CASE("few gateways ask for the store while it is away")
+{
+    duty_fleet f(68);
+    f.run(seconds(8));
+    f.calls = 0;
+    f.is_store_down = true;
+    f.run(seconds(8));
+    // Four probe, and each other one finds out by itself twice at most.
+    CHECK(f.calls < 4 * 8 * 4 + 2 * 68);
+    f.is_store_down = false;
+    f.run(milliseconds(2500));
+    CHECK(f.stale() == 0);
+    run_fresh(f, seconds(6));
+    CHECK(f.readers() == 4);
+}
+
+// Guards against a fleet that stays without readers after all were killed.
+TEST_CASE("a fleet that starts at once finds its readers")
+{
+    duty_fleet f(68);
+    f.run(milliseconds(1500));
+    CHECK(f.stale() == 0);
+    run_fresh(f, seconds(8));
+    CHECK(f.readers() == 4);
+}
+
+// Guards against load that is forgotten, and readers that are taken to be gone,
+// where so many gateways report that each does so seldom.
+TEST_CASE("the windows of liveness grow with the time between reports")
+{
+    for (std::size_t const n :
+         {std::size_t{3}, std::size_t{67}, std::size_t{349}})
+    {
+        CHECK(live_window(n, false) >= report_period(n, false) * 2);
+        CHECK(live_window(n, true) == live_peer);
+        CHECK(report_memory(n) >= report_period(n, false) * 2);
+    }
+}
+
+// Guards against reports of a gateway's earlier process, or such that come
+// after a later one, which would put back loads and roles.
+TEST_CASE("a report of an earlier process changes nothing")
+{
+    duty_fleet f(2);
+    gateway_state& a = f.all["g0"];
+    gateway_state& b = f.all["g1"];
+    gateway_report const first = make_report(b, f.now);
+    ++b.reports_sent;
+    gateway_report const second = make_report(b, f.now);
+    CHECK(apply_report(a, second, true, f.now) == report_outcome::applied);
+    CHECK(apply_report(a, first, true, f.now) == report_outcome::outdated);
+    b.self = 99;
+    b.reports_sent = 0;
+    CHECK(
+        apply_report(a, make_report(b, f.now), true, f.now) ==
+        report_outcome::applied);
+    CHECK(apply_report(a, second, true, f.now) == report_outcome::outdated);
+    gateway_report stranger = second;
+    stranger.sender = "x";
+    CHECK(apply_report(a, stranger, true, f.now) == report_outcome::stranger);
+}
+
+// Guards against a gateway that acts on an older state than its readers have,
+// because the datagram that told of the change was lost, and against one that
+// asks again and again for a state that only the reader has late.
+TEST_CASE("a copy that differs from a newer one is asked for once")
+{
+    duty_fleet f(2);
+    gateway_state& a = f.all["g0"];
+    gateway_state& b = f.all["g1"];
+    a.is_reader = false;
+    b.kinds[0] = {.is_listed = true, .digest = 5, .revision = 40};
+    b.config_confirmed = f.now;
+    b.store_heard = f.now;
+    a.kinds[0] = {.is_listed = true, .digest = 4, .revision = 30};
+    auto const hear = [&](steady_time at)
+    {
+        b.store_heard = at;
+        apply_report(a, make_report(b, at), true, at);
+        ++b.reports_sent;
+    };
+    hear(f.now);
+    CHECK_FALSE(is_behind(a, state_kind::upstreams, f.now));
+    hear(f.now + milliseconds(500));
+    CHECK(is_behind(a, state_kind::upstreams, f.now + milliseconds(500)));
+    CHECK_FALSE(is_behind(a, state_kind::zones, f.now + milliseconds(500)));
+    note_asked(a, state_kind::upstreams);
+    hear(f.now + milliseconds(1000));
+    CHECK_FALSE(
+        is_behind(a, state_kind::upstreams, f.now + milliseconds(1500)));
+    a.kinds[0].revision = 50; // a reader's older state is no reason to ask
+    b.kinds[0].digest = 6;
+    hear(f.now + milliseconds(1600));
+    hear(f.now + milliseconds(2100));
+    CHECK_FALSE(
+        is_behind(a, state_kind::upstreams, f.now + milliseconds(2200)));
+}
--- a/src/log/log_events.cpp
+++ b/src/log/log_events.cpp
@@ -64,6 +64,15 @@
     log_event_row{
         store_regained, "store_regained", log_level::info,
         "The store answers again.", "After `lost_ms`."},
+    log_event_row{
+        reading_began, "reading_began", log_level::info,
+        "Reads the store by itself.",
+        "It is one of the readers of the fleet, or hears none. `store` says "
+        "whether it has the store."},
+    log_event_row{
+        reading_ended, "reading_ended", log_level::info,
+        "Hears of the store by others.",
+        "Other gateways read the store and pass changes on."},
     log_event_row{
         peer_heard, "peer_heard", log_level::info, "Another gateway is heard.",
         "Its loads count from now on. `peer`."},
--- a/src/log/log_events.hpp
+++ b/src/log/log_events.hpp
@@ -40,6 +40,8 @@
     isolation_ended,
     store_lost,
     store_regained,
+    reading_began,
+    reading_ended,
     peer_heard,
     peer_lost,
     connection_closed,
