Give up answers without end, and count no comment as progress of a stream

Cause: bytes that are no answer may come without end. A plain body, late answers to earlier requests, interim answers and the line of a chunk's size were read for ever: the caller waited until its deadline, the memory grew with a plain body, and work that may not be repeated ended with 504 after 4 s. Comments of a stream counted as events, so that a stream of "ping" never stalled.

Change: an upstream's connection gives up after 1 MiB before the head of its answer, 64 KiB that the parser leaves, or 16 interim answers; a request after 8 MiB of a plain answer or 1 MiB of one event; the upstream's failure rate rises. Repeatable work goes to another upstream, other work ends with 502 and "unknown". Only events that are no comments reset the time of a stall. A caller's line without an end is refused.

Ruled out: one time limit for all answers (slow but sound streams would be cut).

Conclusion: endless bytes cost one attempt. A request without end was already bounded by its time; now by its size too.

--- a/src/gateway/client_connection.cpp
+++ b/src/gateway/client_connection.cpp
@@ -10,6 +10,8 @@
 
 // Bytes of further requests that may wait behind the present one.
 constexpr std::size_t max_waiting_bytes = std::size_t{64} << 10U;
+// Bytes that the parser leaves, as of a line without an end.
+constexpr std::size_t max_unparsed_bytes = std::size_t{64} << 10U;
 // An idle connection is kept this much longer than announced, so that a
 // request that was sent in time does not cross the close.
 constexpr duration idle_grace = std::chrono::seconds(2);
@@ -86,6 +88,14 @@
             break;
         }
         stream_->consume(*n);
+        if (!reader_->is_done() && stream_->input().size() > max_unparsed_bytes)
+        {
+            is_busy_ = true;
+            is_last_ = true;
+            on_request_(
+                self, fail(error_kind::bad_request, "a line without an end"));
+            break;
+        }
         if (!reader_->is_done())
         {
             if (reader_->is_head_done() && !has_continued_ &&
--- a/src/gateway/request_answer.cpp
+++ b/src/gateway/request_answer.cpp
@@ -12,6 +12,9 @@
 
 // Unsent bytes of a stream from which its upstream is not read any more.
 constexpr std::size_t pause_at_bytes = std::size_t{64} << 10U;
+// A plain answer is held until it is whole, so that another one can be asked
+// for; services on the platform answer with a few kilobytes.
+constexpr std::size_t max_plain_answer_bytes = std::size_t{8} << 20U;
 // After a start the loads that other gateways have put on upstreams are not
 // known yet, so that upstreams would look slow.
 constexpr duration loads_unknown = std::chrono::milliseconds(1000);
@@ -139,19 +142,26 @@
     if (!is_event_stream_)
     {
         body_.append(bytes);
+        if (body_.size() > max_plain_answer_bytes)
+            fail_attempt(error_kind::answer_corrupt, true, "too long", now);
         return;
     }
+    std::uint64_t const before = events_.events();
     std::string const whole = events_.put(bytes);
-    if (events_.has_gap())
+    if (events_.has_gap() || events_.is_too_long())
     {
-        fail_attempt(error_kind::answer_corrupt, true, "events missing", now);
+        fail_attempt(
+            error_kind::answer_corrupt, true,
+            events_.has_gap() ? "events missing" : "event too long", now);
         return;
     }
     if (whole.empty())
         return;
-    if (first_event_ == steady_time{})
+    bool const has_event = events_.events() > before;
+    if (has_event && first_event_ == steady_time{})
         first_event_ = now;
-    last_event_ = now;
+    if (has_event)
+        last_event_ = now;
     client_->write(whole);
     note_passed();
     if (client_->unsent() > pause_at_bytes && connection_)
--- a/src/gateway/upstream_pool.cpp
+++ b/src/gateway/upstream_pool.cpp
@@ -17,6 +17,11 @@
 // Requests that may not be repeated use a connection that was idle for at most
 // this long.
 constexpr duration fresh_idle = milliseconds(1500);
+// Late answers to earlier requests that are read to get to the one that is
+// waited for.
+constexpr std::size_t max_skipped_bytes = std::size_t{1} << 20U;
+// Bytes that the parser leaves, as of a line without an end.
+constexpr std::size_t max_unparsed_bytes = std::size_t{64} << 10U;
 constexpr stream_limits upstream_stream_limits{
     .unacknowledged = milliseconds(1500), .probe_after_s = 1, .probes = 2};
 
@@ -54,6 +59,7 @@
     is_head_request_ = is_head_request;
     is_busy_ = true;
     has_head_ = false;
+    skipped_ = 0;
     was_connected_ = stream_->is_connected();
     reader_ = std::make_unique<response_reader>(is_head_request);
     std::weak_ptr<upstream_connection> const weak = weak_from_this();
@@ -131,6 +137,16 @@
             return;
         }
         stream_->consume(*n);
+        skipped_ += has_head_ ? 0 : *n;
+        bool const is_endless = skipped_ > max_skipped_bytes ||
+                                (!reader_->is_done() &&
+                                 stream_->input().size() > max_unparsed_bytes);
+        if (is_endless)
+        {
+            fail_with(
+                {error_kind::answer_corrupt, false, "bytes of no answer"});
+            return;
+        }
         if (!reader_->is_head_done())
             return;
         if (!has_head_ && !is_late_answer_ && !take_head())
--- a/src/gateway/upstream_pool.hpp
+++ b/src/gateway/upstream_pool.hpp
@@ -102,6 +102,7 @@
     bool is_head_request_ = false;
     bool has_head_ = false;
     bool is_late_answer_ = false; // of an earlier request
+    std::size_t skipped_ = 0;     // bytes before the head of its answer
     bool keep_alive_ = true;
     bool was_connected_ = false;
     int idle_seconds_ = 0;
--- a/src/http_stream/event_stream.cpp
+++ b/src/http_stream/event_stream.cpp
@@ -30,6 +30,21 @@
     return std::nullopt;
 }
 
+bool is_comment(std::string_view event)
+{
+    while (!event.empty())
+    {
+        bool const is_text = event.front() != ':' && event.front() != '\r' &&
+                             event.front() != '\n';
+        if (is_text)
+            return false;
+        std::size_t const end = event.find('\n');
+        event.remove_prefix(
+            end == std::string_view::npos ? event.size() : end + 1);
+    }
+    return true;
+}
+
 // Returns the position after the first blank line, or npos.
 std::size_t end_of_event(std::string_view bytes)
 {
@@ -61,7 +76,8 @@
         return;
     if (id)
         last_id_ = id;
-    ++events_;
+    // Comments keep a connection open and are no progress of the stream.
+    events_ += is_comment(event) ? 0 : 1;
     out.append(event);
 }
 
--- a/src/http_stream/event_stream.hpp
+++ b/src/http_stream/event_stream.hpp
@@ -16,6 +16,9 @@
 namespace marjorambeam
 {
 
+// Longer events are taken for bytes that belong to none.
+constexpr std::size_t max_event_bytes = std::size_t{1} << 20U;
+
 // Holds back an event until its end has arrived, so that a stream that breaks
 // off can continue at a whole event.
 class event_splitter
@@ -30,7 +33,7 @@
     {
         return last_id_;
     }
-    // Events returned.
+    // Events returned, comments not counted.
     std::uint64_t events() const
     {
         return events_;
@@ -47,6 +50,12 @@
         return has_gap_;
     }
 
+    // Whether a part of an event is so long that no event will come of it.
+    bool is_too_long() const
+    {
+        return held_.size() > max_event_bytes;
+    }
+
     // Forgets the partial event; the next bytes come from another source that
     // continues after last_id().
     void restart()
--- a/src/http_stream/http_reader.cpp
+++ b/src/http_stream/http_reader.cpp
@@ -19,6 +19,9 @@
 using boost::beast::error_code;
 using boost::beast::iequals;
 
+// Interim answers before the final one; more come from a faulty upstream.
+constexpr int max_interim_answers = 16;
+
 boost::beast::string_view view(std::string_view s)
 {
     return {s.data(), s.size()};
@@ -230,6 +233,9 @@
                                 impl_->parser->get().result_int() / 100 == 1;
         if (!is_interim)
             return used;
+        if (++interim_ > max_interim_answers)
+            return fail(
+                error_kind::answer_corrupt, "interim answers without end");
         impl_->restart(has_no_body_);
     }
 }
--- a/src/http_stream/http_reader.hpp
+++ b/src/http_stream/http_reader.hpp
@@ -114,6 +114,7 @@
     struct implementation;
     std::unique_ptr<implementation> impl_;
     bool has_no_body_;
+    int interim_ = 0; // answers before the final one
 };
 
 } // namespace marjorambeam
