Choose among the engines that hold a prompt and a random one

Pattern: many gateways that know loads late. Each of 68 gateways chose the least loaded of 78 engines by loads that are half a second old, so that the same few engines got what all of them sent meanwhile.

Change: an engine is chosen among those that are expected to hold the prompt's shared parts and random others, four in all, at least one random. Gateways tell one another the pace samples of engines, of which each has too few alone.

--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -141,6 +141,7 @@
     next_report_ = now + report_period(state_.peers.size(), state_.is_reader);
     message const m = to_call(make_report(state_, now));
     ++state_.reports_sent;
+    state_.upstreams.untold.clear();
     for (auto const& [name, p] : state_.peers)
         peers_.send(p.address, m);
 }
--- a/src/gateway/peer_report.cpp
+++ b/src/gateway/peer_report.cpp
@@ -14,10 +14,11 @@
 namespace
 {
 
-std::unordered_map<std::uint32_t, upstream_state*>
-upstreams_by_number(gateway_state const& s)
+using upstream_index = std::unordered_map<std::uint32_t, upstream_state*>;
+
+upstream_index upstreams_by_number(gateway_state const& s)
 {
-    std::unordered_map<std::uint32_t, upstream_state*> by_number;
+    upstream_index by_number;
     for (auto const& [id, u] : s.upstreams.by_id)
         by_number[u->number] = u.get();
     return by_number;
@@ -26,9 +27,9 @@
 // Replaces what a peer has told before by what it tells now, without looking at
 // the others: hundreds of them report each second.
 void replace_loads(
-    gateway_state& s, gateway_peer& p, std::span<reported_load const> loads)
+    upstream_index const& by_number, gateway_peer& p,
+    std::span<reported_load const> loads)
 {
-    auto const by_number = upstreams_by_number(s);
     for (auto const& [number, load] : p.loads)
     {
         auto const it = by_number.find(number);
@@ -149,6 +150,7 @@
                 {u->number, static_cast<std::uint16_t>(u->requests),
                  static_cast<float>(u->work)});
     }
+    r.samples = s.upstreams.untold;
     for (auto const& [service, t] : s.shifts)
     {
         duration const elapsed = elapsed_of(t, now);
@@ -183,7 +185,14 @@
     if (r.config_version > own_version && !s.config_behind)
         s.config_behind = now;
     peer->second.heard_at = now;
-    replace_loads(s, peer->second, r.loads);
+    upstream_index const by_number = upstreams_by_number(s);
+    replace_loads(by_number, peer->second, r.loads);
+    for (pace_sample const& it : r.samples)
+    {
+        auto const u = by_number.find(it.upstream);
+        if (u != by_number.end())
+            take_peer_sample(*u->second, it);
+    }
     for (reported_shift const& it : r.shifts)
     {
         auto const t = s.shifts.find(it.service);
--- a/src/gateway/peer_report.hpp
+++ b/src/gateway/peer_report.hpp
@@ -84,13 +84,14 @@
     std::vector<told_copy> copies;        // a reader's, by kind
     std::vector<reported_load> loads;     // of upstreams with work
     std::vector<reported_shift> shifts;
+    std::vector<pace_sample> samples; // since the last report
 
     template <class Archive>
     void serialize(Archive& ar)
     {
         ar(sender, lifetime, sequence, is_reader, is_stopping, config_version,
            config_age_ms, store_kept_ms, store_heard_ms, history_dropped_ms,
-           copies, loads, shifts);
+           copies, loads, shifts, samples);
     }
 };
 
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -158,6 +158,7 @@
     q.is_engine = s != nullptr && s->is_engine;
     if (q.is_engine)
         q.affinity = affinity_;
+    q.seed = hash64(request_.attempt_id, attempts_.sends);
     q.cold_share = [](void const* state, upstream_state const& u)
     { return cold_share_of(*static_cast<gateway_state const*>(state), u); };
     q.context = &context_.state;
--- a/src/gateway/upstream_board.cpp
+++ b/src/gateway/upstream_board.cpp
@@ -20,6 +20,8 @@
 // their rank for its key, as parts of those tokens. The second and third get
 // the requests that the first one has no time for.
 constexpr std::array shared_rank_parts{1.0, 0.6, 0.3};
+// Engines that are considered for a request: those, and random others.
+constexpr std::size_t engine_choices = 4;
 // A part that is read again costs time and a price, and pushes out others.
 constexpr double shared_worth = 1.5;
 // Parts of the sums of samples that are left at the next one. The common pace
@@ -31,6 +33,8 @@
 constexpr double prior_pace_samples = 5;
 // Samples below this work say more of the network than of the upstream.
 constexpr double min_pace_work = 300;
+// No caller waits for longer; more is not a sample.
+constexpr float longest_sample_us = 60e6F;
 // Engines of one service differ in speed by less; more is a fault of the
 // samples.
 constexpr double most_pace_ratio = 4;
@@ -54,7 +58,8 @@
 {
     std::shared_ptr<upstream_state> upstream;
     double cost = 0;
-    double work = 0; // until the first event
+    double work = 0;        // until the first event
+    bool is_holder = false; // is expected to hold shared parts
 };
 
 double work_of(upstream_state const& u)
@@ -84,6 +89,27 @@
     p.samples = p.samples * decay + 1;
 }
 
+// Leaves the upstreams that are expected to hold shared parts, in the order of
+// their ranks, and a few others that differ from request to request. Loads are
+// known late, and many gateways that all choose the least loaded upstream send
+// it more than it bears; of a few random ones, the better is nearly as good.
+void keep_sample(std::vector<candidate>& all, choice_question const& q)
+{
+    auto const held = static_cast<std::size_t>(std::count_if(
+        all.begin(), all.end(),
+        [](candidate const& it) { return it.is_holder; }));
+    std::size_t const n = std::max(engine_choices, held + 1);
+    if (all.size() <= n)
+        return;
+    auto const order = [&](candidate const& it)
+    { return it.is_holder ? 0 : hash64(it.upstream->info.id, q.seed) | 1U; };
+    std::nth_element(
+        all.begin(), all.begin() + static_cast<std::ptrdiff_t>(n), all.end(),
+        [&](candidate const& a, candidate const& b)
+        { return order(a) < order(b); });
+    all.resize(n);
+}
+
 // Credits the upstreams that rank first for the key with its shared parts.
 void credit_affinity(std::span<candidate> all, choice_question const& q)
 {
@@ -106,6 +132,7 @@
         if (best[i].second != nullptr)
         {
             double const spared = q.work.shared * shared_rank_parts[i];
+            best[i].second->is_holder = true;
             best[i].second->work -= spared;
             best[i].second->cost -= spared * shared_worth;
         }
@@ -113,8 +140,8 @@
 }
 
 void set_engine_costs(
-    upstream_board const& b, std::span<candidate> all, choice_question const& q,
-    steady_time now)
+    upstream_board const& b, std::vector<candidate>& all,
+    choice_question const& q, steady_time now)
 {
     for (candidate& it : all)
     {
@@ -123,6 +150,7 @@
     }
     if (!q.affinity.empty())
         credit_affinity(all, q);
+    keep_sample(all, q);
     for (candidate& it : all)
     {
         double const pace = relative_pace(b, *it.upstream);
@@ -242,6 +270,17 @@
     auto const took_us = static_cast<double>(took.count());
     add_sample(u.pace, upstream_pace_decay, work, took_us);
     add_sample(b.pace, common_pace_decay, work, took_us);
+    if (b.untold.size() < max_untold_samples)
+        b.untold.push_back(
+            {u.number, static_cast<float>(work), static_cast<float>(took_us)});
+}
+
+void take_peer_sample(upstream_state& u, pace_sample const& s)
+{
+    bool const is_sound = s.work >= min_pace_work && s.took_us > 0 &&
+                          s.took_us < longest_sample_us;
+    if (is_sound)
+        add_sample(u.pace, upstream_pace_decay, s.work, s.took_us);
 }
 
 duration avoid_time(std::uint32_t failures)
--- a/src/gateway/upstream_board.hpp
+++ b/src/gateway/upstream_board.hpp
@@ -55,6 +55,24 @@
     double samples = 0;
 };
 
+// How long one first event took against the work before it; gateways tell one
+// another, because in a large fleet each has few samples of each upstream.
+struct pace_sample
+{
+    std::uint32_t upstream = 0; // upstream_state::number
+    float work = 0;
+    float took_us = 0;
+
+    template <class Archive>
+    void serialize(Archive& ar)
+    {
+        ar(upstream, work, took_us);
+    }
+};
+
+// Samples that are kept for the next report; more are dropped.
+constexpr std::size_t max_untold_samples = 24;
+
 struct upstream_state
 {
     upstream_info info;
@@ -103,6 +121,7 @@
     std::map<std::string, std::shared_ptr<upstream_state>, std::less<>> by_id;
     std::set<std::string, std::less<>> zones_out; // get no new work
     work_pace pace = usual_pace;                  // of all engines
+    std::vector<pace_sample> untold;              // since the last report
 };
 
 // Whether the upstream may get new work at all: listed, not leaving, in a zone
@@ -165,6 +184,10 @@
 void note_first_event(
     upstream_board& b, upstream_state& u, double work, duration took);
 
+// Takes a sample of another gateway. The common pace is each gateway's own: it
+// also holds how late the gateway knows of loads.
+void take_peer_sample(upstream_state& u, pace_sample const& s);
+
 // Time for which an upstream is avoided after `failures` failures in a row.
 duration avoid_time(std::uint32_t failures);
 
--- a/src/gateway/upstream_board_test.cpp
+++ b/src/gateway/upstream_board_test.cpp
@@ -1,6 +1,14 @@
 #include "gateway/upstream_board.hpp"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
+#include <limits>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
 
 using namespace marjorambeam;
 using std::chrono::milliseconds;
@@ -199,3 +207,128 @@
     add(b, "u")->is_missing = true;
     CHECK(chosen(b, {.service = "pool"}) == "u");
 }
+
+namespace
+{
+
+// Gateways that choose engines at the same time and hear of one another's loads
+// half a second late. Returns the most work that an engine had at once, as a
+// part of the mean at that time.
+double worst_concentration(std::size_t gateways, std::size_t engines)
+{
+    std::vector<upstream_board> boards(gateways);
+    for (upstream_board& b : boards)
+    {
+        for (std::size_t i = 0; i < engines; ++i)
+        {
+            auto u = std::make_shared<upstream_state>();
+            u->info.id = "e" + std::to_string(i);
+            u->info.service = "pool";
+            b.by_id[u->info.id] = u;
+        }
+    }
+    std::mt19937_64 random(3);
+    std::map<std::string, double> total;
+    double worst = 0;
+    constexpr int rounds = 10;
+    constexpr int requests_per_round = 4; // of each gateway
+    for (int r = 0; r < rounds; ++r)
+    {
+        for (upstream_board& b : boards)
+        {
+            for (int i = 0; i < requests_per_round; ++i)
+            {
+                choice_question q{.service = "pool", .is_engine = true};
+                q.work = {.prefill = 5000, .decode = 200};
+                q.seed = random();
+                upstream_choice const c = choose_upstream(b, q, steady_time{});
+                c.chosen->work += q.work.total();
+                total[c.chosen->info.id] += q.work.total();
+            }
+        }
+        double sum = 0;
+        double most = 0;
+        for (auto const& [id, work] : total)
+        {
+            sum += work;
+            most = std::max(most, work);
+        }
+        worst = std::max(worst, most / (sum / static_cast<double>(engines)));
+        // Half of the work is done, and the loads are told.
+        for (auto& [id, work] : total)
+            work /= 2;
+        for (upstream_board& b : boards)
+        {
+            for (auto& [id, u] : b.by_id)
+            {
+                u->work /= 2;
+                u->peers.work = total[id] - u->work;
+            }
+        }
+    }
+    return worst;
+}
+
+} // namespace
+
+// Guards against many gateways that all send to the engines that were the least
+// loaded half a second ago (somfast-beam-large: first answers of half of the
+// short questions took twice as long, and a tenth of the long ones were late).
+TEST_CASE("Late loads of many gateways do not gather their requests")
+{
+    CHECK(worst_concentration(68, 78) < 4);
+    CHECK(worst_concentration(22, 41) < 4);
+    CHECK(worst_concentration(4, 12) < 4);
+}
+
+// Guards against a request that is sent away from the engine that holds its
+// prompt, because that one is not in the sample.
+TEST_CASE("Engines that hold a prompt are always considered")
+{
+    upstream_board b;
+    for (int i = 0; i < 40; ++i)
+    {
+        auto u = std::make_shared<upstream_state>();
+        u->info.id = "e" + std::to_string(i);
+        u->info.service = "pool";
+        b.by_id[u->info.id] = u;
+    }
+    std::set<std::string> chosen;
+    for (std::uint64_t i = 0; i < 200; ++i)
+    {
+        choice_question q{
+            .service = "pool", .affinity = "subject", .is_engine = true};
+        q.work = {.prefill = 5000, .decode = 0, .shared = 4000};
+        q.seed = i;
+        chosen.insert(choose_upstream(b, q, steady_time{}).chosen->info.id);
+    }
+    CHECK(chosen.size() == 1);
+}
+
+// Guards against samples of other gateways that make no sense, and against ones
+// that are not used (each of 68 gateways sees three answers of an engine in a
+// minute).
+TEST_CASE("Samples of other gateways tell the pace of an engine")
+{
+    upstream_board b;
+    auto slow = std::make_shared<upstream_state>();
+    slow->info.id = "slow";
+    slow->info.service = "pool";
+    b.by_id["slow"] = slow;
+    auto const expected = [&]
+    {
+        choice_question q{.service = "pool", .is_engine = true};
+        q.work = {.prefill = 10'000};
+        return choose_upstream(b, q, steady_time{}).expected;
+    };
+    duration const before = expected();
+    take_peer_sample(*slow, {0, 10'000, -5});
+    take_peer_sample(*slow, {0, 1, 1e9F});
+    take_peer_sample(
+        *slow, {0, 10'000, std::numeric_limits<float>::infinity()});
+    take_peer_sample(*slow, {0, std::numeric_limits<float>::quiet_NaN(), 1e5F});
+    CHECK(expected() == before);
+    for (int i = 0; i < 30; ++i)
+        take_peer_sample(*slow, {0, 10'000, 2e5F}); // twice the usual time
+    CHECK(expected() > before * 3 / 2);
+}
