--- a/src/error/error_test.cpp
+++ b/src/error/error_test.cpp
@@ -26,7 +26,7 @@
 // Guards against a refusal that operators can't look up.
 TEST_CASE("the operations page explains each error kind with its status")
 {
-    std::ifstream in("operations.md"); // copied by CMakeLists.txt
+    std::ifstream in("OPERATIONS.md"); // copied by CMakeLists.txt
     std::stringstream page;
     page << in.rdbuf();
     for (error_answer const& it : all_error_answers())
--- a/src/retry/retry_test.cpp
+++ b/src/retry/retry_test.cpp
@@ -174,7 +174,7 @@
 // Guards against a retry reason that operators can't look up.
 TEST_CASE("the operations page explains each retry reason")
 {
-    std::ifstream in("operations.md"); // copied by CMakeLists.txt
+    std::ifstream in("OPERATIONS.md"); // copied by CMakeLists.txt
     std::stringstream page;
     page << in.rdbuf();
     for (int i = 0; i <= static_cast<int>(retry_reason::given_up_no_upstream);
