--- a/src/gateway/gateway_state.hpp
+++ b/src/gateway/gateway_state.hpp
@@ -108,7 +108,7 @@
     std::map<std::string, gateway_peer, std::less<>> peers;
     std::vector<std::string> gateways; // registered names, this one included
     bool is_reader = true; // reads the store by itself, see store_duty.hpp
-    std::optional<steady_time> fed_at; // a reader was last heard
+    std::optional<steady_time> reader_heard; // a reader was last heard
     std::optional<steady_time> chosen_since;
     std::array<kind_view, state_kinds> kinds{};
     std::uint64_t reports_sent = 0;
--- a/src/gateway/store_controller.hpp
+++ b/src/gateway/store_controller.hpp
@@ -54,6 +54,10 @@
     nlohmann::json (*encode_gateway)(registered_gateway const& g);
 };
 
+// Pauses between the calls of a gateway that finds out when the store is back.
+constexpr duration first_probe_pause = std::chrono::milliseconds(100);
+constexpr duration longest_probe_pause = std::chrono::milliseconds(250);
+
 class store_controller
 {
 public:
--- a/src/gateway/store_duty.cpp
+++ b/src/gateway/store_duty.cpp
@@ -24,11 +24,11 @@
 constexpr duration longest_word = milliseconds(2800);
 // Without a reader's word for this long, a gateway reads by itself. Shorter
 // than the bounds of drains less the time of a read.
-constexpr duration longest_unfed = milliseconds(700);
+constexpr duration longest_unheard = milliseconds(700);
 // The same while several others say that they have lost the store: it is most
 // likely away, and those with the next ranks find out when it is back. Each
 // gateway waits for another part of the spread.
-constexpr duration longest_unfed_in_outage = milliseconds(2500);
+constexpr duration longest_unheard_in_outage = milliseconds(2500);
 constexpr int outage_spread_steps = 64;
 constexpr std::ptrdiff_t outage_witnesses = 2;
 // A relayed change comes within this time after the report that tells of it.
@@ -46,8 +46,8 @@
 // the same moment.
 constexpr duration ask_spread = milliseconds(200);
 constexpr int ask_spread_steps = 64;
-// A gateway that is fed takes the duty when it has been chosen for this long,
-// in which it hears of others that have regained the store with it.
+// A gateway that hears a reader takes the duty when it has been chosen for this
+// long, in which it hears of others that have regained the store with it.
 constexpr duration settled_choice = milliseconds(1500);
 
 // Names of the live gateways for which `is_fit` holds, this one first if
@@ -148,30 +148,30 @@
     return longest * step / steps;
 }
 
-duration unfed_patience(gateway_state const& s, steady_time now)
+duration unheard_patience(gateway_state const& s, steady_time now)
 {
     if (!is_in_outage(s, now))
-        return longest_unfed;
-    return longest_unfed_in_outage +
-           own_part(s, longest_unfed_in_outage, outage_spread_steps);
+        return longest_unheard;
+    return longest_unheard_in_outage +
+           own_part(s, longest_unheard_in_outage, outage_spread_steps);
 }
 
 } // namespace
 
 void update_role(gateway_state& s, steady_time now)
 {
-    bool const is_fed = hears_reader(s, now);
-    if (is_fed)
-        s.fed_at = now;
+    bool const has_reader = hears_reader(s, now);
+    if (has_reader)
+        s.reader_heard = now;
     if (!is_chosen_reader(s, now))
         s.chosen_since.reset();
     else if (!s.chosen_since)
         s.chosen_since = now;
     bool const is_chosen =
         s.chosen_since &&
-        (s.is_reader || !is_fed || now - *s.chosen_since >= settled_choice);
-    s.is_reader =
-        is_chosen || !s.fed_at || now - *s.fed_at > unfed_patience(s, now);
+        (s.is_reader || !has_reader || now - *s.chosen_since >= settled_choice);
+    s.is_reader = is_chosen || !s.reader_heard ||
+                  now - *s.reader_heard > unheard_patience(s, now);
 }
 
 bool must_ask_config(gateway_state const& s, steady_time now)
--- a/src/gateway/store_duty.hpp
+++ b/src/gateway/store_duty.hpp
@@ -47,7 +47,7 @@
 bool is_chosen_reader(gateway_state const& s, steady_time now);
 
 // Decides whether this gateway reads the store: it is chosen, or no reader has
-// been heard for a moment. Updates `s.is_reader` and `s.fed_at`.
+// been heard for a moment. Updates `s.is_reader` and `s.reader_heard`.
 void update_role(gateway_state& s, steady_time now);
 
 // Whether the configuration is to be asked for at once: nobody's word on it is
--- a/src/gateway/store_duty_test.cpp
+++ b/src/gateway/store_duty_test.cpp
@@ -199,7 +199,7 @@
 
 // Guards against a fleet that follows readers which are cut off from the store,
 // and against a reader of its own in each gateway that is cut off.
-TEST_CASE("readers without the store step back, and are fed by others")
+TEST_CASE("readers without the store step back, and hear others")
 {
     duty_fleet f(68);
     f.run(seconds(8));
