Encode and decode single values in one place

Cause: the bounded archive was put into five readers that were twins of one another, and a sixth was added for messages between gateways.

Change: src/wire/value.hpp has encode_value, decode_value and decode_into; sessions, allowances, quarantine, roll-out evidence and the gateway's messages use it. Readers that let bytes behind the value pass say so by an argument.

Ruled out: refusing those bytes everywhere (it would change what three readers take).

Conclusion: no behaviour changes but the text of errors that nobody reads.

--- a/src/entry/admission_controller.cpp
+++ b/src/entry/admission_controller.cpp
@@ -1,9 +1,6 @@
 #include "entry/admission_controller.hpp"
 
-#include "wire/bounded_archive.hpp"
-
-#include <cereal/archives/portable_binary.hpp>
-#include <sstream>
+#include "wire/value.hpp"
 
 namespace marjorambeam
 {
@@ -13,34 +10,6 @@
 constexpr std::string_view allowance_call = "allowance";
 constexpr duration report_interval = std::chrono::milliseconds(200);
 
-template <class T>
-std::string encode(T const& value)
-{
-    std::ostringstream out;
-    cereal::PortableBinaryOutputArchive ar(out);
-    ar(value);
-    return std::move(out).str();
-}
-
-// Nothing when bytes are missing or left over.
-template <class T>
-std::optional<T> decode(std::string_view bytes)
-{
-    try
-    {
-        T value;
-        bounded_input_archive ar(bytes);
-        ar(value);
-        if (ar.remaining() == 0)
-            return value;
-    }
-    catch (std::exception const&)
-    {
-        return std::nullopt;
-    }
-    return std::nullopt;
-}
-
 // Price of one call of the request's service.
 micro_credits call_price(entry_request const& r)
 {
@@ -190,7 +159,7 @@
     {
         count("admission_questions_total", "remote");
         calls_.call(
-            owner, allowance_call, encode(r), grant_timeout,
+            owner, allowance_call, encode_value(r), grant_timeout,
             [this, customer](result<std::string> const& reply)
             { on_reply(customer, reply); });
         return;
@@ -210,8 +179,9 @@
     if (it == customers_.end())
         return;
     steady_time const now = steady_now();
-    std::optional<allowance_grant> const g =
-        reply ? decode<allowance_grant>(*reply) : std::nullopt;
+    result<allowance_grant> const g =
+        reply.and_then([](std::string const& body)
+                       { return decode_value<allowance_grant>(body); });
     if (g && g->customer == customer)
         accept_grant(it->second.entry, *g, view(now));
     else
@@ -236,7 +206,7 @@
 
 std::optional<std::string> admission_controller::serve(std::string_view body)
 {
-    std::optional<allowance_request> const r = decode<allowance_request>(body);
+    result<allowance_request> const r = decode_value<allowance_request>(body);
     if (!r)
     {
         count("peer_calls_refused_total", "allowance_malformed");
@@ -244,7 +214,7 @@
     }
     std::optional<allowance_grant> const g = answer(*r);
     if (g)
-        return encode(*g);
+        return encode_value(*g);
     // An empty reply: the asker keeps what it reported for the real owner.
     count("peer_calls_refused_total", "not_owner");
     return std::string();
--- a/src/entry/quarantine_controller.cpp
+++ b/src/entry/quarantine_controller.cpp
@@ -2,10 +2,9 @@
 
 #include "base/hash.hpp"
 #include "base/id.hpp"
-#include "wire/bounded_archive.hpp"
+#include "wire/value.hpp"
 
 #include <algorithm>
-#include <cereal/archives/portable_binary.hpp>
 #include <cereal/types/string.hpp>
 #include <sstream>
 
@@ -39,29 +38,6 @@
     }
 };
 
-std::string encode(trial_question const& q)
-{
-    std::ostringstream out;
-    cereal::PortableBinaryOutputArchive ar(out);
-    ar(q);
-    return std::move(out).str();
-}
-
-std::optional<trial_question> decode(std::string_view body)
-{
-    trial_question q;
-    try
-    {
-        bounded_input_archive ar(body);
-        ar(q);
-    }
-    catch (std::exception const&)
-    {
-        return std::nullopt;
-    }
-    return q;
-}
-
 } // namespace
 
 quarantine_controller::quarantine_controller(
@@ -160,7 +136,9 @@
         std::chrono::ceil<std::chrono::milliseconds>(deadline - now);
     calls_.call(
         owner, trial_call,
-        encode({t.request_id, fingerprint, remaining.count()}), owner_timeout,
+        encode_value(
+            trial_question{t.request_id, fingerprint, remaining.count()}),
+        owner_timeout,
         [this, id = t.request_id, fingerprint,
          alive = std::weak_ptr<int>(alive_)](result<std::string> const& reply)
         {
@@ -205,7 +183,7 @@
 std::optional<std::string>
 quarantine_controller::serve_trial(std::string_view body)
 {
-    std::optional<trial_question> const q = decode(body);
+    auto const q = decode_value<trial_question>(body, trailing_bytes::ignored);
     if (!q)
     {
         cluster_.counters.count(
@@ -234,7 +212,7 @@
 
 void quarantine_controller::serve_trial_end(std::string_view body)
 {
-    std::optional<trial_question> const q = decode(body);
+    auto const q = decode_value<trial_question>(body, trailing_bytes::ignored);
     if (!q)
         return;
     auto const it = trials_.find(q->fingerprint);
@@ -245,7 +223,8 @@
 void quarantine_controller::end_trial(
     std::string const& request_id, std::uint64_t fingerprint)
 {
-    std::string const body = encode({request_id, fingerprint, 0});
+    std::string const body =
+        encode_value(trial_question{request_id, fingerprint, 0});
     std::string const owner = owner_of(fingerprint);
     if (live_.is_self(owner))
         serve_trial_end(body);
--- a/src/entry/rollout_controller.cpp
+++ b/src/entry/rollout_controller.cpp
@@ -2,9 +2,8 @@
 
 #include "base/id.hpp"
 #include "config_edit/document_change.hpp"
-#include "wire/bounded_archive.hpp"
+#include "wire/value.hpp"
 
-#include <cereal/archives/portable_binary.hpp>
 #include <cereal/types/vector.hpp>
 #include <nlohmann/json.hpp>
 #include <sstream>
@@ -135,27 +134,20 @@
         if (it != counts_.end())
             all.push_back({id, cluster_.identity.self, it->second});
     }
-    std::ostringstream out;
-    cereal::PortableBinaryOutputArchive ar(out);
-    ar(all);
-    return std::move(out).str();
+    return encode_value(all);
 }
 
 void rollout_controller::take_counts(std::string_view body)
 {
-    std::vector<rollout_evidence> all;
-    try
-    {
-        bounded_input_archive ar(body);
-        ar(all);
-    }
-    catch (std::exception const&)
+    auto const all = decode_value<std::vector<rollout_evidence>>(
+        body, trailing_bytes::ignored);
+    if (!all)
     {
         cluster_.counters.count(
             "peer_calls_refused_total", to_string(error_kind::frame_corrupt));
         return;
     }
-    for (rollout_evidence const& it : all)
+    for (rollout_evidence const& it : *all)
     {
         if (cluster_.config->versions.count(it.version) != 0)
             add(pool_, it);
--- a/src/gateway/peer_report.cpp
+++ b/src/gateway/peer_report.cpp
@@ -1,8 +1,8 @@
 #include "gateway/peer_report.hpp"
 
 #include "base/hash.hpp"
-#include "gateway/peer_body.hpp"
 #include "gateway/store_duty.hpp"
+#include "wire/value.hpp"
 
 #include <algorithm>
 #include <span>
@@ -222,22 +222,22 @@
 
 peer_call to_call(gateway_report const& r)
 {
-    return encode_body(gateway_report_call, r);
+    return {.name = std::string(gateway_report_call), .body = encode_value(r)};
 }
 
 peer_call to_call(upstream_break const& b)
 {
-    return encode_body(upstream_break_call, b);
+    return {.name = std::string(upstream_break_call), .body = encode_value(b)};
 }
 
 result<gateway_report> report_of(peer_call const& call)
 {
-    return decode_body<gateway_report>(call);
+    return decode_value<gateway_report>(call.body, trailing_bytes::ignored);
 }
 
 result<upstream_break> break_of(peer_call const& call)
 {
-    return decode_body<upstream_break>(call);
+    return decode_value<upstream_break>(call.body, trailing_bytes::ignored);
 }
 
 } // namespace marjorambeam
--- a/src/gateway/state_relay.cpp
+++ b/src/gateway/state_relay.cpp
@@ -1,7 +1,7 @@
 #include "gateway/state_relay.hpp"
 
 #include "base/hash.hpp"
-#include "gateway/peer_body.hpp"
+#include "wire/value.hpp"
 
 #include <iterator>
 
@@ -76,12 +76,13 @@
 
 peer_call to_call(state_change const& part)
 {
-    return encode_body(state_change_call, part);
+    return {.name = std::string(state_change_call), .body = encode_value(part)};
 }
 
 result<state_change> change_of(peer_call const& call)
 {
-    result<state_change> c = decode_body<state_change>(call);
+    result<state_change> c =
+        decode_value<state_change>(call.body, trailing_bytes::ignored);
     if (c && (c->kind >= state_kinds || c->parts == 0 || c->parts > max_parts ||
               c->part >= c->parts))
         return fail(error_kind::frame_corrupt, "no part of a change");
--- a/src/quarantine/quarantine.cpp
+++ b/src/quarantine/quarantine.cpp
@@ -1,11 +1,9 @@
 #include "quarantine/quarantine.hpp"
 
-#include "wire/bounded_archive.hpp"
+#include "wire/value.hpp"
 
 #include <algorithm>
-#include <cereal/archives/portable_binary.hpp>
 #include <set>
-#include <sstream>
 #include <utility>
 
 namespace marjorambeam
@@ -22,28 +20,14 @@
 
 std::string encode_crash_report(crash_report const& r)
 {
-    std::ostringstream out;
-    cereal::PortableBinaryOutputArchive ar(out);
-    ar(r);
-    return std::move(out).str();
+    return encode_value(r);
 }
 
 result<crash_report> decode_crash_report(std::string_view body)
 {
-    crash_report r;
-    bool has_rest = false;
-    try
-    {
-        bounded_input_archive ar(body);
-        ar(r);
-        has_rest = ar.remaining() > 0;
-    }
-    catch (std::exception const&)
-    {
-        return fail(error_kind::frame_corrupt, "crash_report is damaged");
-    }
-    bool const is_whole = !has_rest && r.standing <= crash_standing::cleared &&
-                          r.remaining_ms >= 0;
+    result<crash_report> r = decode_value<crash_report>(body);
+    bool const is_whole =
+        r && r->standing <= crash_standing::cleared && r->remaining_ms >= 0;
     if (!is_whole)
         return fail(error_kind::frame_corrupt, "crash_report is damaged");
     return r;
--- a/src/session/session.cpp
+++ b/src/session/session.cpp
@@ -1,13 +1,11 @@
 #include "session/session.hpp"
 
 #include "base/hash.hpp"
-#include "wire/bounded_archive.hpp"
+#include "wire/value.hpp"
 
 #include <algorithm>
-#include <cereal/archives/portable_binary.hpp>
 #include <cereal/types/string.hpp>
 #include <sodium.h>
-#include <sstream>
 
 namespace marjorambeam
 {
@@ -21,31 +19,6 @@
 constexpr std::size_t max_token_bytes = 4096;
 constexpr int base64_variant = sodium_base64_VARIANT_URLSAFE_NO_PADDING;
 
-template <class T>
-std::string encode(T const& value)
-{
-    std::ostringstream out;
-    cereal::PortableBinaryOutputArchive ar(out);
-    ar(value);
-    return std::move(out).str();
-}
-
-// Fails when bytes are missing or left over.
-template <class T>
-bool decode(std::string_view bytes, T& value)
-{
-    try
-    {
-        bounded_input_archive ar(bytes);
-        ar(value);
-        return ar.remaining() == 0;
-    }
-    catch (std::exception const&)
-    {
-        return false;
-    }
-}
-
 std::string to_base64(std::string_view bytes)
 {
     std::string text(
@@ -110,7 +83,7 @@
 make_session_token(session_key const& key, session_token const& token)
 {
     session_token copy = token;
-    std::string const body = encode(token_body{copy});
+    std::string const body = encode_value(token_body{copy});
     std::string signed_body(crypto_auth_BYTES, '\0');
     crypto_auth(
         reinterpret_cast<unsigned char*>(signed_body.data()),
@@ -144,7 +117,7 @@
         return fail(error_kind::session_invalid, "signature does not match");
     session_token token;
     token_body view{token};
-    if (!decode(body, view))
+    if (!decode_into(view, body))
         return fail(error_kind::session_invalid, "session token is damaged");
     if (token.customer != customer)
         return fail(error_kind::session_invalid, "token of another customer");
@@ -170,13 +143,13 @@
 
 std::string encode_session_pin(session_pin const& pin)
 {
-    return encode(pin);
+    return encode_value(pin);
 }
 
 result<session_pin> decode_session_pin(std::string_view body)
 {
     session_pin pin;
-    if (!decode(body, pin))
+    if (!decode_into(pin, body))
         return fail(error_kind::frame_corrupt, "session_pin is damaged");
     return pin;
 }
