Remove repeats and dead parts of the gateway's change

Cause, found by reading the change again: two loops over the same watches, one bound defined twice, two ways to start a watch, a parameter that is always true, two constants of one value, includes that the split left behind, a rank among all gateways worked out ten times a second that only a failed call needs, and a hash of each engine taken anew in each comparison of the sample.

Change: renew_watches, max_unparsed_bytes in http_reader.hpp, start(freshness), one spread_steps, set_retries called when a call of the configuration fails, the order of a candidate kept in it.

Ruled out: the copies of digest and revision on the blackboard (reports and decisions read it without knowing the controller).

Conclusion: same decisions, less work for each tick and each choice.

--- a/src/gateway/client_connection.cpp
+++ b/src/gateway/client_connection.cpp
@@ -10,8 +10,6 @@
 
 // Bytes of further requests that may wait behind the present one.
 constexpr std::size_t max_waiting_bytes = std::size_t{64} << 10U;
-// Bytes that the parser leaves, as of a line without an end.
-constexpr std::size_t max_unparsed_bytes = std::size_t{64} << 10U;
 // An idle connection is kept this much longer than announced, so that a
 // request that was sent in time does not cross the close.
 constexpr duration idle_grace = std::chrono::seconds(2);
--- a/src/gateway/object_watch.cpp
+++ b/src/gateway/object_watch.cpp
@@ -59,15 +59,9 @@
     client_.cancel(call_);
 }
 
-void object_watch::start()
+void object_watch::start(freshness how)
 {
-    send();
-}
-
-void object_watch::start_stale()
-{
-    list_how_ = freshness::may_be_stale;
-    send();
+    list_again(how);
 }
 
 void object_watch::renew()
--- a/src/gateway/object_watch.hpp
+++ b/src/gateway/object_watch.hpp
@@ -127,9 +127,8 @@
     object_watch& operator=(object_watch const&) = delete;
 
     // Lists the objects and then watches them. Precondition: not started.
-    void start();
-    // The same with a first list that may be stale; the watch goes on from it.
-    void start_stale();
+    // A first list that may be stale is no harm: the watch goes on from it.
+    void start(freshness how);
     // Changes how long each watch call waits. Thread safety as above.
     void set_wait(duration wait)
     {
@@ -223,7 +222,6 @@
     std::uint64_t digest_ = 0;                                 // of copied_
     bool is_listed_ = false;
     bool is_listing_ = true; // the present or next call is a list
-    // A first list may be old; the watch goes on from there.
     freshness list_how_ = freshness::newest;
     bool has_watched_ = false;
     bool is_parked_ = false;
--- a/src/gateway/store_controller.cpp
+++ b/src/gateway/store_controller.cpp
@@ -1,7 +1,5 @@
 #include "gateway/store_controller.hpp"
 
-#include "base/hash.hpp"
-#include "gateway/own_answer.hpp"
 #include "gateway/peer_report.hpp"
 #include "gateway/store_duty.hpp"
 
@@ -154,10 +152,10 @@
 
 void store_controller::start()
 {
-    config_.start();
-    upstreams_.start_stale();
-    shifts_.start_stale();
-    zones_.start_stale();
+    config_.start(freshness::newest);
+    upstreams_.start(freshness::may_be_stale);
+    shifts_.start(freshness::may_be_stale);
+    zones_.start(freshness::may_be_stale);
     register_self();
 }
 
@@ -183,19 +181,17 @@
         log_event::store_regained,
         {{"lost_ms", in_ms(now - state_.store_lost)}});
     // What silenced one connection may have silenced the others.
-    for (std::size_t i = 0; i < state_kinds; ++i)
-    {
-        object_watch& w = watch_of(static_cast<state_kind>(i));
-        if (is_started(w) && !w.is_parked())
-            w.renew();
-    }
+    renew_watches(now);
     park_or_resume();
 }
 
 void store_controller::on_failure(error const& why, bool is_config)
 {
     state_.counters.count("store_failures_total", to_string(why.kind));
-    if (!is_config || state_.is_store_lost)
+    if (!is_config)
+        return;
+    set_retries(boot_now());
+    if (state_.is_store_lost)
         return;
     state_.is_store_lost = true;
     state_.store_lost = boot_now();
@@ -490,7 +486,7 @@
                 return;
             }
             is_registered_ = true;
-            gateways_.start();
+            gateways_.start(freshness::newest);
         });
 }
 
--- a/src/gateway/store_controller.hpp
+++ b/src/gateway/store_controller.hpp
@@ -97,6 +97,8 @@
     void set_usual_version(std::string const& service);
     void set_gateways();
     void renew_after_drop();
+    void renew_watches(steady_time t);
+    void set_retries(steady_time now);
     void relay(state_kind kind, state_change&& change);
     void send_relays();
     void set_role(steady_time now);
--- a/src/gateway/store_duty.cpp
+++ b/src/gateway/store_duty.cpp
@@ -29,7 +29,6 @@
 // likely away, and those with the next ranks find out when it is back. Each
 // gateway waits for another part of the spread.
 constexpr duration longest_unheard_in_outage = milliseconds(2500);
-constexpr int outage_spread_steps = 64;
 constexpr std::ptrdiff_t outage_witnesses = 2;
 // A relayed change comes within this time after the report that tells of it.
 constexpr duration relay_patience = milliseconds(400);
@@ -45,20 +44,18 @@
 // Without a watch, gateways that are behind ask within this time, not all at
 // the same moment.
 constexpr duration ask_spread = milliseconds(200);
-constexpr int ask_spread_steps = 64;
+// Parts of a time over which gateways are spread by their names.
+constexpr int spread_steps = 64;
 // A gateway that hears a reader takes the duty when it has been chosen for this
 // long, in which it hears of others that have regained the store with it.
 constexpr duration settled_choice = milliseconds(1500);
 
-// Names of the live gateways for which `is_fit` holds, this one first if
-// `has_self`.
+// Names of this gateway and of the live ones for which `is_fit` holds.
 template <class Fit>
 std::vector<std::string>
-live_names(gateway_state const& s, bool has_self, steady_time now, Fit is_fit)
+live_names(gateway_state const& s, steady_time now, Fit is_fit)
 {
-    std::vector<std::string> names;
-    if (has_self)
-        names.push_back(s.settings.instance);
+    std::vector<std::string> names{s.settings.instance};
     for (auto const& [name, p] : s.peers)
     {
         if (is_live(s, p, now) && is_fit(p))
@@ -77,6 +74,38 @@
         [&](std::size_t it) { return names[it] == self; });
 }
 
+// Whether several others have lost the store, so that it is most likely away.
+bool is_in_outage(gateway_state const& s, steady_time now)
+{
+    auto const witnesses = std::count_if(
+        s.peers.begin(), s.peers.end(),
+        [&](auto const& it)
+        { return !it.second.has_store && is_live(s, it.second, now); });
+    return witnesses >= outage_witnesses;
+}
+
+bool hears_reader(gateway_state const& s, steady_time now)
+{
+    return std::any_of(
+        s.peers.begin(), s.peers.end(),
+        [&](auto const& it) { return is_live_reader(s, it.second, now); });
+}
+
+// A part of `longest` that differs between gateways.
+duration own_part(gateway_state const& s, duration longest)
+{
+    auto const step =
+        static_cast<duration::rep>(hash64(s.settings.instance) % spread_steps);
+    return longest * step / spread_steps;
+}
+
+duration unheard_patience(gateway_state const& s, steady_time now)
+{
+    if (!is_in_outage(s, now))
+        return longest_unheard;
+    return longest_unheard_in_outage + own_part(s, longest_unheard_in_outage);
+}
+
 } // namespace
 
 duration report_period(std::size_t peers, bool is_reader)
@@ -110,7 +139,7 @@
     if (s.is_store_lost || s.drain_started)
         return false;
     auto const names = live_names(
-        s, true, now,
+        s, now,
         [&](gateway_peer const& p)
         {
             return p.has_store && !p.is_stopping &&
@@ -120,44 +149,6 @@
         reader_duty, names, s.settings.instance, store_readers);
 }
 
-namespace
-{
-
-// Whether several others have lost the store, so that it is most likely away.
-bool is_in_outage(gateway_state const& s, steady_time now)
-{
-    auto const witnesses = std::count_if(
-        s.peers.begin(), s.peers.end(),
-        [&](auto const& it)
-        { return !it.second.has_store && is_live(s, it.second, now); });
-    return witnesses >= outage_witnesses;
-}
-
-bool hears_reader(gateway_state const& s, steady_time now)
-{
-    return std::any_of(
-        s.peers.begin(), s.peers.end(),
-        [&](auto const& it) { return is_live_reader(s, it.second, now); });
-}
-
-// A part of `longest` that differs between gateways.
-duration own_part(gateway_state const& s, duration longest, int steps)
-{
-    auto const step = static_cast<duration::rep>(
-        hash64(s.settings.instance) % static_cast<std::uint64_t>(steps));
-    return longest * step / steps;
-}
-
-duration unheard_patience(gateway_state const& s, steady_time now)
-{
-    if (!is_in_outage(s, now))
-        return longest_unheard;
-    return longest_unheard_in_outage +
-           own_part(s, longest_unheard_in_outage, outage_spread_steps);
-}
-
-} // namespace
-
 void update_role(gateway_state& s, steady_time now)
 {
     bool const has_reader = hears_reader(s, now);
@@ -178,9 +169,8 @@
 {
     if (s.is_store_lost || !s.config_confirmed)
         return false; // it is being asked for
-    duration const patience = s.is_reader
-                                  ? longest_behind
-                                  : own_part(s, ask_spread, ask_spread_steps);
+    duration const patience =
+        s.is_reader ? longest_behind : own_part(s, ask_spread);
     bool const is_behind = s.config_behind && now - *s.config_behind > patience;
     if (is_behind)
         return true;
@@ -195,7 +185,7 @@
 bool is_prober(gateway_state const& s, steady_time now)
 {
     auto const names =
-        live_names(s, true, now, [](gateway_peer const&) { return true; });
+        live_names(s, now, [](gateway_peer const&) { return true; });
     return is_among_first(
         reader_duty, names, s.settings.instance, store_readers);
 }
@@ -203,7 +193,7 @@
 std::vector<std::string> relay_targets(gateway_state const& s, steady_time now)
 {
     auto const readers = live_names(
-        s, true, now,
+        s, now,
         [&](gateway_peer const& p) { return is_live_reader(s, p, now); });
     std::vector<std::string> addresses;
     for (auto const& [name, p] : s.peers)
--- a/src/gateway/store_reading.cpp
+++ b/src/gateway/store_reading.cpp
@@ -119,11 +119,17 @@
         return; // nothing waits at the store
     state_.counters.count("watches_renewed_total");
     config_.renew_older_than(*renewed_for_);
+    renew_watches(*renewed_for_);
+}
+
+// Renews the watches beside the configuration's that wait since before `t`.
+void store_controller::renew_watches(steady_time t)
+{
     for (std::size_t i = 0; i < state_kinds; ++i)
     {
         object_watch& w = watch_of(static_cast<state_kind>(i));
         if (is_started(w) && !w.is_parked())
-            w.renew_older_than(*renewed_for_);
+            w.renew_older_than(t);
     }
 }
 
@@ -139,6 +145,11 @@
                              : log_event::reading_ended,
             {{"store", state_.is_store_lost ? "lost" : "kept"}});
     park_or_resume();
+}
+
+// Called before the pause after a failed call is chosen.
+void store_controller::set_retries(steady_time now)
+{
     if (is_prober(state_, now))
         config_.set_retries(first_probe_pause, longest_probe_pause);
     else
--- a/src/gateway/upstream_board.cpp
+++ b/src/gateway/upstream_board.cpp
@@ -58,8 +58,9 @@
 {
     std::shared_ptr<upstream_state> upstream;
     double cost = 0;
-    double work = 0;        // until the first event
-    bool is_holder = false; // is expected to hold shared parts
+    double work = 0;         // until the first event
+    bool is_holder = false;  // is expected to hold shared parts
+    std::uint64_t order = 0; // in the sample of a request
 };
 
 double work_of(upstream_state const& u)
@@ -101,12 +102,12 @@
     std::size_t const n = std::max(engine_choices, held + 1);
     if (all.size() <= n)
         return;
-    auto const order = [&](candidate const& it)
-    { return it.is_holder ? 0 : hash64(it.upstream->info.id, q.seed) | 1U; };
+    for (candidate& it : all)
+        it.order = it.is_holder ? 0 : hash64(it.upstream->info.id, q.seed) | 1U;
     std::nth_element(
         all.begin(), all.begin() + static_cast<std::ptrdiff_t>(n), all.end(),
-        [&](candidate const& a, candidate const& b)
-        { return order(a) < order(b); });
+        [](candidate const& a, candidate const& b)
+        { return a.order < b.order; });
     all.resize(n);
 }
 
--- a/src/gateway/upstream_pool.cpp
+++ b/src/gateway/upstream_pool.cpp
@@ -20,8 +20,6 @@
 // Late answers to earlier requests that are read to get to the one that is
 // waited for.
 constexpr std::size_t max_skipped_bytes = std::size_t{1} << 20U;
-// Bytes that the parser leaves, as of a line without an end.
-constexpr std::size_t max_unparsed_bytes = std::size_t{64} << 10U;
 constexpr stream_limits upstream_stream_limits{
     .unacknowledged = milliseconds(1500), .probe_after_s = 1, .probes = 2};
 
--- a/src/http_stream/http_reader.hpp
+++ b/src/http_stream/http_reader.hpp
@@ -57,6 +57,10 @@
     int keep_alive_seconds = 0; // announced idle timeout; 0 when there is none
 };
 
+// Bytes of a message that is not done which its reader may leave; more are a
+// line without an end.
+constexpr std::size_t max_unparsed_bytes = std::size_t{64} << 10U;
+
 struct message_limits
 {
     std::size_t max_header_bytes = std::size_t{16} << 10U;
