Keep the index of upstreams by number with the board

Cause: each report that a gateway heard, 125 a second, built an index of all upstreams, and the sums of loads did so again: work on a hot path that grows with the fleet. Besides, the holder of the duty to write roll-outs used a second rule of who is alive, which fails above 62 gateways, where reports come less often than it expects.

Change: put_upstream and erase_upstream keep by_id and by_number together; one function adds a told load; is_duty_holder asks is_live.

Ruled out: rebuilding the index once a tick (loads of new upstreams would be late).

Of two upstreams with one number the later gets the loads, as before; after its end the other gets none until it registers anew.

Conclusion: same decisions, but for the duty holder of fleets above 62.

--- a/src/gateway/gateway_benchmark.cpp
+++ b/src/gateway/gateway_benchmark.cpp
@@ -45,7 +45,7 @@
         u->info.slots = 64;
         u->work = 100.0 * i;
         u->pace = {.took_us = 1e6, .work = 1e5, .samples = 10};
-        b.by_id[u->info.id] = u;
+        put_upstream(b, u);
     }
     b.pace = {.took_us = 1e7, .work = 1e6, .samples = 100};
     return b;
--- a/src/gateway/gateway_state_test.cpp
+++ b/src/gateway/gateway_state_test.cpp
@@ -106,8 +106,7 @@
     {
         auto u = std::make_shared<upstream_state>();
         u->info.id = std::string("u");
-        u->number = upstream_number("u");
-        it->upstreams.by_id["u"] = u;
+        put_upstream(it->upstreams, u);
     }
     b.upstreams.by_id["u"]->requests = 3;
     b.upstreams.by_id["u"]->work = 500;
--- a/src/gateway/peer_report.cpp
+++ b/src/gateway/peer_report.cpp
@@ -1,12 +1,10 @@
 #include "gateway/peer_report.hpp"
 
-#include "base/hash.hpp"
 #include "gateway/store_duty.hpp"
 #include "wire/value.hpp"
 
 #include <algorithm>
 #include <span>
-#include <unordered_map>
 #include <utility>
 
 namespace marjorambeam
@@ -14,40 +12,35 @@
 namespace
 {
 
-using upstream_index = std::unordered_map<std::uint32_t, upstream_state*>;
-
-upstream_index upstreams_by_number(gateway_state const& s)
+// Adds what a peer has told; `sign` is -1 to take it back.
+void add_load(
+    upstream_board& b, std::uint32_t number, peer_load const& load, int sign)
 {
-    upstream_index by_number;
-    for (auto const& [id, u] : s.upstreams.by_id)
-        by_number[u->number] = u.get();
-    return by_number;
+    auto const it = b.by_number.find(number);
+    if (it == b.by_number.end())
+        return;
+    peer_load& sum = it->second->peers;
+    if (sign > 0)
+        sum.requests += load.requests;
+    else
+        sum.requests -= std::min(sum.requests, load.requests);
+    sum.work = std::max(sum.work + sign * load.work, 0.0);
 }
 
 // Replaces what a peer has told before by what it tells now, without looking at
-// the others: hundreds of them report each second.
+// the other peers and upstreams: there are hundreds, and as many reports a
+// second.
 void replace_loads(
-    upstream_index const& by_number, gateway_peer& p,
-    std::span<reported_load const> loads)
+    upstream_board& b, gateway_peer& p, std::span<reported_load const> loads)
 {
     for (auto const& [number, load] : p.loads)
-    {
-        auto const it = by_number.find(number);
-        if (it == by_number.end())
-            continue;
-        peer_load& sum = it->second->peers;
-        sum.requests -= std::min(sum.requests, load.requests);
-        sum.work = std::max(sum.work - load.work, 0.0);
-    }
+        add_load(b, number, load, -1);
     p.loads.clear();
     for (reported_load const& it : loads)
     {
-        p.loads[it.upstream] = {it.requests, it.work};
-        auto const u = by_number.find(it.upstream);
-        if (u == by_number.end())
-            continue;
-        u->second->peers.requests += it.requests;
-        u->second->peers.work += it.work;
+        peer_load const load{it.requests, it.work};
+        p.loads[it.upstream] = load;
+        add_load(b, it.upstream, load, 1);
     }
 }
 
@@ -55,17 +48,10 @@
 {
     for (auto const& [id, u] : s.upstreams.by_id)
         u->peers = {};
-    auto const by_number = upstreams_by_number(s);
     for (auto const& [name, p] : s.peers)
     {
         for (auto const& [number, load] : p.loads)
-        {
-            auto const it = by_number.find(number);
-            if (it == by_number.end())
-                continue;
-            it->second->peers.requests += load.requests;
-            it->second->peers.work += load.work;
-        }
+            add_load(s.upstreams, number, load, 1);
     }
 }
 
@@ -111,11 +97,6 @@
     return std::max(shortest_report_memory, live_window(peers, false));
 }
 
-std::uint32_t upstream_number(std::string_view id)
-{
-    return static_cast<std::uint32_t>(hash64(id));
-}
-
 gateway_report make_report(gateway_state const& s, steady_time now)
 {
     gateway_report r;
@@ -185,12 +166,11 @@
     if (r.config_version > own_version && !s.config_behind)
         s.config_behind = now;
     peer->second.heard_at = now;
-    upstream_index const by_number = upstreams_by_number(s);
-    replace_loads(by_number, peer->second, r.loads);
+    replace_loads(s.upstreams, peer->second, r.loads);
     for (pace_sample const& it : r.samples)
     {
-        auto const u = by_number.find(it.upstream);
-        if (u != by_number.end())
+        auto const u = s.upstreams.by_number.find(it.upstream);
+        if (u != s.upstreams.by_number.end())
             take_peer_sample(*u->second, it);
     }
     for (reported_shift const& it : r.shifts)
--- a/src/gateway/peer_report.hpp
+++ b/src/gateway/peer_report.hpp
@@ -108,10 +108,6 @@
     }
 };
 
-// Short name of an upstream in reports. Two upstreams with one number would
-// see each other's load, which is harmless. Thread-safe.
-std::uint32_t upstream_number(std::string_view id);
-
 gateway_report make_report(gateway_state const& s, steady_time now);
 
 // Why a report changes nothing.
--- a/src/gateway/store_controller.cpp
+++ b/src/gateway/store_controller.cpp
@@ -265,7 +265,7 @@
     log_.write(log_event::upstream_gone, {{"upstream", std::string(id)}});
     if (!it->second->info.is_leaving)
         confirm_crash(state_.blame, id, now);
-    state_.upstreams.by_id.erase(it);
+    erase_upstream(state_.upstreams, it);
 }
 
 void store_controller::take_upstream(platform_object&& o)
@@ -283,7 +283,9 @@
         lose_upstream(o.name, now);
         return;
     }
-    std::shared_ptr<upstream_state>& u = state_.upstreams.by_id[info->id];
+    auto const known = state_.upstreams.by_id.find(info->id);
+    std::shared_ptr<upstream_state> u =
+        known == state_.upstreams.by_id.end() ? nullptr : known->second;
     bool const is_new = !u ||
                         u->info.started_unix_ms != info->started_unix_ms ||
                         u->info.address != info->address;
@@ -309,8 +311,9 @@
              {"leaving", info->is_leaving ? "yes" : "no"},
              {"cold_ms", std::to_string(cold.count() / 1000)}});
     u->is_missing = false;
-    u->number = upstream_number(info->id);
     u->info = std::move(*info);
+    if (is_new)
+        put_upstream(state_.upstreams, u);
     set_usual_version(u->info.service);
 }
 
@@ -497,7 +500,7 @@
         [&](auto const& it)
         {
             return it.first < state_.settings.instance &&
-                   now - it.second.heard_at < live_peer;
+                   is_live(state_, it.second, now);
         });
 }
 
@@ -565,7 +568,7 @@
     {
         upstream_state const& u = *it->second;
         bool const is_gone = u.is_missing && !is_list_unsure(state_, now);
-        it = is_gone ? state_.upstreams.by_id.erase(it) : std::next(it);
+        it = is_gone ? erase_upstream(state_.upstreams, it) : std::next(it);
     }
 }
 
--- a/src/gateway/upstream_board.cpp
+++ b/src/gateway/upstream_board.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <array>
 #include <cmath>
+#include <utility>
 
 namespace marjorambeam
 {
@@ -194,6 +195,27 @@
 
 } // namespace
 
+std::uint32_t upstream_number(std::string_view id)
+{
+    return static_cast<std::uint32_t>(hash64(id));
+}
+
+void put_upstream(upstream_board& b, std::shared_ptr<upstream_state> u)
+{
+    u->number = upstream_number(u->info.id);
+    b.by_number[u->number] = u.get();
+    b.by_id[u->info.id] = std::move(u);
+}
+
+upstream_map::iterator
+erase_upstream(upstream_board& b, upstream_map::iterator it)
+{
+    auto const numbered = b.by_number.find(it->second->number);
+    if (numbered != b.by_number.end() && numbered->second == it->second.get())
+        b.by_number.erase(numbered);
+    return b.by_id.erase(it);
+}
+
 bool is_usable(upstream_board const& b, upstream_state const& u)
 {
     return !u.info.is_leaving && !b.zones_out.contains(u.info.zone);
--- a/src/gateway/upstream_board.hpp
+++ b/src/gateway/upstream_board.hpp
@@ -19,6 +19,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 namespace marjorambeam
@@ -116,14 +117,32 @@
 // long prompts.
 constexpr work_pace usual_pace{.took_us = 3e5, .work = 3e4, .samples = 3};
 
+using upstream_map =
+    std::map<std::string, std::shared_ptr<upstream_state>, std::less<>>;
+
 struct upstream_board
 {
-    std::map<std::string, std::shared_ptr<upstream_state>, std::less<>> by_id;
+    upstream_map by_id;
+    // By upstream_state::number. put_upstream() and erase_upstream() keep both.
+    std::unordered_map<std::uint32_t, upstream_state*> by_number;
     std::set<std::string, std::less<>> zones_out; // get no new work
     work_pace pace = usual_pace;                  // of all engines
     std::vector<pace_sample> untold;              // since the last report
 };
 
+// Short name of an upstream in reports. Of two upstreams with one number the
+// later one gets the loads that others tell, which is harmless. Thread-safe.
+std::uint32_t upstream_number(std::string_view id);
+
+// Puts an upstream on the board, in the place of one with its id, and sets its
+// number. Precondition: `u` has its id.
+void put_upstream(upstream_board& b, std::shared_ptr<upstream_state> u);
+
+// Takes an upstream off the board; returns the next one. Precondition: `it` is
+// one of the board's.
+upstream_map::iterator
+erase_upstream(upstream_board& b, upstream_map::iterator it);
+
 // Whether the upstream may get new work at all: listed, not leaving, in a zone
 // that is in service.
 bool is_usable(upstream_board const& b, upstream_state const& u);
--- a/src/gateway/upstream_board_test.cpp
+++ b/src/gateway/upstream_board_test.cpp
@@ -31,7 +31,7 @@
         .zone = std::move(zone),
         .version = std::move(version),
         .slots = 6};
-    b.by_id[id] = u;
+    put_upstream(b, u);
     return u;
 }
 
@@ -224,7 +224,7 @@
             auto u = std::make_shared<upstream_state>();
             u->info.id = "e" + std::to_string(i);
             u->info.service = "pool";
-            b.by_id[u->info.id] = u;
+            put_upstream(b, u);
         }
     }
     std::mt19937_64 random(3);
@@ -291,7 +291,7 @@
         auto u = std::make_shared<upstream_state>();
         u->info.id = "e" + std::to_string(i);
         u->info.service = "pool";
-        b.by_id[u->info.id] = u;
+        put_upstream(b, u);
     }
     std::set<std::string> chosen;
     for (std::uint64_t i = 0; i < 200; ++i)
@@ -314,7 +314,7 @@
     auto slow = std::make_shared<upstream_state>();
     slow->info.id = "slow";
     slow->info.service = "pool";
-    b.by_id["slow"] = slow;
+    put_upstream(b, slow);
     auto const expected = [&]
     {
         choice_question q{.service = "pool", .is_engine = true};
@@ -332,3 +332,28 @@
         take_peer_sample(*slow, {0, 10'000, 2e5F}); // twice the usual time
     CHECK(expected() > before * 3 / 2);
 }
+
+// Guards against loads that are told for an upstream that is gone or was
+// replaced by another process, and against a report that walks over thousands
+// of upstreams (300 machines of the operators' sweep).
+TEST_CASE("The numbers of upstreams follow the board")
+{
+    upstream_board b;
+    for (int round = 0; round < 2; ++round)
+    {
+        for (int i = 0; i < 50; ++i)
+        {
+            auto u = std::make_shared<upstream_state>();
+            u->info.id = "e" + std::to_string(i);
+            put_upstream(b, u);
+        }
+        CHECK(b.by_id.size() == 50);
+        for (auto const& [id, u] : b.by_id)
+            CHECK(b.by_number.at(upstream_number(id)) == u.get());
+    }
+    for (auto it = b.by_id.begin(); it != b.by_id.end();)
+        it = it->first.back() == '7' ? erase_upstream(b, it) : std::next(it);
+    CHECK(b.by_id.size() == 45);
+    CHECK(b.by_number.size() == 45);
+    CHECK_FALSE(b.by_number.contains(upstream_number("e17")));
+}
