Obey what upstreams say of themselves: that they leave, or want a pause

Cause: the gateway read neither header. An upstream that said it leaves got requests until the store's list said so, without a bound while the store was away; one that refused with Retry-After got the next request at once.

Change: upstream_notice keeps both for the upstream's lifetime, beside the board, so that an entry that lapses and is back forgets nothing. choose_upstream() obeys them; requests under way without a connection are taken back; a pause is no failure of the upstream; its end is a ramp. When all upstreams leave or pause, callers are refused at once, with the earliest end of the pauses. Counters upstream_notices_total, three events, the error kind upstream_paused.

Ruled out: telling other gateways (the promise is made to one); notices as part of upstream_state (lost when the entry lapses); a notice from a 421 or a success without a receipt (it may be another instance's, or damaged).

--- a/src/ctl/explain_log.cpp
+++ b/src/ctl/explain_log.cpp
@@ -53,6 +53,9 @@
     kind_reason{
         error_kind::upstream_cold,
         "the upstreams that were left were cold and bore no more requests"},
+    kind_reason{
+        error_kind::upstream_paused,
+        "every upstream that was left had asked for time"},
     kind_reason{
         error_kind::upstream_out,
         "another instance answered at the upstream's address"},
--- a/src/error/error.hpp
+++ b/src/error/error.hpp
@@ -58,6 +58,7 @@
     upstream_out,
     availability_zone_out,
     upstream_cold,
+    upstream_paused,
     upstream_crashed,
     upstream_failed,
     upstream_silent,
--- a/src/gateway/call_protocol.hpp
+++ b/src/gateway/call_protocol.hpp
@@ -72,6 +72,10 @@
     bool is_signed = false;         // bears the upstream's receipt
     bool has_not_run = false;       // the upstream says that it did not run it
     bool is_other_instance = false; // another instance has the address
+    bool is_leaving = false;        // the upstream wants no more work
+    // It wants nothing for so long; with a refusal only.
+    std::optional<duration> pause;
+    bool has_bad_pause = false; // it named a time that makes no sense
     std::optional<told_load> load;
     std::optional<int> confidence; // 0 to 100, the model's own opinion
 };
--- a/src/gateway/request_answer.cpp
+++ b/src/gateway/request_answer.cpp
@@ -1,4 +1,5 @@
 // The part of request_run that passes an upstream's answer on.
+#include "base/hash.hpp"
 #include "gateway/model_choice.hpp"
 #include "gateway/request_run.hpp"
 
@@ -37,6 +38,7 @@
              {"started_ms", std::to_string(upstream_->info.started_unix_ms)},
              {"failures", std::to_string(upstream_->failures_in_row)}});
     note_answered(*upstream_, now);
+    note_words(a, now);
     is_event_stream_ = false;
     if (a.is_other_instance || (a.has_not_run && a.status >= 400))
     {
@@ -62,14 +64,53 @@
         start_answer(std::move(head_));
 }
 
+// The connection has checked that the answer is this attempt's. A success
+// without a receipt is damaged, and another instance speaks for itself only.
+void request_run::note_words(upstream_answer const& a, steady_time now)
+{
+    bool const is_damaged = a.status / 100 == 2 && !a.is_signed;
+    if (a.is_other_instance || is_damaged)
+        return;
+    upstream_info const& u = upstream_->info;
+    upstream_notices& all = context_.state.upstreams.notices;
+    metrics& m = context_.state.counters;
+    std::string const lifetime = std::to_string(u.started_unix_ms);
+    if (a.is_leaving && note_leaving(all, u.id, u.started_unix_ms, now))
+    {
+        m.count("upstream_notices_total", "leaving");
+        context_.log.write(
+            log_event::upstream_says_leaving,
+            {{"upstream", u.id}, {"started_ms", lifetime}});
+    }
+    if (a.has_bad_pause)
+    {
+        m.count("upstream_notices_total", "bad_pause");
+        context_.log.write(
+            log_event::upstream_pause_bad,
+            {{"upstream", u.id}, {"started_ms", lifetime}});
+    }
+    std::uint64_t const hash = hash64(context_.state.settings.instance);
+    if (a.pause &&
+        note_pause(all, u.id, u.started_unix_ms, *a.pause, hash, now))
+    {
+        m.count("upstream_notices_total", "pause");
+        context_.log.write(
+            log_event::upstream_asks_pause, {{"upstream", u.id},
+                                             {"started_ms", lifetime},
+                                             {"pause_ms", in_ms(*a.pause)}});
+    }
+}
+
 void request_run::on_refused_by_upstream(upstream_answer const& a)
 {
     steady_time const now = boot_now();
     if (a.is_other_instance)
         upstream_->avoid_until = now + std::chrono::seconds(2);
-    fail_attempt(
-        a.is_other_instance ? error_kind::upstream_out : error_kind::queue_full,
-        false, "refused with " + std::to_string(a.status), now);
+    error_kind kind =
+        a.pause ? error_kind::upstream_paused : error_kind::queue_full;
+    if (a.is_other_instance)
+        kind = error_kind::upstream_out;
+    fail_attempt(kind, false, "refused with " + std::to_string(a.status), now);
 }
 
 bool request_run::ask_larger_model(upstream_answer const& a, steady_time now)
--- a/src/gateway/request_end.cpp
+++ b/src/gateway/request_end.cpp
@@ -87,7 +87,9 @@
          {"expected_ms", in_ms(inputs_.expected)},
          {"started_ms", std::to_string(inputs_.started_unix_ms)},
          {"config", std::to_string(config_->version)}});
-    note_outcome(*upstream_, true, now);
+    // One that asks for time is sound.
+    if (kind != error_kind::upstream_paused)
+        note_outcome(*upstream_, true, now);
     bool const is_unreached =
         !may_have_run && kind == error_kind::connection_lost;
     if (is_unreached)
@@ -105,7 +107,8 @@
                                        upstream_->info.started_unix_ms, now});
         judge_version(true);
     }
-    attempts_.last_failure = to_string(kind);
+    attempts_.last_failure = kind;
+    found_ = {};
     release();
     events_.restart();
     if (may_retry(may_have_run, now))
@@ -118,7 +121,7 @@
         return;
     }
     if (ran_ == run_state::not_run)
-        refuse(kind, std::max(route_.target / 4, shortest_retry_after), now);
+        refuse(kind, time_to_come_back(kind, now), now);
     else
         give_up(kind, ran_, now);
 }
@@ -127,7 +130,7 @@
 {
     error e = make_error(kind, "the request has not run");
     e.run = run_state::not_run;
-    e.retry_after = spread(retry_after, hash_ >> 8U);
+    e.retry_after = retry_after;
     answer_error(e, now);
 }
 
@@ -168,7 +171,9 @@
     if (is_done_)
         return;
     if (ran_ == run_state::not_run && !connection_)
-        refuse(error_kind::deadline_unreachable, shortest_retry_after, now);
+        refuse(
+            error_kind::deadline_unreachable,
+            spread(shortest_retry_after, hash_ >> 8U), now);
     else
         give_up(error_kind::deadline_exceeded, run_state::unknown, now);
 }
@@ -179,6 +184,16 @@
     if (is_done_ || !connection_)
         return;
     auto const self = shared_from_this();
+    upstream_notice const* const notice =
+        find_notice(context_.state.upstreams, *upstream_);
+    if (!connection_->is_connected() && notice != nullptr &&
+        now < notice->paused_until)
+    {
+        fail_attempt(
+            error_kind::upstream_paused, false, "paused before it was sent",
+            now);
+        return;
+    }
     if (!connection_->is_connected() && now - sent_ > connect_patience)
     {
         note_unreachable_upstream(now);
@@ -217,7 +232,9 @@
     if (is_done_)
         return;
     if (ran_ == run_state::not_run && !connection_)
-        refuse(error_kind::shutting_down, shortest_retry_after, now);
+        refuse(
+            error_kind::shutting_down,
+            spread(shortest_retry_after, hash_ >> 8U), now);
     else
         give_up(error_kind::upstream_failed, run_state::unknown, now);
 }
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -2,6 +2,7 @@
 
 #include "base/hash.hpp"
 #include "gateway/model_choice.hpp"
+#include "gateway/own_answer.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -38,6 +39,8 @@
         return error_kind::queue_full;
     case choice_failure::cold:
         return error_kind::upstream_cold;
+    case choice_failure::paused:
+        return error_kind::upstream_paused;
     case choice_failure::unreachable:
         return error_kind::connection_lost;
     default:
@@ -192,7 +195,8 @@
     upstream_choice const c = choose(now);
     if (!c.chosen)
     {
-        attempts_.last_failure = to_string(kind_of(c.failure));
+        attempts_.last_failure = kind_of(c.failure);
+        found_ = c;
         return send_outcome::none;
     }
     return dispatch(c, now) ? send_outcome::sent : send_outcome::none;
@@ -310,8 +314,12 @@
 
 void request_run::wait_or_refuse(steady_time now)
 {
-    bool const may_wait =
-        now < wait_until_ && now < deadline_ && !context_.state.drain_started;
+    bool const is_hopeless =
+        found_.failure == choice_failure::leaving ||
+        (found_.failure == choice_failure::paused &&
+         found_.resumes_at > std::min(wait_until_, deadline_));
+    bool const may_wait = now < wait_until_ && now < deadline_ &&
+                          !is_hopeless && !context_.state.drain_started;
     if (may_wait)
     {
         if (!is_waiting_)
@@ -322,20 +330,27 @@
         return;
     }
     is_waiting_ = false;
-    error_kind kind = error_kind::no_upstream;
-    if (attempts_.last_failure == to_string(error_kind::queue_full))
-        kind = error_kind::queue_full;
-    else if (attempts_.last_failure == to_string(error_kind::upstream_cold))
-        kind = error_kind::upstream_cold;
+    bool const is_known = attempts_.last_failure == error_kind::queue_full ||
+                          attempts_.last_failure == error_kind::upstream_cold ||
+                          attempts_.last_failure == error_kind::upstream_paused;
+    error_kind const kind =
+        is_known ? attempts_.last_failure : error_kind::no_upstream;
     if (has_answer_head_ || ran_ != run_state::not_run)
         give_up(error_kind::upstream_failed, ran_, now);
     else
-        refuse(
-            kind,
-            kind == error_kind::no_upstream
-                ? retry_when_listed
-                : std::max(route_.target / 4, shortest_retry_after),
-            now);
+        refuse(kind, time_to_come_back(kind, now), now);
+}
+
+duration request_run::time_to_come_back(error_kind kind, steady_time now) const
+{
+    std::uint64_t const hash = hash_ >> 8U;
+    if (kind == error_kind::no_upstream)
+        return spread(retry_when_listed, hash);
+    duration const usual =
+        spread(std::max(route_.target / 4, shortest_retry_after), hash);
+    if (kind == error_kind::upstream_paused && found_.resumes_at > now)
+        return found_.resumes_at - now + usual;
+    return usual;
 }
 
 bool request_run::try_again(steady_time now)
--- a/src/gateway/request_run.hpp
+++ b/src/gateway/request_run.hpp
@@ -81,7 +81,7 @@
         std::uint32_t arrivals = 0; // sends that an upstream was reached by
         std::uint32_t runs = 0;     // attempts that may have run
         std::vector<std::string> tried;
-        std::string last_failure;
+        error_kind last_failure = error_kind::no_upstream;
     };
 
     // What the present choice of an upstream rested on, for the logs.
@@ -107,9 +107,11 @@
     bool dispatch(upstream_choice const& c, steady_time now);
     void wait_or_refuse(steady_time now);
     duration longest_wait() const;
+    duration time_to_come_back(error_kind kind, steady_time now) const;
     void release();
     void drop_work(double part);
     void on_head(http_response_head&& head);
+    void note_words(upstream_answer const& a, steady_time now);
     void on_refused_by_upstream(upstream_answer const& a);
     bool ask_larger_model(upstream_answer const& a, steady_time now);
     void start_answer(http_response_head&& head);
@@ -162,6 +164,7 @@
     double work_before_ = 0; // expected until the first event
     attempt_record attempts_;
     choice_inputs inputs_;
+    upstream_choice found_; // the last one without an upstream
     steady_time wait_until_{};
     bool is_waiting_ = false;
     bool is_done_ = false;
--- a/src/gateway/upstream_board.cpp
+++ b/src/gateway/upstream_board.cpp
@@ -182,6 +182,14 @@
     return u.cold_sends.count(now) < q.cold_share(q.context, u);
 }
 
+bool has_version(upstream_state const& u, choice_question const& q)
+{
+    bool const is_wanted =
+        q.only_version.empty() || u.info.version == q.only_version;
+    return is_wanted &&
+           (q.never_version.empty() || u.info.version != q.never_version);
+}
+
 // Leaves the first part of the upstreams in order of name.
 void keep_few(std::vector<candidate>& all)
 {
@@ -216,9 +224,26 @@
     return b.by_id.erase(it);
 }
 
+upstream_notice const*
+find_notice(upstream_board const& b, upstream_state const& u)
+{
+    return find_notice(b.notices, u.info.id, u.info.started_unix_ms);
+}
+
+namespace
+{
+
+bool is_leaving(upstream_board const& b, upstream_state const& u)
+{
+    upstream_notice const* const n = find_notice(b, u);
+    return u.info.is_leaving || (n != nullptr && n->is_leaving);
+}
+
+} // namespace
+
 bool is_usable(upstream_board const& b, upstream_state const& u)
 {
-    return !u.info.is_leaving && !b.zones_out.contains(u.info.zone);
+    return !is_leaving(b, u) && !b.zones_out.contains(u.info.zone);
 }
 
 double known_requests(upstream_state const& u, steady_time now)
@@ -235,19 +260,36 @@
 {
     std::vector<candidate> all;
     std::vector<candidate> unsound;
-    choice_failure failure = choice_failure::no_upstream;
-    auto at_least = [&](choice_failure f) { failure = std::min(failure, f); };
+    upstream_choice none{.failure = choice_failure::no_upstream};
+    auto at_least = [&](choice_failure f)
+    { none.failure = std::min(none.failure, f); };
     for (auto const& [id, u] : b.by_id)
     {
-        if (u->info.service != q.service || !is_usable(b, *u))
+        if (u->info.service != q.service || !has_version(*u, q))
             continue;
-        if (!q.only_version.empty() && u->info.version != q.only_version)
+        if (!is_usable(b, *u))
+        {
+            if (is_leaving(b, *u))
+                at_least(choice_failure::leaving);
             continue;
-        if (!q.never_version.empty() && u->info.version == q.never_version)
+        }
+        // One that has turned a request away is worth waiting for.
+        upstream_notice const* const notice = find_notice(b, *u);
+        if (notice != nullptr && now < notice->resumes_at)
+        {
+            at_least(choice_failure::paused);
+            none.resumes_at =
+                none.resumes_at == steady_time{}
+                    ? notice->resumes_at
+                    : std::min(none.resumes_at, notice->resumes_at);
             continue;
+        }
         if (std::find(q.tried.begin(), q.tried.end(), id) != q.tried.end())
             continue;
-        if (now < u->avoid_until)
+        if (notice != nullptr &&
+            u->requests >= allowed_requests(*notice, u->info.slots, now))
+            at_least(choice_failure::full);
+        else if (now < u->avoid_until)
             at_least(choice_failure::unreachable);
         else if (!bears_more(*u, q, now))
             at_least(choice_failure::cold);
@@ -262,7 +304,7 @@
     if (all.empty())
         all = std::move(unsound);
     if (all.empty())
-        return {.failure = failure};
+        return none;
     if (q.prefers_few)
         keep_few(all);
     if (q.is_engine)
--- a/src/gateway/upstream_board.hpp
+++ b/src/gateway/upstream_board.hpp
@@ -11,6 +11,7 @@
 #include "base/time.hpp"
 #include "gateway/call_protocol.hpp"
 #include "gateway/rate_window.hpp"
+#include "gateway/upstream_notice.hpp"
 
 #include <cstdint>
 #include <map>
@@ -126,6 +127,7 @@
     // By upstream_state::number. put_upstream() and erase_upstream() keep both.
     std::unordered_map<std::uint32_t, upstream_state*> by_number;
     std::set<std::string, std::less<>> zones_out; // get no new work
+    upstream_notices notices;                     // what they say themselves
     work_pace pace = usual_pace;                  // of all engines
     std::vector<pace_sample> untold;              // since the last report
 };
@@ -143,8 +145,12 @@
 upstream_map::iterator
 erase_upstream(upstream_board& b, upstream_map::iterator it);
 
-// Whether the upstream may get new work at all: listed, not leaving, in a zone
-// that is in service.
+// What the upstream has said of itself in this lifetime; null when nothing.
+upstream_notice const*
+find_notice(upstream_board const& b, upstream_state const& u);
+
+// Whether the upstream may get new work at all: listed, not leaving by the
+// store's word or its own, in a zone that is in service.
 bool is_usable(upstream_board const& b, upstream_state const& u);
 
 // How many requests this gateway may send to an upstream in a second while it
@@ -175,7 +181,9 @@
     none,
     full,        // all are at their limit
     cold,        // those that are left bear no more for the moment
+    paused,      // those that are left have asked for time
     unreachable, // all have failed just now
+    leaving,     // all that are listed leave
     no_upstream  // none is listed for this service and version
 };
 
@@ -186,6 +194,7 @@
     duration queued{0};   // part of it for the work of other requests
     double work = 0;      // that is expected before it, see note_first_event()
     choice_failure failure = choice_failure::none;
+    steady_time resumes_at{}; // of the first one; when all are paused
 };
 
 // Returns the best upstream: for an engine the one that is expected to begin
--- /dev/null
+++ b/src/gateway/upstream_notice.cpp
@@ -0,0 +1,89 @@
+#include "gateway/upstream_notice.hpp"
+
+#include <algorithm>
+#include <limits>
+
+namespace marjorambeam
+{
+namespace
+{
+
+constexpr std::uint64_t spread_steps = 1000;
+
+// Returns null for an earlier lifetime than the one that is known.
+upstream_notice* notice_for(
+    upstream_notices& all, std::string_view id, std::int64_t started_unix_ms,
+    steady_time now)
+{
+    auto it = all.find(id);
+    if (it == all.end())
+    {
+        if (all.size() >= max_notices)
+            all.erase(std::min_element(
+                all.begin(), all.end(),
+                [](auto const& a, auto const& b)
+                { return a.second.noted_at < b.second.noted_at; }));
+        it = all.emplace(std::string(id), upstream_notice{}).first;
+    }
+    upstream_notice& n = it->second;
+    if (started_unix_ms < n.started_unix_ms)
+        return nullptr;
+    if (n.started_unix_ms != started_unix_ms)
+        n = {.started_unix_ms = started_unix_ms};
+    n.noted_at = now;
+    return &n;
+}
+
+} // namespace
+
+upstream_notice const* find_notice(
+    upstream_notices const& all, std::string_view id,
+    std::int64_t started_unix_ms)
+{
+    if (all.empty())
+        return nullptr;
+    auto const it = all.find(id);
+    bool const is_found =
+        it != all.end() && it->second.started_unix_ms == started_unix_ms;
+    return is_found ? &it->second : nullptr;
+}
+
+bool note_leaving(
+    upstream_notices& all, std::string_view id, std::int64_t started_unix_ms,
+    steady_time now)
+{
+    upstream_notice* const n = notice_for(all, id, started_unix_ms, now);
+    if (n == nullptr || n->is_leaving)
+        return false;
+    n->is_leaving = true;
+    return true;
+}
+
+bool note_pause(
+    upstream_notices& all, std::string_view id, std::int64_t started_unix_ms,
+    duration pause, std::uint64_t hash, steady_time now)
+{
+    upstream_notice* const n = notice_for(all, id, started_unix_ms, now);
+    if (n == nullptr || now + pause <= n->paused_until)
+        return false;
+    n->paused_until = now + pause;
+    n->resumes_at =
+        n->paused_until + resume_spread *
+                              static_cast<duration::rep>(hash % spread_steps) /
+                              static_cast<duration::rep>(spread_steps);
+    return true;
+}
+
+std::uint32_t
+allowed_requests(upstream_notice const& n, std::uint32_t slots, steady_time now)
+{
+    if (now < n.resumes_at)
+        return 0;
+    duration const since = now - n.resumes_at;
+    if (since >= resume_ramp)
+        return std::numeric_limits<std::uint32_t>::max();
+    return 1 + static_cast<std::uint32_t>(
+                   slots * since.count() / resume_ramp.count());
+}
+
+} // namespace marjorambeam
--- /dev/null
+++ b/src/gateway/upstream_notice_test.cpp
@@ -0,0 +1,263 @@
+#include "gateway/upstream_board.hpp"
+
+#include "state_search/state_search.hpp"
+
+#include <catch2/catch.hpp>
+#include <memory>
+#include <string>
+
+using namespace marjorambeam;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace
+{
+
+constexpr steady_time now{seconds(100)};
+constexpr std::int64_t born = 7;
+choice_question const question{.service = "pool", .zone = "z1"};
+
+void add(upstream_board& b, std::string const& id, std::int64_t started = born)
+{
+    auto u = std::make_shared<upstream_state>();
+    u->info = {
+        .id = id,
+        .service = "pool",
+        .zone = "z1",
+        .slots = 8,
+        .started_unix_ms = started};
+    put_upstream(b, u);
+}
+
+std::string
+chosen(upstream_board& b, steady_time at, choice_question const& q = question)
+{
+    upstream_choice const c = choose_upstream(b, q, at);
+    return c.chosen ? c.chosen->info.id : "";
+}
+
+} // namespace
+
+// Guards against work for an upstream that leaves, by its first word and until
+// its end, also when its entry lapses and is back while the store is away.
+TEST_CASE("An upstream that says it leaves gets nothing in this lifetime")
+{
+    upstream_board b;
+    add(b, "a");
+    CHECK(note_leaving(b.notices, "a", born, now));
+    CHECK_FALSE(note_leaving(b.notices, "a", born, now));
+    CHECK(choose_upstream(b, question, now).failure == choice_failure::leaving);
+    erase_upstream(b, b.by_id.find("a"));
+    add(b, "a");
+    CHECK(chosen(b, now + seconds(3600)).empty());
+    add(b, "a", born + 1);
+    CHECK(chosen(b, now) == "a");
+    // A late word of the earlier lifetime.
+    CHECK(find_notice(b, *b.by_id["a"]) == nullptr);
+}
+
+// Guards against requests within a pause, and a pause that a later word makes
+// shorter.
+TEST_CASE("An upstream that asks for time gets nothing until its end")
+{
+    upstream_board b;
+    add(b, "a");
+    CHECK(note_pause(b.notices, "a", born, seconds(4), 0, now));
+    CHECK_FALSE(note_pause(b.notices, "a", born, seconds(1), 0, now));
+    for (auto const passed : {0, 1000, 3999})
+    {
+        upstream_choice const c =
+            choose_upstream(b, question, now + milliseconds(passed));
+        CHECK(c.failure == choice_failure::paused);
+        CHECK(c.resumes_at == now + seconds(4));
+    }
+    CHECK(chosen(b, now + seconds(4)) == "a");
+    add(b, "b");
+    CHECK(chosen(b, now) == "b");
+}
+
+// Guards against a call that may not be repeated and is refused for good,
+// although the upstream that has not run it will take it soon.
+TEST_CASE("An upstream that turned a request away is waited for")
+{
+    upstream_board b;
+    add(b, "a");
+    note_pause(b.notices, "a", born, milliseconds(100), 0, now);
+    std::vector<std::string> const tried{"a"};
+    choice_question q = question;
+    q.tried = tried;
+    CHECK(choose_upstream(b, q, now).failure == choice_failure::paused);
+}
+
+// Guards against the herd after a pause: all gateways send all that they held
+// at the moment at which it ends.
+TEST_CASE("Work returns after a pause in a ramp, gateways one after another")
+{
+    steady_time first = steady_time::max();
+    steady_time last = steady_time::min();
+    constexpr std::uint64_t gateways = 68;
+    for (std::uint64_t i = 0; i < gateways; ++i)
+    {
+        upstream_notices all;
+        note_pause(all, "a", born, seconds(1), i * 7919, now);
+        steady_time const at = find_notice(all, "a", born)->resumes_at;
+        CHECK(at >= now + seconds(1));
+        first = std::min(first, at);
+        last = std::max(last, at);
+    }
+    CHECK(last - first > resume_spread / 2);
+    CHECK(last <= now + seconds(1) + resume_spread);
+
+    upstream_board b;
+    add(b, "a");
+    note_pause(b.notices, "a", born, seconds(1), 0, now);
+    steady_time const end = now + seconds(1);
+    std::uint32_t sent = 0;
+    for (; !chosen(b, end).empty(); ++sent)
+        ++b.by_id["a"]->requests;
+    CHECK(sent == 1);
+    CHECK(chosen(b, end + resume_ramp / 2) == "a");
+    b.by_id["a"]->requests = 5;
+    CHECK(
+        choose_upstream(b, question, end + resume_ramp / 2).failure ==
+        choice_failure::full);
+    CHECK(chosen(b, end + resume_ramp) == "a");
+}
+
+namespace
+{
+
+// One upstream as it is, and a gateway's board.
+struct notice_world
+{
+    int second = 0;
+    std::int64_t lifetime = 1;
+    bool is_leaving = false; // has said so in this lifetime
+    int paused_until = 0;    // by its words in this lifetime
+    upstream_board board;
+    std::string wrong;
+};
+
+std::string key_of(notice_world const& w)
+{
+    auto const listed = w.board.by_id.find("a");
+    auto const noticed = w.board.notices.find("a");
+    upstream_notice const n =
+        noticed == w.board.notices.end() ? upstream_notice{} : noticed->second;
+    std::string out = w.wrong;
+    for (std::int64_t const it :
+         {std::int64_t{w.second}, w.lifetime, std::int64_t{w.is_leaving},
+          std::int64_t{w.paused_until},
+          listed == w.board.by_id.end() ? 0
+                                        : listed->second->info.started_unix_ms,
+          n.started_unix_ms, std::int64_t{n.is_leaving},
+          n.paused_until.time_since_epoch().count()})
+        out += std::to_string(it) + ",";
+    return out;
+}
+
+steady_time at(int second)
+{
+    return now + seconds(second);
+}
+
+// Copies the board with upstreams of its own.
+notice_world copy_of(notice_world const& w)
+{
+    notice_world c = w;
+    c.board.by_id.clear();
+    c.board.by_number.clear();
+    for (auto const& [id, u] : w.board.by_id)
+        put_upstream(c.board, std::make_shared<upstream_state>(*u));
+    return c;
+}
+
+void send_one(notice_world& w)
+{
+    upstream_choice const c = choose_upstream(w.board, question, at(w.second));
+    if (!c.chosen || c.chosen->info.started_unix_ms != w.lifetime)
+        return; // another lifetime turns it away by its name
+    if (w.is_leaving)
+        w.wrong = "sent to an upstream that leaves";
+    if (w.second < w.paused_until)
+        w.wrong = "sent to an upstream within its pause";
+}
+
+template <class Emit>
+void notice_steps(notice_world const& w, Emit emit)
+{
+    auto step = [&](char const* label, auto change)
+    {
+        notice_world c = copy_of(w);
+        change(c);
+        emit(label, std::move(c));
+    };
+    constexpr int last_second = 5;
+    if (w.second < last_second)
+        step("time", [](notice_world& c) { ++c.second; });
+    step("send", send_one);
+    step(
+        "leave",
+        [](notice_world& c)
+        {
+            c.is_leaving = true;
+            note_leaving(c.board.notices, "a", c.lifetime, at(c.second));
+        });
+    for (int const pause : {1, 3})
+        step(
+            "pause",
+            [pause](notice_world& c)
+            {
+                c.paused_until = std::max(c.paused_until, c.second + pause);
+                note_pause(
+                    c.board.notices, "a", c.lifetime, seconds(pause), 0,
+                    at(c.second));
+            });
+    if (w.board.by_id.contains("a"))
+        step(
+            "lapse", [](notice_world& c)
+            { erase_upstream(c.board, c.board.by_id.find("a")); });
+    step("list", [](notice_world& c) { add(c.board, "a", c.lifetime); });
+    if (w.lifetime == 2)
+        step(
+            "late word", [](notice_world& c)
+            { note_leaving(c.board.notices, "a", 1, at(c.second)); });
+    if (w.lifetime == 1)
+        step(
+            "restart",
+            [](notice_world& c)
+            {
+                c.lifetime = 2;
+                c.is_leaving = false;
+                c.paused_until = 0;
+            });
+}
+
+} // namespace
+
+// Guards against an order of answers, lapses, lists and restarts after which an
+// upstream gets a request although it leaves or is within its pause.
+TEST_CASE("In no order of events is a notice forgotten or misplaced")
+{
+    notice_world start;
+    add(start.board, "a", 1);
+    search_result const r = search_states(
+        start, key_of,
+        [](notice_world const& w, auto&& emit) { notice_steps(w, emit); },
+        [](notice_world const& w) { return w.wrong; }, 100000);
+    CAPTURE(r.path);
+    CHECK(r.fault.empty());
+    CHECK(r.is_complete);
+    CHECK(r.states > 300);
+}
+
+// Guards against memory that grows with every upstream that ever left.
+TEST_CASE("Only so many notices are kept, the newest ones")
+{
+    upstream_notices all;
+    for (std::size_t i = 0; i <= max_notices; ++i)
+        note_leaving(all, std::to_string(i), born, now + milliseconds(i));
+    CHECK(all.size() == max_notices);
+    CHECK(find_notice(all, "0", born) == nullptr);
+    CHECK(find_notice(all, std::to_string(max_notices), born) != nullptr);
+}
--- a/src/log/log_events.cpp
+++ b/src/log/log_events.cpp
@@ -108,6 +108,22 @@
         upstream_broke_connection, "upstream_broke_connection",
         log_level::warning, "The upstream dropped a connection.",
         "It may have crashed."},
+    log_event_row{
+        upstream_says_leaving, "upstream_says_leaving", log_level::info,
+        "The upstream says that it leaves.",
+        "An answer of `upstream`, of lifetime `started_ms`, said so; it gets "
+        "no "
+        "more requests from this gateway, whatever the store lists."},
+    log_event_row{
+        upstream_asks_pause, "upstream_asks_pause", log_level::info,
+        "The upstream asks for a pause.",
+        "`upstream`, of lifetime `started_ms`, turned a request away and wants "
+        "nothing for `pause_ms`."},
+    log_event_row{
+        upstream_pause_bad, "upstream_pause_bad", log_level::warning,
+        "The upstream names no valid time to come back.",
+        "`upstream` turned a request away with a time that can't be read, is "
+        "negative or longer than an hour; it is ignored."},
     log_event_row{
         zone_changed, "zone_changed", log_level::info,
         "Availability zone changes.", "`zone` is taken out or comes back."},
