Let a reader list the configuration when the fleet's word on keys grows old

A watch vouches only as of 1.2 s before the end of its wait, since it may be deaf, and the next word comes a whole wait later: 2.6 s at worst, of 4.5 s that are served without one.

Change: must_ask_config() lets the reader with the smallest patience list the configuration at 0.6 s (object_query), beside its watch; the others hear of it in reports. A config watch that times out although a list was answered since its wait ended is silent by itself, and the store is not lost.

Key bound and its margin are as before.

--- a/src/gateway/gateway_state_test.cpp
+++ b/src/gateway/gateway_state_test.cpp
@@ -208,8 +208,12 @@
     s.settings.key_bound = seconds(5);
     s.config = std::make_shared<gateway_config const>();
     confirm_config(s, now);
+    CHECK_FALSE(must_ask_config(s, now + milliseconds(500)));
+    CHECK(must_ask_config(s, now + milliseconds(1100))); // as a reader
+    s.is_reader = false;
     CHECK_FALSE(must_ask_config(s, now + seconds(3)));
     CHECK(must_ask_config(s, now + milliseconds(3300)));
+    s.is_reader = true;
     s.config_behind = now;
     CHECK_FALSE(must_ask_config(s, now + milliseconds(300)));
     CHECK(must_ask_config(s, now + milliseconds(500)));
--- a/src/gateway/object_watch.hpp
+++ b/src/gateway/object_watch.hpp
@@ -178,6 +178,11 @@
     // Takes a relayed change if it starts from this copy's state and is newer;
     // whether it did. Precondition: `is_parked()`.
     bool apply(state_change&& change);
+    // When the present call was to be answered at the latest.
+    steady_time answer_due() const
+    {
+        return sent_at_ + timing_.wait;
+    }
     // Sends its call again on another connection, because the one in use may
     // be dead. Precondition: started.
     void renew();
--- a/src/gateway/store_controller.cpp
+++ b/src/gateway/store_controller.cpp
@@ -28,6 +28,8 @@
     .settle = milliseconds(120),
     .first_pause = milliseconds(300)};
 
+constexpr duration query_patience = milliseconds(800);
+
 // Each call is priced; dead connections are found by TCP probes.
 watch_timing long_timing(duration settle)
 {
@@ -81,6 +83,14 @@
           handlers(
               &store_controller::take_configs, &store_controller::take_config,
               std::nullopt))
+    , config_query_(
+          client, protocol, state.settings.store_address,
+          std::string(documents.config_kind), query_patience,
+          {.on_objects = [this](std::vector<platform_object>&& all)
+           { take_configs(std::move(all)); },
+           .on_contact = [this](steady_time as_of) { on_contact(as_of, true); },
+           // The watch finds out whether the store is lost.
+           .on_failure = [this](error const& why) { on_failure(why, false); }})
     , upstreams_(
           loop, client, protocol, state.settings.store_address,
           std::string(documents.upstream_kind), long_timing(upstream_settle),
@@ -123,8 +133,16 @@
         { (this->*on_change)(std::move(o)); },
         .on_contact = [this, is_config](std::optional<steady_time> as_of)
         { on_contact(as_of, is_config); },
-        .on_failure = [this, is_config](error const& why)
-        { on_failure(why, is_config); },
+        .on_failure =
+            [this, is_config](error const& why)
+        {
+            // The store has answered another call since: the watch alone was
+            // silent.
+            bool const is_answered = why.kind == error_kind::upstream_silent &&
+                                     state_.store_heard &&
+                                     *state_.store_heard > config_.answer_due();
+            on_failure(why, is_config && !is_answered);
+        },
         .on_history_dropped = [this]
         { note_history_dropped(state_, boot_now()); },
         .on_copied =
--- a/src/gateway/store_controller.hpp
+++ b/src/gateway/store_controller.hpp
@@ -10,6 +10,7 @@
 
 #include "event_loop/event_loop.hpp"
 #include "gateway/gateway_state.hpp"
+#include "gateway/object_query.hpp"
 #include "gateway/object_watch.hpp"
 #include "gateway/state_relay.hpp"
 #include "http_client/http_client.hpp"
@@ -118,6 +119,7 @@
     store_documents const& documents_;
     logger log_{"store"};
     object_watch config_;
+    object_query config_query_; // of a reader
     object_watch upstreams_;
     object_watch shifts_;
     object_watch zones_;
--- a/src/gateway/store_duty.cpp
+++ b/src/gateway/store_duty.cpp
@@ -41,6 +41,10 @@
 constexpr double unvouched_part = 0.7;
 // A watch that is well tells of a change within half a second of the peers'.
 constexpr duration longest_behind = milliseconds(400);
+// Readers renew the word on the configuration at this age, so that most of the
+// key bound is left when the store goes away.
+constexpr duration first_vouch = milliseconds(600);
+constexpr duration shortest_vouch_spread = milliseconds(400);
 // Without a watch, gateways that are behind ask within this time, not all at
 // the same moment.
 constexpr duration ask_spread = milliseconds(200);
@@ -99,6 +103,15 @@
     return longest * step / spread_steps;
 }
 
+// Age of the fleet's word at which this reader renews it. The first one by this
+// time does so for all, and the others hear of it within two reports.
+duration vouch_patience(gateway_state const& s)
+{
+    duration const spread = std::max(
+        shortest_vouch_spread, 2 * report_period(s.peers.size(), true));
+    return first_vouch + own_part(s, spread);
+}
+
 duration unheard_patience(gateway_state const& s, steady_time now)
 {
     if (!is_in_outage(s, now))
@@ -174,6 +187,8 @@
     bool const is_behind = s.config_behind && now - *s.config_behind > patience;
     if (is_behind)
         return true;
+    if (s.is_reader && now - *s.config_confirmed > vouch_patience(s))
+        return true;
     if (is_in_outage(s, now) && !hears_reader(s, now))
         return false;
     double const served =
--- a/src/gateway/store_duty.hpp
+++ b/src/gateway/store_duty.hpp
@@ -50,9 +50,10 @@
 // been heard for a moment. Updates `s.is_reader` and `s.reader_heard`.
 void update_role(gateway_state& s, steady_time now);
 
-// Whether the configuration is to be asked for at once: nobody's word on it is
-// fresh, or a peer has had a newer one for longer than a watch needs. Nobody
-// asks for want of a word while the store is known to be away.
+// Whether the configuration is to be asked for at once: this reader is the one
+// that renews the word on it, nobody's word is fresh, or a peer has had a newer
+// one for longer than a watch needs. Nobody asks for want of a word while the
+// store is known to be away.
 bool must_ask_config(gateway_state const& s, steady_time now);
 
 // Whether this gateway is one of those that ask often for the store's return
--- a/src/gateway/store_reading.cpp
+++ b/src/gateway/store_reading.cpp
@@ -20,8 +20,8 @@
 // that the store is back.
 constexpr duration lost_probe_pause = milliseconds(2000);
 constexpr duration unhurried_retry = milliseconds(6000);
-// After a list that may have been stale.
-constexpr duration stale_ask_pause = milliseconds(300);
+// After a list that may have been stale, and between those of a reader.
+constexpr duration short_ask_pause = milliseconds(300);
 // Relayed changes go out in batches of this many datagrams, which a slow link
 // and the buffers of its sockets hold.
 constexpr std::size_t relay_batch = 32;
@@ -208,11 +208,11 @@
 {
     if (must_ask_config(state_, now) && now >= next_config_ask_)
     {
-        next_config_ask_ =
-            now + (has_asked_stale_ ? ask_pause : stale_ask_pause);
+        bool const is_patient = config_.is_parked() && has_asked_stale_;
+        next_config_ask_ = now + (is_patient ? ask_pause : short_ask_pause);
         state_.counters.count("config_asked_total");
         if (!config_.is_parked())
-            config_.ask_now();
+            config_query_.ask();
         else
             config_.list_now(
                 std::exchange(has_asked_stale_, !has_asked_stale_)
