Begin no work at an agent that can't end before its deadline

Cause: agent:a request ends at its deadline failed beside load. Two requests with one deadline each arrived a moment apart; when the agent's tick fell between the two deadlines, the first one ended, its place was free, and the second began at the engine with a millisecond left.

Change: dispatch() drops what has less than 20 ms left, at each call and not only at a tick. A fleet of the process tests that is not ready in time says which daemon lacks what.

Ruled out: a longer deadline in the test; it would hide work that nobody waits for.

--- a/src/agent/agent_controller.cpp
+++ b/src/agent/agent_controller.cpp
@@ -48,7 +48,6 @@
 void agent_controller::tick(steady_time now)
 {
     check_parked(now);
-    drop_expired(now);
     check_running(now);
     dispatch(now);
     connections_.tick(now);
--- a/src/agent/agent_failure_test.cpp
+++ b/src/agent/agent_failure_test.cpp
@@ -199,6 +199,31 @@
     CHECK(f.engine.counts().started == 1);
 }
 
+// Guards against work that nobody waits for: a request that gets its place when
+// a moment of its time is left, as the one before it ends at its own deadline.
+TEST_CASE("a request that can't end before its deadline is not begun")
+{
+    agent_fixture f({.token_interval = std::chrono::milliseconds(50)});
+    f.change_config(
+        [](config_snapshot& c)
+        {
+            c.upstreams["up-1"].cold_concurrency = 1;
+            c.upstreams["up-1"].warm_concurrency = 1;
+        });
+    // The agent looks at deadlines every 10 ms.
+    int deadline_ms = 120;
+    for (std::string const id : {"r-1", "r-2"})
+    {
+        work_request r = model_request(id, "seam");
+        r.deadline_ms = deadline_ms;
+        deadline_ms += 15;
+        f.send(r);
+    }
+    CHECK(f.answer("r-1").failed->run == run_state::ran);
+    CHECK(f.answer("r-2").failed->run == run_state::not_run);
+    CHECK(f.engine.counts().started == 1);
+}
+
 // Guards against a charge that was executed and is reported as not run.
 TEST_CASE("a lost answer of a call that must not repeat is unknown")
 {
--- a/src/agent/agent_run.cpp
+++ b/src/agent/agent_run.cpp
@@ -10,6 +10,9 @@
 {
 
 constexpr int service_unavailable = 503;
+// Work with less time left is not begun; its end would be seen at the next
+// tick, too late for whoever waits.
+constexpr duration min_work_time = std::chrono::milliseconds(20);
 constexpr int first_server_error = 500;
 // Weight of the latest attempt in the moving averages.
 constexpr double average_weight = 0.1;
@@ -39,6 +42,7 @@
 void agent_controller::dispatch(steady_time now)
 {
     refresh_bounds(state_);
+    drop_expired(now);
     while (may_start_next(now))
     {
         std::uint64_t const id = state_.queue.pop()->id;
@@ -249,7 +253,7 @@
     error e = make_error(
         error_kind::deadline_exceeded, "the deadline passed in the queue");
     e.run = run_state::not_run;
-    for (queue_entry const& it : state_.queue.drop_expired(now))
+    for (queue_entry const& it : state_.queue.drop_expired(now + min_work_time))
         fail_attempt(*state_.attempts.find(it.id)->second, e);
 }
 
--- a/tests/process/process_fleet.cpp
+++ b/tests/process/process_fleet.cpp
@@ -170,8 +170,9 @@
     start_fakes();
     start_daemons();
     register_daemons();
-    if (!wait([this] { return is_ready(); }, start_limit))
-        throw std::runtime_error("the fleet is not ready; see " + directory_);
+    if (!wait([this] { return not_ready().empty(); }, start_limit))
+        throw std::runtime_error(
+            "the fleet is not ready: " + not_ready() + "see " + directory_);
 }
 
 void process_fleet::start(
@@ -314,21 +315,31 @@
     }
 }
 
-bool process_fleet::is_ready()
+std::string process_fleet::not_ready()
 {
-    return std::all_of(
-        daemons_.begin(), daemons_.end(),
-        [&](std::string const& name)
+    std::string out;
+    for (std::string const& name : daemons_)
+    {
+        json const all = get(url(name, "admin") + "/admin/status");
+        json const& s = all.contains("cluster") ? all["cluster"] : all;
+        json const peers = s.value("peers", json::array());
+        json missing = json::array();
+        for (json const& p : peers)
         {
-            json const all = get(url(name, "admin") + "/admin/status");
-            json const& s = all.contains("cluster") ? all["cluster"] : all;
-            std::size_t const known = static_cast<std::size_t>(std::count_if(
-                s["peers"].begin(), s["peers"].end(),
-                [](json const& p)
-                { return p["condition"] == "live" && p["generation"] > 0; }));
-            return s["is_ready"] == true && s["generation"] > 0 &&
-                   known + 1 >= daemons_.size();
-        });
+            if (p["condition"] != "live" || p["generation"] == 0)
+                missing.push_back(p);
+        }
+        bool const knows_all =
+            peers.size() - missing.size() + 1 >= daemons_.size();
+        if (s.value("is_ready", false) && s.value("generation", 0) > 0 &&
+            knows_all)
+            continue;
+        out += name + ": ready " + std::to_string(s.value("is_ready", false)) +
+               ", generation " + std::to_string(s.value("generation", 0)) +
+               ", peers " + std::to_string(peers.size()) + ", missing " +
+               missing.dump() + "; ";
+    }
+    return out;
 }
 
 child_process& process_fleet::process(std::string_view name)
--- a/tests/process/process_fleet.hpp
+++ b/tests/process/process_fleet.hpp
@@ -153,7 +153,8 @@
     void start_fakes();
     void start_daemons();
     void register_daemons();
-    bool is_ready();
+    // What daemons lack until all are ready and know one another; empty then.
+    std::string not_ready();
     void run_for(duration time);
     void wait_listening(std::vector<std::string> const& names);
 
