Judge no version by attempts without an answer once it serves all

The target takes all at 15.7 s; at 17.8 s half of the engines crash, 207 of 1,018 attempts at the target break, the other version has no requests any more to compare with, and the good version is reverted at 18.0 s.

Change: note_evidence() counts an attempt without an answer only while other versions serve beside the target; error answers count always.

Ruled out: leaving breaks out altogether (a version on trial that breaks its answers would not be noticed); counting one break per upstream (27 upstreams crash at once).

--- a/src/gateway/request_answer.cpp
+++ b/src/gateway/request_answer.cpp
@@ -219,7 +219,7 @@
             fail_attempt(error_kind::answer_cut, true, "ends in an event", now);
             return;
         }
-        judge_version(false);
+        judge_version(attempt_outcome::good);
         note_outcome(*upstream_, false, now);
         note_whole(context_.state.blame, fingerprint_);
         std::shared_ptr<upstream_connection> const c =
@@ -236,7 +236,8 @@
 void request_run::deliver_whole(steady_time now)
 {
     bool const is_failure = head_.status >= 500;
-    judge_version(is_failure);
+    judge_version(
+        is_failure ? attempt_outcome::error_answer : attempt_outcome::good);
     note_outcome(*upstream_, is_failure, now);
     std::shared_ptr<upstream_connection> const c =
         std::exchange(connection_, nullptr);
@@ -269,16 +270,13 @@
     pass_through_->add(std::max(ev_time() - context_.loop.now(), 0.0));
 }
 
-void request_run::judge_version(bool is_bad)
+void request_run::judge_version(attempt_outcome outcome)
 {
     auto const it = context_.state.shifts.find(service_);
     if (it == context_.state.shifts.end() || !upstream_)
         return;
     shift_track& t = it->second;
-    answer_counts& c =
-        upstream_->info.version == t.order.target ? t.own.target : t.own.others;
-    ++c.answers;
-    c.bad += is_bad ? 1 : 0;
+    note_evidence(t.order, t.own, upstream_->info.version, outcome);
 }
 
 } // namespace marjorambeam
--- a/src/gateway/request_end.cpp
+++ b/src/gateway/request_end.cpp
@@ -105,7 +105,7 @@
             suspect(
                 context_.state.blame, {fingerprint_, upstream_->info.id,
                                        upstream_->info.started_unix_ms, now});
-        judge_version(true);
+        judge_version(attempt_outcome::no_answer);
     }
     attempts_.last_failure = kind;
     found_ = {};
--- a/src/gateway/request_run.hpp
+++ b/src/gateway/request_run.hpp
@@ -123,7 +123,7 @@
         steady_time now);
     bool may_retry(bool may_have_run, steady_time now);
     void deliver_whole(steady_time now);
-    void judge_version(bool is_bad);
+    void judge_version(attempt_outcome outcome);
     void refuse(error_kind kind, duration retry_after, steady_time now);
     void give_up(error_kind kind, run_state ran, steady_time now);
     void answer_error(error const& e, steady_time now);
--- a/src/gateway/version_shift.cpp
+++ b/src/gateway/version_shift.cpp
@@ -32,6 +32,19 @@
 
 } // namespace
 
+void note_evidence(
+    shift_order const& order, shift_evidence& e, std::string_view version,
+    attempt_outcome outcome)
+{
+    bool const has_others =
+        order.state_target != order.target || !order.takes_all;
+    if (outcome == attempt_outcome::no_answer && !has_others)
+        return;
+    answer_counts& c = version == order.target ? e.target : e.others;
+    ++c.answers;
+    c.bad += outcome == attempt_outcome::good ? 0 : 1;
+}
+
 bool is_bad_version(shift_evidence const& e)
 {
     if (e.target.bad < min_bad)
--- a/src/gateway/version_shift.hpp
+++ b/src/gateway/version_shift.hpp
@@ -93,6 +93,21 @@
     std::string_view reason;
 };
 
+// How an attempt ended, for the judgement of its version.
+enum class attempt_outcome : std::uint8_t
+{
+    good,
+    error_answer, // the upstream has answered with an error
+    no_answer     // none, or one that is not whole
+};
+
+// Notes how an attempt at `version` ended. Attempts without an answer count
+// while other versions serve beside the target: upstreams that crash break
+// those of whichever version serves, and without others there is no telling.
+void note_evidence(
+    shift_order const& order, shift_evidence& e, std::string_view version,
+    attempt_outcome outcome);
+
 // Whether the target is bad by the evidence.
 bool is_bad_version(shift_evidence const& e);
 
--- a/src/gateway/version_shift_test.cpp
+++ b/src/gateway/version_shift_test.cpp
@@ -36,6 +36,41 @@
     }
 }
 
+// Guards against a good version that is reverted because many upstreams crash
+// when it serves all (espelho-vivo-grown, scale-2: half of the engines crash,
+// 207 of 1,018 attempts break, and the order is not done in time).
+TEST_CASE(
+    "A crash of many upstreams is not held against the version that serves")
+{
+    shift_order const all = order_of(shift_state::in_progress, true);
+    shift_evidence e{{30, 0}, {3000, 30}};
+    for (int i = 0; i < 800; ++i)
+        note_evidence(all, e, "v2", attempt_outcome::good);
+    for (int i = 0; i < 207; ++i)
+        note_evidence(all, e, "v2", attempt_outcome::no_answer);
+    CHECK(decide_shift(all, e, seconds(15)).state == shift_state::in_progress);
+    CHECK(decide_shift(all, e, seconds(17)).state == shift_state::completed);
+    for (int i = 0; i < 207; ++i)
+        note_evidence(all, e, "v2", attempt_outcome::error_answer);
+    CHECK(decide_shift(all, e, seconds(15)).state == shift_state::reverted);
+}
+
+// Guards against a bad version that breaks its answers off while it is on
+// trial, or whose number comes back after another was ordered.
+TEST_CASE("Attempts without an answer count while other versions serve")
+{
+    shift_order const trial = order_of(shift_state::in_progress);
+    shift_evidence e{{20, 0}, {3000, 30}};
+    for (int i = 0; i < 20; ++i)
+        note_evidence(trial, e, "v2", attempt_outcome::no_answer);
+    CHECK(is_bad_version(e));
+    shift_order stale = order_of(shift_state::in_progress, true);
+    stale.state_target = "v1";
+    shift_evidence other;
+    note_evidence(stale, other, "v1", attempt_outcome::no_answer);
+    CHECK(other.others.bad == 1);
+}
+
 // Guards against a good version that is reverted because its service fails
 // often on every version.
 TEST_CASE("Failures that both versions share are not held against one")
