Merge two branches of the choice of an upstream

Cause: a finding of the linter: an upstream that is in its ramp and one that is full were reported by two branches with one body.

Change: one branch, after those for unreachable and cold upstreams. Which reason is told can differ when several hold; whether one is chosen can not.

Ruled out: silencing the finding.

Before and after: 72 tests of src/gateway pass.

--- a/src/gateway/upstream_board.cpp
+++ b/src/gateway/upstream_board.cpp
@@ -286,15 +286,16 @@
         }
         if (std::find(q.tried.begin(), q.tried.end(), id) != q.tried.end())
             continue;
-        if (notice != nullptr &&
-            u->requests >= allowed_requests(*notice, u->info.slots, now))
-            at_least(choice_failure::full);
-        else if (now < u->avoid_until)
+        bool const is_ramping =
+            notice != nullptr &&
+            u->requests >= allowed_requests(*notice, u->info.slots, now);
+        bool const is_full =
+            q.max_requests > 0 && known_requests(*u, now) >= q.max_requests;
+        if (now < u->avoid_until)
             at_least(choice_failure::unreachable);
         else if (!bears_more(*u, q, now))
             at_least(choice_failure::cold);
-        else if (
-            q.max_requests > 0 && known_requests(*u, now) >= q.max_requests)
+        else if (is_ramping || is_full)
             at_least(choice_failure::full);
         else if (failure_rate(*u, now) > unsound_rate)
             unsound.push_back({u});
