--- a/src/agent/agent_failure_test.cpp
+++ b/src/agent/agent_failure_test.cpp
@@ -182,12 +182,7 @@
 TEST_CASE("a request ends at its deadline")
 {
     agent_fixture f({.token_interval = std::chrono::milliseconds(50)});
-    f.change_config(
-        [](config_snapshot& c)
-        {
-            c.upstreams["up-1"].cold_concurrency = 1;
-            c.upstreams["up-1"].warm_concurrency = 1;
-        });
+    f.allow_one_at_once();
     for (std::string const id : {"r-1", "r-2"})
     {
         work_request r = model_request(id, "seam");
@@ -204,13 +199,7 @@
 TEST_CASE("a request that can't end before its deadline is not begun")
 {
     agent_fixture f({.token_interval = std::chrono::milliseconds(50)});
-    f.change_config(
-        [](config_snapshot& c)
-        {
-            c.upstreams["up-1"].cold_concurrency = 1;
-            c.upstreams["up-1"].warm_concurrency = 1;
-        });
-    // The agent looks at deadlines every 10 ms.
+    f.allow_one_at_once();
     int deadline_ms = 120;
     for (std::string const id : {"r-1", "r-2"})
     {
--- a/src/agent/agent_refusal_test.cpp
+++ b/src/agent/agent_refusal_test.cpp
@@ -143,12 +143,7 @@
 TEST_CASE("a version withdrawn while a request waits is not run")
 {
     agent_fixture f({.token_interval = std::chrono::milliseconds(5)});
-    f.change_config(
-        [](config_snapshot& c)
-        {
-            c.upstreams["up-1"].cold_concurrency = 1;
-            c.upstreams["up-1"].warm_concurrency = 1;
-        });
+    f.allow_one_at_once();
     f.send(model_request("r-1", "seam"));
     f.send(model_request("r-2", "seam"));
     REQUIRE(f.run_until(
--- a/src/agent/agent_test_support.hpp
+++ b/src/agent/agent_test_support.hpp
@@ -174,6 +174,17 @@
         cluster.config = std::make_shared<config_snapshot const>(std::move(c));
     }
 
+    // Lets the upstream run one request at once, cold or warm.
+    void allow_one_at_once()
+    {
+        change_config(
+            [](config_snapshot& c)
+            {
+                c.upstreams["up-1"].cold_concurrency = 1;
+                c.upstreams["up-1"].warm_concurrency = 1;
+            });
+    }
+
     // Runs the loop until the condition holds, for at most 20 s.
     template <class Condition>
     bool run_until(Condition condition)
