--- a/src/gateway/proxied_request.cpp
+++ b/src/gateway/proxied_request.cpp
@@ -223,6 +223,7 @@
     work_before_first_event_ = c.work;
     if (now < upstream_->cold_until)
         upstream_->cold_sends.add(now);
+    count_limited_send();
     if (attempts_.arrivals > 0)
         budget().extras.add(now);
     ++attempts_.arrivals;
@@ -266,6 +267,18 @@
     return true;
 }
 
+// Counts the sends to upstreams that name a limit, by the kind of attempt.
+void proxied_request::count_limited_send()
+{
+    upstream_notice const* const n =
+        find_notice(context_.state.upstreams, *upstream_);
+    if (n == nullptr || !n->limit.per_second)
+        return;
+    std::string_view const retry = model_ > 0 ? "larger_model" : "repeated";
+    context_.state.counters.count(
+        "limited_sends_total", attempts_.sends == 0 ? "first" : retry, scope());
+}
+
 void proxied_request::arm_attempt_timer()
 {
     attempt_timer_.start(std::min(check_period, route_.target / 2));
--- a/src/gateway/proxied_request.hpp
+++ b/src/gateway/proxied_request.hpp
@@ -111,6 +111,7 @@
     void set_model(std::size_t model);
     upstream_query make_query(version_rule const& rule) const;
     bool dispatch(upstream_selection const& c, steady_time now);
+    void count_limited_send();
     void queue_or_refuse(steady_time now);
     duration max_queue_time() const;
     duration retry_after_for(error_kind kind, steady_time now) const;
@@ -118,6 +119,7 @@
     void release_work(double part);
     void on_head(http_response_head&& head);
     void record_upstream_notices(upstream_response const& a, steady_time now);
+    void record_upstream_limit(upstream_response const& a, steady_time now);
     void on_upstream_refusal(upstream_response const& a);
     bool try_larger_model(upstream_response const& a, steady_time now);
     void start_response(http_response_head&& head);
--- a/src/gateway/proxied_request_response.cpp
+++ b/src/gateway/proxied_request_response.cpp
@@ -20,6 +20,11 @@
 // measured as too slow.
 constexpr duration load_warm_up = std::chrono::milliseconds(1000);
 
+std::string limit_text(std::optional<double> per_second)
+{
+    return per_second ? std::to_string(*per_second) : "none";
+}
+
 } // namespace
 
 void proxied_request::on_head(http_response_head&& head)
@@ -93,6 +98,7 @@
             log_event::upstream_pause_bad,
             {{"upstream", u.id}, {"started_ms", incarnation}});
     }
+    record_upstream_limit(a, now);
     std::uint64_t const hash = hash64(context_.state.settings.instance);
     if (a.pause &&
         record_pause(all, u.id, u.started_unix_ms, *a.pause, hash, now))
@@ -105,6 +111,39 @@
     }
 }
 
+void proxied_request::record_upstream_limit(
+    upstream_response const& a, steady_time now)
+{
+    upstream_info const& u = upstream_->info;
+    upstream_notices& all = context_.state.upstreams.notices;
+    metrics& m = context_.state.counters;
+    std::string const incarnation = std::to_string(u.started_unix_ms);
+    if (a.has_invalid_limit)
+    {
+        m.count("upstream_notices_total", "bad_limit");
+        context_.log.write(
+            log_event::upstream_limit_bad,
+            {{"upstream", u.id}, {"started_ms", incarnation}});
+        return;
+    }
+    upstream_notice const* const known =
+        find_notice(all, u.id, u.started_unix_ms);
+    std::optional<double> const before =
+        known == nullptr ? std::nullopt : known->limit.per_second;
+    limit_word const* const word = record_limit(
+        all, u.id, u.started_unix_ms, a.limit_per_second, sent_, now);
+    if (word == nullptr)
+        return;
+    m.count("upstream_notices_total", word->per_second ? "limit" : "no_limit");
+    context_.log.write(
+        log_event::upstream_limit_changed,
+        {{"upstream", u.id},
+         {"started_ms", incarnation},
+         {"limit_per_s", limit_text(word->per_second)},
+         {"before", limit_text(before)},
+         {"change", std::to_string(word->change)}});
+}
+
 void proxied_request::on_upstream_refusal(upstream_response const& a)
 {
     steady_time const now = boot_now();
--- /dev/null
+++ b/src/gateway/upstream_limit_test.cpp
@@ -0,0 +1,63 @@
+#include "gateway/upstream_limit.hpp"
+
+#include "gateway/upstream_notice.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace marjorambeam;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace
+{
+
+constexpr steady_time now{seconds(100)};
+
+} // namespace
+
+// Guards against a limit that is kept after the upstream stopped naming it, and
+// against one that is not noticed.
+TEST_CASE("A limit holds for as long as the upstream names it")
+{
+    limit_word w;
+    CHECK_FALSE(record_response_limit(w, std::nullopt, now, now));
+    CHECK(record_response_limit(w, 1.5, now, now + seconds(1)));
+    CHECK(w.per_second == 1.5);
+    CHECK_FALSE(
+        record_response_limit(w, 1.5, now + seconds(1), now + seconds(2)));
+    CHECK(record_response_limit(w, 4, now + seconds(2), now + seconds(3)));
+    CHECK(record_response_limit(
+        w, std::nullopt, now + seconds(3), now + seconds(4)));
+    CHECK_FALSE(w.per_second);
+    CHECK(w.change == 3);
+}
+
+// Guards against a response that was held up on its way and ends or raises a
+// limit that the upstream named after it.
+TEST_CASE("A response that may be older only lowers a limit")
+{
+    limit_word w;
+    steady_time const learned = now + seconds(1);
+    CHECK(record_response_limit(w, 2, now, learned));
+    steady_time const sent = learned - milliseconds(1);
+    CHECK_FALSE(record_response_limit(w, std::nullopt, sent, now + seconds(9)));
+    CHECK_FALSE(record_response_limit(w, 3, sent, now + seconds(9)));
+    CHECK(record_response_limit(w, 1, sent, now + seconds(9)));
+    CHECK(w.per_second == 1.0);
+}
+
+// Guards against a limit that outlives the process that named it, and against
+// notices about upstreams that never named one.
+TEST_CASE("A limit belongs to one incarnation of the upstream")
+{
+    upstream_notices all;
+    CHECK(record_limit(all, "a", 7, std::nullopt, now, now) == nullptr);
+    CHECK(all.empty());
+    REQUIRE(record_limit(all, "a", 7, 1, now, now) != nullptr);
+    CHECK(record_limit(all, "a", 6, 9, now, now) == nullptr);
+    CHECK(find_notice(all, "a", 7)->limit.per_second == 1.0);
+    CHECK(record_limit(all, "a", 8, std::nullopt, now, now) == nullptr);
+    CHECK(find_notice(all, "a", 8) == nullptr);
+    REQUIRE(record_limit(all, "a", 8, 3, now, now) != nullptr);
+    CHECK(find_notice(all, "a", 7) == nullptr);
+}
--- a/src/gateway/upstream_notice.cpp
+++ b/src/gateway/upstream_notice.cpp
@@ -76,6 +76,20 @@
     return true;
 }
 
+limit_word const* record_limit(
+    upstream_notices& all, std::string_view id, std::int64_t started_unix_ms,
+    std::optional<double> per_second, steady_time sent, steady_time now)
+{
+    // Most upstreams never name a limit and need no notice.
+    if (!per_second && find_notice(all, id, started_unix_ms) == nullptr)
+        return nullptr;
+    upstream_notice* const n =
+        find_or_add_notice(all, id, started_unix_ms, now);
+    if (n == nullptr || !record_response_limit(n->limit, per_second, sent, now))
+        return nullptr;
+    return &n->limit;
+}
+
 std::uint32_t
 allowed_requests(upstream_notice const& n, std::uint32_t slots, steady_time now)
 {
--- a/src/gateway/upstream_notice.hpp
+++ b/src/gateway/upstream_notice.hpp
@@ -1,5 +1,5 @@
-// What an upstream reports about itself in a response: that it is draining, or
-// that it requests a pause.
+// What an upstream reports about itself in a response: that it is draining,
+// that it requests a pause, or how many requests per second it accepts.
 //
 // Example:
 //   upstream_notices all;
@@ -13,6 +13,7 @@
 #pragma once
 
 #include "base/time.hpp"
+#include "gateway/upstream_limit.hpp"
 
 #include <cstdint>
 #include <map>
@@ -29,6 +30,7 @@
     bool is_draining = false;
     steady_time paused_until{}; // end of the requested pause
     steady_time resumes_at{};   // no requests before, see record_pause()
+    limit_word limit;
 };
 
 using upstream_notices = std::map<std::string, upstream_notice, std::less<>>;
@@ -60,6 +62,14 @@
     upstream_notices& all, std::string_view id, std::int64_t started_unix_ms,
     duration pause, std::uint64_t hash, steady_time now);
 
+// Records the request limit in a response of the upstream, or that it names
+// none; see record_response_limit(). Returns the changed word, or null if
+// nothing changed. The pointer is valid until the notice is removed. Not
+// thread-safe.
+limit_word const* record_limit(
+    upstream_notices& all, std::string_view id, std::int64_t started_unix_ms,
+    std::optional<double> per_second, steady_time sent, steady_time now);
+
 // Returns how many requests of this gateway may run at the upstream at `now`:
 // none during a pause, a growing part of its `slots` during the ramp after it,
 // and any number from then on. Thread-safe.
--- a/src/log/log_events.cpp
+++ b/src/log/log_events.cpp
@@ -124,6 +124,17 @@
         "The upstream names no valid time to come back.",
         "`upstream` turned a request away with a time that can't be read, is "
         "negative or longer than an hour; it is ignored."},
+    log_event_row{
+        upstream_limit_changed, "upstream_limit_changed", log_level::info,
+        "The upstream's request limit changed.",
+        "An answer of `upstream`, of lifetime `started_ms`, named "
+        "`limit_per_s` for all gateways together (`none`: no limit any more); "
+        "before it was `before`. `change` is the number of the change."},
+    log_event_row{
+        upstream_limit_bad, "upstream_limit_bad", log_level::warning,
+        "The upstream names no valid request limit.",
+        "The limit in an answer of `upstream` can't be read or is negative; it "
+        "is ignored, and what was known stays."},
     log_event_row{
         zone_changed, "zone_changed", log_level::info,
         "Availability zone changes.", "`zone` is taken out or comes back."},
--- a/src/log/log_events.hpp
+++ b/src/log/log_events.hpp
@@ -54,6 +54,8 @@
     upstream_says_leaving,
     upstream_asks_pause,
     upstream_pause_bad,
+    upstream_limit_changed,
+    upstream_limit_bad,
     zone_changed,
     rollout_seen,
     rollout_version_bad,
