Share the request limit of an upstream over all gateways

What callers of the upstream saw: an upstream in need that named 1 request a second got 13 to 17 in 4 s (allowed 11 and 12). Cause: no decision read the limit. The class of fault: a limit that holds for the fleet and is known to single gateways only. Obeying it at each gateway alone would have passed with one gateway and sent four times the limit with four. Change: the limit is a token bucket (upstream_limit) of a few gateways, ranked by a hash over the live ones and as many as get 2 requests a second. A gateway that gains a share waits for a live window; one whose loop stood still for 0.5 s starts over; the part of gateways that are not heard stays unused, so that the sides of a partition add up to the limit. A gateway without a share that has no other upstream claims one token from a sharer; the validity counts from the claim, by its own clock. If nothing is left the request is refused at once (upstream_limited), with a time to come back that is spread over what the limits can take. Ruled out: a share for each registered gateway (at 350 gateways and a limit of 1 each would have a request in six minutes, and full buckets could go off together); thinning by chance (no bound in a window); a lease in the store (a call for each token).

--- a/src/ctl/explain_log.cpp
+++ b/src/ctl/explain_log.cpp
@@ -56,6 +56,9 @@
     kind_reason{
         error_kind::upstream_paused,
         "every upstream that was left had asked for time"},
+    kind_reason{
+        error_kind::upstream_limited,
+        "every upstream that was left was at the request limit that it names"},
     kind_reason{
         error_kind::upstream_out,
         "another instance answered at the upstream's address"},
--- a/src/error/error.cpp
+++ b/src/error/error.cpp
@@ -104,6 +104,9 @@
     error_answer{
         kind::upstream_paused, "upstream_paused", 503, run::not_run,
         advice::later, seconds(1)},
+    error_answer{
+        kind::upstream_limited, "upstream_limited", 503, run::not_run,
+        advice::later, seconds(1)},
     error_answer{
         kind::upstream_crashed, "upstream_crashed", 502, run::unknown,
         advice::same_key, seconds(1)},
--- a/src/error/error.hpp
+++ b/src/error/error.hpp
@@ -59,6 +59,7 @@
     availability_zone_out,
     upstream_cold,
     upstream_paused,
+    upstream_limited,
     upstream_crashed,
     upstream_failed,
     upstream_silent,
--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -45,8 +45,11 @@
           [this](message&& m) { on_message(std::move(m)); },
           [this](error const& e)
           { state_.counters.count("bad_datagrams_total", to_string(e.kind)); })
+    , limits_(
+          state_, peers_,
+          [this](steady_time now) { requests_.dispatch_waiting(now); })
     , requests_(
-          loop, state_, protocols.calls, pool_)
+          loop, state_, protocols.calls, pool_, limits_)
     , store_(
           loop, state_, client_, peers_, protocols.store, protocols.documents)
     , readiness_(
@@ -93,6 +96,7 @@
     m.set("log_lines_held_back_total", static_cast<double>(lines.held_back));
     m.set("log_lines_unread_total", static_cast<double>(lines.unread));
     m.set("requests_active", static_cast<double>(requests_.active()));
+    limits_.set_gauges();
     return m.render();
 }
 
@@ -144,6 +148,7 @@
     state_.upstreams.pending_samples.clear();
     for (auto const& [name, p] : state_.peers)
         peers_.send(p.address, m);
+    limits_.send_report(now);
 }
 
 void gateway_daemon::report_crashes()
@@ -196,6 +201,10 @@
         else
             state_.counters.count("bad_datagrams_total", "break");
     }
+    else if (call != nullptr)
+    {
+        limits_.on_message(*call, now);
+    }
 }
 
 void gateway_daemon::tick()
@@ -203,6 +212,7 @@
     steady_time const now = boot_now();
     last_tick_ = now;
     store_.tick(now);
+    limits_.tick(now);
     send_reports(now);
     report_crashes();
     expire_reports(state_, now);
--- a/src/gateway/gateway_daemon.hpp
+++ b/src/gateway/gateway_daemon.hpp
@@ -11,6 +11,7 @@
 
 #include "event_loop/event_loop.hpp"
 #include "gateway/gateway_state.hpp"
+#include "gateway/limit_controller.hpp"
 #include "gateway/peer_report.hpp"
 #include "gateway/request_controller.hpp"
 #include "gateway/store_controller.hpp"
@@ -81,6 +82,7 @@
     http_client client_;
     upstream_pool pool_;
     datagram_socket peers_;
+    limit_controller limits_;
     request_controller requests_;
     store_controller store_;
     http_server readiness_;
--- a/src/gateway/gateway_state.hpp
+++ b/src/gateway/gateway_state.hpp
@@ -88,6 +88,16 @@
     std::map<std::uint32_t, peer_load> loads; // by upstream_state::number
 };
 
+// The gateways among which limits are shared, see refresh_limit_shares().
+struct limit_view_state
+{
+    std::uint64_t digest = 0;
+    steady_time changed_at{};
+    steady_time refreshed_at{};
+    std::size_t live = 0;
+    std::size_t possible = 0;
+};
+
 // This gateway's copy of one kind of objects, compared with the readers'.
 struct local_copy
 {
@@ -104,6 +114,7 @@
     std::shared_ptr<gateway_config const> config; // null until the first one
     bool has_upstreams = false;                   // the list has been read
     upstream_table upstreams;
+    limit_view_state limit_view;
     std::map<std::string, rollout_progress, std::less<>> rollouts; // by service
     std::map<std::string, std::string, std::less<>> default_versions;
     std::map<std::string, gateway_peer, std::less<>> peers;
@@ -132,6 +143,8 @@
     steady_time uncertain_until{};
     std::map<std::string, retry_budget_usage, std::less<>>
         attempts; // by service
+    // Callers refused because all upstreams were at their request limits.
+    rate_window limited_refusals{std::chrono::seconds(1)};
     crash_attribution crash_records;
     session_pins sessions;
     std::optional<steady_time> drain_started;
--- a/src/gateway/proxied_request.cpp
+++ b/src/gateway/proxied_request.cpp
@@ -22,6 +22,11 @@
 // or two.
 constexpr duration retry_when_listed = std::chrono::seconds(1);
 
+// Longest time over which callers that were refused for a request limit come
+// back.
+constexpr duration max_backoff = std::chrono::seconds(10);
+constexpr duration::rep backoff_steps = 1000;
+
 // Prefix affinity: the last part of a prompt is specific to the request, so the
 // part before it identifies the shared prefix.
 std::string affinity_key(gateway_request const& r)
@@ -41,6 +46,8 @@
         return error_kind::upstream_cold;
     case selection_failure::paused:
         return error_kind::upstream_paused;
+    case selection_failure::limited:
+        return error_kind::upstream_limited;
     case selection_failure::unreachable:
         return error_kind::connection_lost;
     default:
@@ -223,7 +230,8 @@
     work_before_first_event_ = c.work;
     if (now < upstream_->cold_until)
         upstream_->cold_sends.add(now);
-    count_limited_send();
+    limit_slot_.reset();
+    use_limit_token(now);
     if (attempts_.arrivals > 0)
         budget().extras.add(now);
     ++attempts_.arrivals;
@@ -267,12 +275,11 @@
     return true;
 }
 
-// Counts the sends to upstreams that name a limit, by the kind of attempt.
-void proxied_request::count_limited_send()
+// Uses a token if the upstream names a request limit, and counts the send by
+// the kind of attempt.
+void proxied_request::use_limit_token(steady_time now)
 {
-    upstream_notice const* const n =
-        find_notice(context_.state.upstreams, *upstream_);
-    if (n == nullptr || !n->limit.per_second)
+    if (!take_token(context_.state.upstreams, *upstream_, now))
         return;
     std::string_view const retry = model_ > 0 ? "larger_model" : "repeated";
     context_.state.counters.count(
@@ -327,14 +334,43 @@
     return std::min(target / 2, (deadline_ - started_) / 4);
 }
 
+// Returns whether no upstream can become available before the request is
+// refused. Claims a token if another gateway may have one.
+bool proxied_request::cannot_succeed(steady_time now)
+{
+    upstream_selection const& c = last_selection_;
+    if (c.failure == selection_failure::draining)
+        return true;
+    steady_time available_at = c.resumes_at;
+    if (c.failure == selection_failure::limited)
+    {
+        if (!c.claimable.empty())
+            context_.limits.claim_token(c.claimable, now);
+        available_at = take_limit_slot(available_at);
+    }
+    else if (c.failure != selection_failure::paused)
+    {
+        return false;
+    }
+    return available_at > std::min(wait_until_, deadline_);
+}
+
+// Puts the request behind those that wait for the same shares of limits, and
+// returns when its token is expected; `next` is when the next one is.
+steady_time proxied_request::take_limit_slot(steady_time next)
+{
+    if (limit_slot_ || last_selection_.share_per_second <= 0)
+        return next;
+    std::size_t& waiters = context_.limit_waiters[service_];
+    auto const ahead = static_cast<double>(waiters);
+    limit_slot_ = std::make_unique<counted_waiter>(waiters);
+    return next + from_seconds(ahead / last_selection_.share_per_second);
+}
+
 void proxied_request::queue_or_refuse(steady_time now)
 {
-    bool const cannot_succeed =
-        last_selection_.failure == selection_failure::draining ||
-        (last_selection_.failure == selection_failure::paused &&
-         last_selection_.resumes_at > std::min(wait_until_, deadline_));
     bool const may_wait = now < wait_until_ && now < deadline_ &&
-                          !cannot_succeed && !context_.state.drain_started;
+                          !context_.state.drain_started && !cannot_succeed(now);
     if (may_wait)
     {
         if (!is_waiting_)
@@ -345,9 +381,11 @@
         return;
     }
     is_waiting_ = false;
+    limit_slot_.reset();
     bool const has_specific_failure =
         attempts_.last_failure == error_kind::queue_full ||
         attempts_.last_failure == error_kind::upstream_cold ||
+        attempts_.last_failure == error_kind::upstream_limited ||
         attempts_.last_failure == error_kind::upstream_paused;
     error_kind const kind =
         has_specific_failure ? attempts_.last_failure : error_kind::no_upstream;
@@ -367,9 +405,31 @@
         spread(std::max(route_.target / 4, min_retry_after), hash);
     if (kind == error_kind::upstream_paused && last_selection_.resumes_at > now)
         return last_selection_.resumes_at - now + base_delay;
+    if (kind == error_kind::upstream_limited)
+        return base_delay + limit_backoff(now);
     return base_delay;
 }
 
+// Returns the time until the next token, and a part of the time that the
+// gateway's part of the limits takes for those that were refused lately.
+// Callers come back at any gateway, so that the part is that of an average one.
+duration proxied_request::limit_backoff(steady_time now) const
+{
+    gateway_state& s = context_.state;
+    s.limited_refusals.add(now);
+    auto const refused = static_cast<double>(s.limited_refusals.count(now));
+    double const fair_rate =
+        std::max(last_selection_.limit_per_second, min_limit_per_second) /
+        static_cast<double>(std::max<std::size_t>(s.limit_view.live, 1));
+    duration const next =
+        std::max(last_selection_.resumes_at - now, duration{0});
+    duration const backlog =
+        from_seconds(std::min(refused / fair_rate, to_seconds(max_backoff)));
+    auto const part =
+        static_cast<duration::rep>((hash_ >> 24U) % backoff_steps);
+    return std::min(next, max_backoff) + backlog * part / backoff_steps;
+}
+
 bool proxied_request::retry_selection(steady_time now)
 {
     if (is_done_ || !is_waiting_)
--- a/src/gateway/proxied_request.hpp
+++ b/src/gateway/proxied_request.hpp
@@ -10,11 +10,13 @@
 #include "event_loop/event_loop.hpp"
 #include "gateway/client_connection.hpp"
 #include "gateway/gateway_state.hpp"
+#include "gateway/limit_controller.hpp"
 #include "gateway/upstream_pool.hpp"
 #include "http_stream/event_stream.hpp"
 #include "log/log.hpp"
 
 #include <list>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -41,6 +43,30 @@
     logger const& log;
     // Requests queued for an upstream.
     std::list<std::shared_ptr<proxied_request>>& waiting;
+    limit_controller& limits;
+    // Requests that wait for a token of a request limit, by service.
+    std::map<std::string, std::size_t>& limit_waiters;
+};
+
+// Counts a waiting request while it exists. Not thread-safe.
+class counted_waiter
+{
+public:
+    // Precondition: `count` outlives the waiter.
+    explicit counted_waiter(std::size_t& count)
+        : count_(count)
+    {
+        ++count_;
+    }
+    ~counted_waiter()
+    {
+        --count_;
+    }
+    counted_waiter(counted_waiter const&) = delete;
+    counted_waiter& operator=(counted_waiter const&) = delete;
+
+private:
+    std::size_t& count_;
 };
 
 // Forwards one request, with retries. Not thread-safe.
@@ -111,10 +137,13 @@
     void set_model(std::size_t model);
     upstream_query make_query(version_rule const& rule) const;
     bool dispatch(upstream_selection const& c, steady_time now);
-    void count_limited_send();
+    void use_limit_token(steady_time now);
+    bool cannot_succeed(steady_time now);
+    steady_time take_limit_slot(steady_time next);
     void queue_or_refuse(steady_time now);
     duration max_queue_time() const;
     duration retry_after_for(error_kind kind, steady_time now) const;
+    duration limit_backoff(steady_time now) const;
     void release();
     void release_work(double part);
     void on_head(http_response_head&& head);
@@ -175,6 +204,7 @@
     upstream_selection last_selection_; // the last one without an upstream
     steady_time wait_until_{};
     bool is_waiting_ = false;
+    std::unique_ptr<counted_waiter> limit_slot_;
     bool is_done_ = false;
     bool has_response_head_ = false; // the response head was sent to the caller
     run_state ran_ = run_state::not_run;
--- a/src/gateway/proxied_request_failure.cpp
+++ b/src/gateway/proxied_request_failure.cpp
@@ -254,6 +254,7 @@
 {
     is_done_ = true;
     is_waiting_ = false;
+    limit_slot_.reset();
     deadline_timer_.stop();
     attempt_timer_.stop();
     client_->on_disconnect({});
--- a/src/gateway/proxied_request_response.cpp
+++ b/src/gateway/proxied_request_response.cpp
@@ -20,11 +20,6 @@
 // measured as too slow.
 constexpr duration load_warm_up = std::chrono::milliseconds(1000);
 
-std::string limit_text(std::optional<double> per_second)
-{
-    return per_second ? std::to_string(*per_second) : "none";
-}
-
 } // namespace
 
 void proxied_request::on_head(http_response_head&& head)
@@ -134,6 +129,7 @@
         all, u.id, u.started_unix_ms, a.limit_per_second, sent_, now);
     if (word == nullptr)
         return;
+    context_.state.is_report_due = true;
     m.count("upstream_notices_total", word->per_second ? "limit" : "no_limit");
     context_.log.write(
         log_event::upstream_limit_changed,
--- a/src/gateway/request_controller.cpp
+++ b/src/gateway/request_controller.cpp
@@ -30,12 +30,13 @@
 
 request_controller::request_controller(
     ev::loop_ref loop, gateway_state& state, request_protocol const& protocol,
-    upstream_pool& pool)
+    upstream_pool& pool, limit_controller& limits)
     : loop_(loop)
     , state_(state)
     , protocol_(protocol)
     , pool_(pool)
-    , context_{loop, state, protocol, pool, log_, waiting_}
+    , context_{loop, state,    protocol, pool,
+               log_, waiting_, limits,   limit_waiters_}
     , listener_(
           loop, state.settings.client_address, caller_stream_limits,
           [this](std::shared_ptr<tcp_stream> s)
--- a/src/gateway/request_controller.hpp
+++ b/src/gateway/request_controller.hpp
@@ -31,7 +31,8 @@
     // Loop thread only, like all members.
     request_controller(
         ev::loop_ref loop, gateway_state& state,
-        request_protocol const& protocol, upstream_pool& pool);
+        request_protocol const& protocol, upstream_pool& pool,
+        limit_controller& limits);
 
     // Announces to callers that their connections will close, and closes idle
     // ones later. Precondition: `drain_started` of the state is set.
@@ -41,6 +42,8 @@
     bool is_drained(steady_time now) const;
     // Aborts the remaining requests.
     void abort_all(steady_time now);
+    // Retries the selection of an upstream for the requests that wait.
+    void dispatch_waiting(steady_time now);
     // Number of active requests.
     std::size_t active() const
     {
@@ -77,7 +80,6 @@
         std::string_view attempt_id, error_kind kind, duration retry_after,
         steady_time now);
     void tick();
-    void dispatch_waiting(steady_time now);
     client_limits limits() const;
 
     ev::loop_ref loop_;
@@ -85,6 +87,7 @@
     request_protocol const& protocol_;
     upstream_pool& pool_;
     logger log_{"request"};
+    std::map<std::string, std::size_t> limit_waiters_;
     std::list<std::shared_ptr<proxied_request>> waiting_;
     proxied_request_context context_;
     std::list<std::shared_ptr<client_connection>> clients_;
--- a/src/gateway/upstream_notice.cpp
+++ b/src/gateway/upstream_notice.cpp
@@ -90,6 +90,20 @@
     return &n->limit;
 }
 
+bool merge_limit(
+    upstream_notices& all, std::string_view id, std::int64_t started_unix_ms,
+    limit_word const& peer, steady_time now)
+{
+    upstream_notice* const n =
+        find_or_add_notice(all, id, started_unix_ms, now);
+    return n != nullptr && merge_word(n->limit, peer, now);
+}
+
+limit_gate const* gate_of(upstream_notice const* n)
+{
+    return n != nullptr && n->limit.per_second ? &n->gate : nullptr;
+}
+
 std::uint32_t
 allowed_requests(upstream_notice const& n, std::uint32_t slots, steady_time now)
 {
--- a/src/gateway/upstream_notice.hpp
+++ b/src/gateway/upstream_notice.hpp
@@ -31,6 +31,7 @@
     steady_time paused_until{}; // end of the requested pause
     steady_time resumes_at{};   // no requests before, see record_pause()
     limit_word limit;
+    limit_gate gate; // in use while `limit` names a number
 };
 
 using upstream_notices = std::map<std::string, upstream_notice, std::less<>>;
@@ -70,6 +71,16 @@
     upstream_notices& all, std::string_view id, std::int64_t started_unix_ms,
     std::optional<double> per_second, steady_time sent, steady_time now);
 
+// Merges a peer's word about the limit of this incarnation; see merge_word().
+// Returns whether it changed. Not thread-safe.
+bool merge_limit(
+    upstream_notices& all, std::string_view id, std::int64_t started_unix_ms,
+    limit_word const& peer, steady_time now);
+
+// Returns the gate of the upstream's request limit, or null if it names none.
+// `n` may be null. Thread-safe.
+limit_gate const* gate_of(upstream_notice const* n);
+
 // Returns how many requests of this gateway may run at the upstream at `now`:
 // none during a pause, a growing part of its `slots` during the ramp after it,
 // and any number from then on. Thread-safe.
--- a/src/gateway/upstream_table.cpp
+++ b/src/gateway/upstream_table.cpp
@@ -229,6 +229,14 @@
     return find_notice(b.notices, u.info.id, u.info.started_unix_ms);
 }
 
+bool take_token(upstream_table& b, upstream_state const& u, steady_time now)
+{
+    if (gate_of(find_notice(b, u)) == nullptr)
+        return false;
+    take_token(b.notices.find(u.info.id)->second.gate, now);
+    return true;
+}
+
 namespace
 {
 
@@ -254,6 +262,28 @@
     return std::max(counted, own_load);
 }
 
+namespace
+{
+
+void resume_at(upstream_selection& none, steady_time at)
+{
+    none.resumes_at =
+        none.resumes_at == steady_time{} ? at : std::min(none.resumes_at, at);
+}
+
+void add_limited(
+    upstream_selection& none, std::string const& id, upstream_notice const& n,
+    steady_time now)
+{
+    resume_at(none, next_token_at(n.gate, now));
+    none.limit_per_second += n.limit.per_second.value_or(0);
+    none.share_per_second += n.gate.share_per_second;
+    if (none.claimable.empty() && may_claim(n.gate, now))
+        none.claimable = id;
+}
+
+} // namespace
+
 upstream_selection
 select_upstream(upstream_table& b, upstream_query const& q, steady_time now)
 {
@@ -277,14 +307,12 @@
         if (notice != nullptr && now < notice->resumes_at)
         {
             at_least(selection_failure::paused);
-            none.resumes_at =
-                none.resumes_at == steady_time{}
-                    ? notice->resumes_at
-                    : std::min(none.resumes_at, notice->resumes_at);
+            resume_at(none, notice->resumes_at);
             continue;
         }
         if (std::find(q.tried.begin(), q.tried.end(), id) != q.tried.end())
             continue;
+        limit_gate const* const gate = gate_of(notice);
         bool const is_ramping =
             notice != nullptr &&
             u->requests >= allowed_requests(*notice, u->info.slots, now);
@@ -294,6 +322,11 @@
             at_least(selection_failure::unreachable);
         else if (!has_cold_capacity(*u, q, now))
             at_least(selection_failure::cold);
+        else if (gate != nullptr && !has_token(*gate, now))
+        {
+            at_least(selection_failure::limited);
+            add_limited(none, id, *notice, now);
+        }
         else if (is_ramping || is_full)
             at_least(selection_failure::full);
         else if (failure_rate(*u, now) > max_healthy_failure_rate)
--- a/src/gateway/upstream_table.hpp
+++ b/src/gateway/upstream_table.hpp
@@ -151,6 +151,11 @@
 upstream_notice const*
 find_notice(upstream_table const& b, upstream_state const& u);
 
+// Uses a token of the upstream's request limit for a request that is sent now.
+// Returns whether it names a limit. Precondition: select_upstream() returned it
+// at `now`. Not thread-safe.
+bool take_token(upstream_table& b, upstream_state const& u, steady_time now);
+
 // Returns whether the upstream may get new work: neither the store nor its own
 // notice says that it is draining, and its zone is not evacuated. Not
 // thread-safe.
@@ -185,6 +190,7 @@
     none,
     full,        // all are at their limit
     cold,        // the remaining ones are cold and at their rate
+    limited,     // the remaining ones are at the request limit they name
     paused,      // the remaining ones have requested a pause
     unreachable, // the remaining ones failed recently
     draining,    // all listed ones are draining
@@ -198,7 +204,12 @@
     duration queued{0};   // part of it due to other requests
     double work = 0;      // expected before it, see record_first_event()
     selection_failure failure = selection_failure::none;
-    steady_time resumes_at{}; // the earliest one, if all are paused
+    steady_time resumes_at{}; // the earliest one, if all are paused or limited
+    // If all are limited: the sums of their limits and of the shares of this
+    // gateway, and an upstream for which it may claim a token now.
+    double limit_per_second = 0;
+    double share_per_second = 0;
+    std::string claimable;
 };
 
 // Returns the best upstream: for engines the one expected to begin its response
--- a/src/log/log_events.cpp
+++ b/src/log/log_events.cpp
@@ -135,6 +135,16 @@
         "The upstream names no valid request limit.",
         "The limit in an answer of `upstream` can't be read or is negative; it "
         "is ignored, and what was known stays."},
+    log_event_row{
+        upstream_limit_reported, "upstream_limit_reported", log_level::info,
+        "Another gateway reports a changed request limit.",
+        "`peer` knows a later change of the limit of `upstream`."},
+    log_event_row{
+        limit_share_changed, "limit_share_changed", log_level::info,
+        "The share of a request limit changed.",
+        "Of `limit_per_s` this gateway uses `share_per_s`; without a share it "
+        "claims tokens from `sharer`. `live` gateways share, of `possible` "
+        "that may be sending."},
     log_event_row{
         zone_changed, "zone_changed", log_level::info,
         "Availability zone changes.", "`zone` is taken out or comes back."},
--- a/src/log/log_events.hpp
+++ b/src/log/log_events.hpp
@@ -56,6 +56,8 @@
     upstream_pause_bad,
     upstream_limit_changed,
     upstream_limit_bad,
+    upstream_limit_reported,
+    limit_share_changed,
     zone_changed,
     rollout_seen,
     rollout_version_bad,
--- a/src/retry/retry.cpp
+++ b/src/retry/retry.cpp
@@ -29,6 +29,7 @@
         return retry_reason::refused_stale;
     case error_kind::queue_full:
     case error_kind::upstream_paused:
+    case error_kind::upstream_limited:
     case error_kind::deadline_unreachable:
         return retry_reason::refused_busy;
     case error_kind::upstream_cold:
