Let claims of other gateways compete for the tokens of a share

What callers saw: with the gateway that has the share as busy as the others, callers of the others were always refused. Cause: its own requests queued for each next token, so that every claim found none; the class of fault is a queue in front of a resource that others ask for without one. Change: while a claim was denied within a second, own requests do not wait for tokens, and the first to come gets the next one.

--- a/src/gateway/proxied_request.cpp
+++ b/src/gateway/proxied_request.cpp
@@ -347,6 +347,8 @@
     {
         if (!c.claimable.empty())
             context_.limits.claim_token(c.claimable, now);
+        if (c.is_contended && available_at > now)
+            return true;
         available_at = take_limit_slot(available_at);
     }
     else if (c.failure != selection_failure::paused)
--- a/src/gateway/upstream_limit.cpp
+++ b/src/gateway/upstream_limit.cpp
@@ -146,6 +146,11 @@
            from_seconds(missing / g.share_per_second);
 }
 
+bool is_contended(limit_gate const& g, steady_time now)
+{
+    return now - g.denied_at < claim_contention;
+}
+
 bool may_claim(limit_gate const& g, steady_time now)
 {
     return g.share_per_second <= 0 && !g.sharer.empty() &&
@@ -174,6 +179,7 @@
     }
     double const ahead = static_cast<double>(g.denials.count(now));
     g.denials.add(now);
+    g.denied_at = now;
     double const part = static_cast<double>(hash % spread_steps) /
                         static_cast<double>(spread_steps);
     duration const until_next = next_token_at(g, now) - now;
--- a/src/gateway/upstream_limit.hpp
+++ b/src/gateway/upstream_limit.hpp
@@ -83,6 +83,9 @@
 double
 limit_share(double per_second, std::size_t sharers, sharer_view const& view);
 
+// While a claim was denied this recently, others compete for the tokens.
+constexpr duration claim_contention = std::chrono::seconds(1);
+
 // Bounds the requests of this gateway to one limited upstream.
 struct limit_gate
 {
@@ -102,7 +105,8 @@
     bool has_granted_token = false;
     steady_time claimable_at{}; // the sharer has no token before
     // Claims of other gateways that this one denied.
-    rate_window denials{std::chrono::seconds(1)};
+    rate_window denials{claim_contention};
+    steady_time denied_at{}; // the latest one
 };
 
 // A process that was paused for longer does not know whether others use its
@@ -134,6 +138,11 @@
 // that is open. Not thread-safe.
 steady_time next_token_at(limit_gate const& g, steady_time now);
 
+// Returns whether other gateways compete for the tokens of this one. Its own
+// requests then do not wait for tokens, which would leave none for the claims.
+// Not thread-safe.
+bool is_contended(limit_gate const& g, steady_time now);
+
 // Returns whether a claim may be sent now. Not thread-safe.
 bool may_claim(limit_gate const& g, steady_time now);
 
--- a/src/gateway/upstream_table.cpp
+++ b/src/gateway/upstream_table.cpp
@@ -278,6 +278,7 @@
     resume_at(none, next_token_at(n.gate, now));
     none.limit_per_second += n.limit.per_second.value_or(0);
     none.share_per_second += n.gate.share_per_second;
+    none.is_contended = none.is_contended || is_contended(n.gate, now);
     if (none.claimable.empty() && may_claim(n.gate, now))
         none.claimable = id;
 }
--- a/src/gateway/upstream_table.hpp
+++ b/src/gateway/upstream_table.hpp
@@ -210,6 +210,7 @@
     double limit_per_second = 0;
     double share_per_second = 0;
     std::string claimable;
+    bool is_contended = false; // other gateways compete for a share
 };
 
 // Returns the best upstream: for engines the one expected to begin its response
