Leave the part of a stopped gateway to the others that share a limit

What callers saw: after a planned stop, an hour in which a fleet used only the part of a limit that the gateways left had. Cause: a gateway counted as possibly sending for as long as one that was lost, once its last report, which says that it stops, was old. Change: a gateway whose last report says so does not count.

--- a/src/gateway/limit_sharing.cpp
+++ b/src/gateway/limit_sharing.cpp
@@ -29,11 +29,12 @@
     }
     for (auto const& [name, p] : s.peers)
     {
-        steady_time const heard = std::max(p.last_received_at, s.started);
-        if (is_live(s, p, now) && !p.is_stopping)
+        if (p.is_stopping)
+            continue;
+        if (is_live(s, p, now))
             g.names.push_back(name);
-        bool const is_leaving = is_live(s, p, now) && p.is_stopping;
-        if (!is_leaving && now - heard < partition_memory)
+        steady_time const heard = std::max(p.last_received_at, s.started);
+        if (now - heard < partition_memory)
             ++g.possible;
     }
     return g;
--- a/src/gateway/limit_sharing_test.cpp
+++ b/src/gateway/limit_sharing_test.cpp
@@ -200,6 +200,32 @@
     CHECK(m.arrival_rate(from) >= 35);
 }
 
+// Guards against a limit of which a part goes unused for an hour after a
+// planned stop, as if the gateway were beyond a partition.
+TEST_CASE("A gateway that has stopped leaves its part of a limit to the others")
+{
+    steady_time now{seconds(1000)};
+    gateway_state s;
+    s.settings.instance = "gateway-0";
+    s.started = now;
+    gateway_peer& peer = s.peers["gateway-1"];
+    peer.last_received_at = now;
+    record_limit(s.upstreams.notices, "upstream", 1, 1, now, now);
+    refresh_limit_shares(s, now);
+    CHECK(s.limit_view.possible == 2);
+    peer.is_stopping = true;
+    now += seconds(1);
+    refresh_limit_shares(s, now);
+    CHECK(s.limit_view.possible == 1);
+    now += seconds(60);
+    refresh_limit_shares(s, now);
+    CHECK(s.limit_view.possible == 1);
+    CHECK(s.upstreams.notices.at("upstream").gate.share_per_second == 1);
+    peer.is_stopping = false; // ended without notice
+    refresh_limit_shares(s, now);
+    CHECK(s.limit_view.possible == 2);
+}
+
 // Guards against shares that add up to more than the limit, or to far less.
 TEST_CASE("Shares add up to the limit")
 {
--- a/src/gateway/version_rollout.cpp
+++ b/src/gateway/version_rollout.cpp
@@ -24,14 +24,14 @@
 // The rollout completes after this part of the time limit. The rest lets
 // streams of the old version end and the status write be retried.
 constexpr double completion_start_ratio = 0.8;
-// It completes when the target has had all requests for this part of the limit,
-// in percent: a slow version shows once its upstreams are loaded.
-constexpr duration::rep min_full_percent = 10;
 // The same if the target may be slower, but more likely is not.
 constexpr double late_completion_ratio = 0.92;
 // Without enough evidence by then, the rollout ends in favour of the target,
 // unless it is more likely slower.
 constexpr double last_completion_ratio = 1.1;
+// In any case the target must have had all requests for this part of the time
+// limit, in percent: a slow version shows once its upstreams are loaded.
+constexpr duration::rep min_full_percent = 10;
 constexpr std::uint64_t share_steps = 10'000;
 // Requests after which the share without a session is known.
 constexpr std::uint64_t min_canary_requests = 50;
