--- a/src/gateway/limit_fleet_model.cpp
+++ b/bench/limit_fleet/limit_fleet_model.cpp
@@ -1,4 +1,4 @@
-#include "gateway/limit_fleet_model.hpp"
+#include "limit_fleet/limit_fleet_model.hpp"
 
 #include "gateway/reader_election.hpp"
 
@@ -166,8 +166,8 @@
     gateway_state& s = *g.state;
     s.is_report_due = false;
     g.next_report = now_ + report_period(s.peers.size(), false);
-    auto const r = std::make_shared<std::optional<limit_report>>(
-        make_limit_report(s, now_));
+    auto const reports = std::make_shared<std::vector<limit_report>>(
+        make_limit_reports(s, now_));
     std::string const sender = name_of(i);
     for (std::size_t k = 0; k < gateways_.size(); ++k)
     {
@@ -175,11 +175,11 @@
             continue;
         send(
             i, k,
-            [this, r, sender](gateway& to)
+            [this, reports, sender](gateway& to)
             {
                 to.state->peers[sender].last_received_at = now_;
-                if (*r)
-                    apply_limit_report(*to.state, **r, now_);
+                for (limit_report const& it : *reports)
+                    apply_limit_report(*to.state, it, now_);
             });
     }
 }
@@ -210,10 +210,11 @@
        {
            if (to.life != life)
                return;
-           limit_word const* const w = record_limit(
+           known_limit const* const changed = record_limit(
                to.state->upstreams.notices, upstream_id, incarnation, limit,
                sent, now_);
-           to.state->is_report_due = to.state->is_report_due || w != nullptr;
+           to.state->is_report_due =
+               to.state->is_report_due || changed != nullptr;
        });
 }
 
--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -148,7 +148,7 @@
     state_.upstreams.pending_samples.clear();
     for (auto const& [name, p] : state_.peers)
         peers_.send(p.address, m);
-    limits_.send_report(now);
+    limits_.send_reports(now);
 }
 
 void gateway_daemon::report_crashes()
@@ -201,9 +201,9 @@
         else
             state_.counters.count("bad_datagrams_total", "break");
     }
-    else if (call != nullptr)
+    else if (call == nullptr || !limits_.on_message(*call, now))
     {
-        limits_.on_message(*call, now);
+        state_.counters.count("bad_datagrams_total", "unknown message");
     }
 }
 
--- a/src/gateway/limit_controller.cpp
+++ b/src/gateway/limit_controller.cpp
@@ -33,26 +33,22 @@
 
 void limit_controller::tick(steady_time now)
 {
-    if (refresh_limit_shares(state_, now))
-        log_shares();
+    for (std::string const& it : refresh_limit_shares(state_, now))
+        log_share(it, state_.upstreams.notices.at(it));
 }
 
-void limit_controller::log_shares()
+void limit_controller::log_share(
+    std::string const& upstream, upstream_notice const& n)
 {
-    for (auto const& [upstream, n] : state_.upstreams.notices)
-    {
-        if (!n.limit.per_second)
-            continue;
-        log_.write(
-            log_event::limit_share_changed,
-            {{"upstream", upstream},
-             {"started_ms", std::to_string(n.started_unix_ms)},
-             {"limit_per_s", limit_text(n.limit.per_second)},
-             {"share_per_s", limit_text(n.gate.share_per_second)},
-             {"sharer", n.gate.sharer.empty() ? "-" : n.gate.sharer},
-             {"live", std::to_string(state_.limit_view.live)},
-             {"possible", std::to_string(state_.limit_view.possible)}});
-    }
+    log_.write(
+        log_event::limit_share_changed,
+        {{"upstream", upstream},
+         {"started_ms", std::to_string(n.started_unix_ms)},
+         {"limit_per_s", limit_text(n.limit.per_second)},
+         {"share_per_s", limit_text(n.gate.share_per_second)},
+         {"sharer", n.gate.sharer.empty() ? "-" : n.gate.sharer},
+         {"live", std::to_string(state_.limit_view.live)},
+         {"possible", std::to_string(state_.limit_view.possible)}});
 }
 
 void limit_controller::set_gauges()
@@ -74,14 +70,14 @@
     m.set("limit_shares_per_second", shares);
 }
 
-void limit_controller::send_report(steady_time now)
+void limit_controller::send_reports(steady_time now)
 {
-    std::optional<limit_report> const r = make_limit_report(state_, now);
-    if (!r)
-        return;
-    message const m = to_call(*r);
-    for (auto const& [name, p] : state_.peers)
-        peers_.send(p.address, m);
+    for (limit_report const& it : make_limit_reports(state_, now))
+    {
+        message const m = to_call(it);
+        for (auto const& [name, p] : state_.peers)
+            peers_.send(p.address, m);
+    }
 }
 
 void limit_controller::claim_token(std::string_view upstream, steady_time now)
@@ -126,16 +122,16 @@
     }
     for (std::string const& it : apply_limit_report(state_, *r, now))
     {
-        limit_word const& word = state_.upstreams.notices.at(it).limit;
+        known_limit const& known = state_.upstreams.notices.at(it).limit;
         state_.counters.count(
             "upstream_notices_total",
-            word.per_second ? "peer_limit" : "peer_no_limit");
+            known.per_second ? "peer_limit" : "peer_no_limit");
         log_.write(
             log_event::upstream_limit_reported,
             {{"upstream", it},
              {"peer", r->sender},
-             {"limit_per_s", limit_text(word.per_second)},
-             {"change", std::to_string(word.change)}});
+             {"limit_per_s", limit_text(known.per_second)},
+             {"change", std::to_string(known.change)}});
     }
 }
 
--- a/src/gateway/limit_controller.hpp
+++ b/src/gateway/limit_controller.hpp
@@ -16,6 +16,7 @@
 #include "transport/transport.hpp"
 
 #include <functional>
+#include <string>
 #include <string_view>
 
 namespace marjorambeam
@@ -35,7 +36,7 @@
     // Recomputes the shares. Precondition: called several times per share_ttl.
     void tick(steady_time now);
     // Sends what this gateway knows of limits to all others.
-    void send_report(steady_time now);
+    void send_reports(steady_time now);
     // Asks a sharer for a token of the upstream's limit, if the gate of the
     // upstream allows a claim now.
     void claim_token(std::string_view upstream, steady_time now);
@@ -50,7 +51,7 @@
     void on_report(peer_call const& call, steady_time now);
     void on_claim(peer_call const& call, steady_time now);
     void on_reply(peer_call const& call, steady_time now);
-    void log_shares();
+    void log_share(std::string const& upstream, upstream_notice const& n);
 
     gateway_state& state_;
     datagram_socket& peers_;
--- a/src/gateway/limit_sharing.cpp
+++ b/src/gateway/limit_sharing.cpp
@@ -80,7 +80,7 @@
 
 } // namespace
 
-bool refresh_limit_shares(gateway_state& s, steady_time now)
+std::vector<std::string> refresh_limit_shares(gateway_state& s, steady_time now)
 {
     live_gateways const g = find_live_gateways(s, now);
     std::uint64_t const digest = digest_of(g);
@@ -99,7 +99,7 @@
         s.limit_view.changed_at + live_window(s.peers.size(), false);
     sharer_view const view{
         .self = s.settings.instance, .live = g.names, .possible = g.possible};
-    bool has_changed = false;
+    std::vector<std::string> changed;
     for (auto& [upstream, n] : s.upstreams.notices)
     {
         limit_gate& gate = n.gate;
@@ -113,35 +113,38 @@
         if (gate.view == inputs && !was_paused)
             continue;
         gate.view = inputs;
-        double const before = gate.share_per_second;
+        double const share_before = gate.share_per_second;
+        std::string const sharer_before = gate.sharer;
         if (view.live.empty())
             set_share(gate, 0, opens_at, now);
         else
             assign_share(
                 gate, upstream, *n.limit.per_second, view, opens_at, now);
-        has_changed = has_changed || gate.share_per_second != before;
+        if (gate.share_per_second != share_before ||
+            gate.sharer != sharer_before)
+            changed.push_back(upstream);
     }
-    return has_changed;
+    return changed;
 }
 
-std::optional<limit_report>
-make_limit_report(gateway_state const& s, steady_time now)
+std::vector<limit_report>
+make_limit_reports(gateway_state const& s, steady_time now)
 {
-    limit_report r{.sender = s.settings.instance};
+    std::vector<limit_report> all;
     for (auto const& [upstream, n] : s.upstreams.notices)
     {
-        limit_word const& w = n.limit;
+        known_limit const& known = n.limit;
         bool const is_news =
-            w.per_second || now - w.learned_at < limit_end_reported_for;
-        if (w.change == 0 || !is_news)
+            known.per_second || now - known.learned_at < limit_end_reported_for;
+        if (known.change == 0 || !is_news)
             continue;
-        r.limits.push_back(
-            {upstream, n.started_unix_ms, w.change,
-             w.per_second.value_or(reported_limit::no_limit)});
-        if (r.limits.size() == max_reported_limits)
-            break;
+        if (all.empty() || all.back().limits.size() == max_reported_limits)
+            all.push_back({.sender = s.settings.instance});
+        all.back().limits.push_back(
+            {upstream, n.started_unix_ms, known.change,
+             known.per_second.value_or(reported_limit::no_limit)});
     }
-    return r.limits.empty() ? std::nullopt : std::optional(std::move(r));
+    return all;
 }
 
 std::vector<std::string>
@@ -158,11 +161,11 @@
             u->second->info.started_unix_ms == it.started_unix_ms;
         if (!is_listed)
             continue;
-        limit_word word{.change = it.change};
+        known_limit reported{.change = it.change};
         if (it.per_second != reported_limit::no_limit)
-            word.per_second = it.per_second;
+            reported.per_second = it.per_second;
         if (merge_limit(
-                s.upstreams.notices, it.upstream, it.started_unix_ms, word,
+                s.upstreams.notices, it.upstream, it.started_unix_ms, reported,
                 now))
             changed.push_back(it.upstream);
     }
--- a/src/gateway/limit_sharing.hpp
+++ b/src/gateway/limit_sharing.hpp
@@ -2,8 +2,8 @@
 //
 // Example:
 //   refresh_limit_shares(state, now);
-//   if (auto report = make_limit_report(state, now))
-//       send_to_all(to_call(*report));
+//   for (limit_report const& it : make_limit_reports(state, now))
+//       send_to_all(to_call(it));
 //
 // Functions over the state of the gateway, without I/O. Not thread-safe.
 #pragma once
@@ -14,7 +14,6 @@
 #include <cereal/types/string.hpp>
 #include <cereal/types/vector.hpp>
 #include <cstdint>
-#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -96,14 +95,15 @@
 constexpr duration partition_memory = std::chrono::hours(1);
 
 // Recomputes this gateway's share of each limit when the limits or the live
-// gateways have changed. To be called several times per share_ttl. Returns
-// whether a share changed.
-bool refresh_limit_shares(gateway_state& s, steady_time now);
-
-// Returns the report that this gateway sends at `now`; nothing if it knows of
-// no limit.
-std::optional<limit_report>
-make_limit_report(gateway_state const& s, steady_time now);
+// gateways have changed. To be called several times per share_ttl. Returns the
+// names of the upstreams whose share, or sharer, changed.
+std::vector<std::string>
+refresh_limit_shares(gateway_state& s, steady_time now);
+
+// Returns the reports that this gateway sends at `now`; none if it knows of no
+// limit.
+std::vector<limit_report>
+make_limit_reports(gateway_state const& s, steady_time now);
 
 // Applies another gateway's report. Returns the names of the upstreams whose
 // limits changed. Only the listed incarnation of an upstream is changed, and
--- a/src/gateway/limit_sharing_benchmark.cpp
+++ b/src/gateway/limit_sharing_benchmark.cpp
@@ -1,5 +1,5 @@
-#include "gateway/limit_fleet_model.hpp"
 #include "gateway/limit_sharing.hpp"
+#include "limit_fleet/limit_fleet_model.hpp"
 
 #include <benchmark/benchmark.h>
 
@@ -32,8 +32,8 @@
     gateway_state s = state_of(state.range(0));
     for (auto _ : state)
     {
-        bool has_changed = refresh_limit_shares(s, start);
-        benchmark::DoNotOptimize(has_changed);
+        auto changed = refresh_limit_shares(s, start);
+        benchmark::DoNotOptimize(changed);
     }
 }
 BENCHMARK(refresh_unchanged_shares)->Arg(1)->Arg(4)->Arg(68)->Arg(350);
@@ -48,8 +48,8 @@
         is_stopping = !is_stopping;
         if (!s.peers.empty())
             s.peers.begin()->second.is_stopping = is_stopping;
-        bool has_changed = refresh_limit_shares(s, start);
-        benchmark::DoNotOptimize(has_changed);
+        auto changed = refresh_limit_shares(s, start);
+        benchmark::DoNotOptimize(changed);
     }
 }
 BENCHMARK(refresh_changed_shares)->Arg(1)->Arg(4)->Arg(68)->Arg(350);
--- a/src/gateway/limit_sharing_test.cpp
+++ b/src/gateway/limit_sharing_test.cpp
@@ -1,6 +1,6 @@
 #include "gateway/limit_sharing.hpp"
 
-#include "gateway/limit_fleet_model.hpp"
+#include "limit_fleet/limit_fleet_model.hpp"
 
 #include <catch2/catch.hpp>
 #include <rapidcheck.h>
@@ -233,6 +233,34 @@
     CHECK(s.limit_view.possible == 2);
 }
 
+// Guards against limits that are never reported because others come first.
+TEST_CASE("All limits are reported, in as many messages as they need")
+{
+    constexpr std::size_t upstreams = 2 * max_reported_limits + 1;
+    constexpr steady_time now{seconds(1000)};
+    gateway_state s;
+    for (std::size_t i = 0; i < upstreams; ++i)
+        record_limit(
+            s.upstreams.notices, "engine-" + std::to_string(i), 1, 1, now, now);
+    std::size_t n = 0;
+    for (limit_report const& it : make_limit_reports(s, now))
+        n += it.limits.size();
+    CHECK(n == upstreams);
+}
+
+// Guards against a log line for each limited upstream when one share changes.
+TEST_CASE("Only the upstreams whose share changed are named")
+{
+    constexpr steady_time now{seconds(1000)};
+    gateway_state s;
+    s.settings.instance = "gateway-0";
+    record_limit(s.upstreams.notices, "a", 1, 1, now, now);
+    CHECK(refresh_limit_shares(s, now) == std::vector<std::string>{"a"});
+    record_limit(s.upstreams.notices, "b", 1, 1, now, now);
+    CHECK(refresh_limit_shares(s, now) == std::vector<std::string>{"b"});
+    CHECK(refresh_limit_shares(s, now).empty());
+}
+
 // Guards against shares that add up to more than the limit, or to far less.
 TEST_CASE("Shares add up to the limit")
 {
--- a/src/gateway/proxied_request.cpp
+++ b/src/gateway/proxied_request.cpp
@@ -22,11 +22,6 @@
 // or two.
 constexpr duration retry_when_listed = std::chrono::seconds(1);
 
-// Longest time over which callers that were refused for a request limit come
-// back.
-constexpr duration max_backoff = std::chrono::seconds(10);
-constexpr duration::rep backoff_steps = 1000;
-
 // Prefix affinity: the last part of a prompt is specific to the request, so the
 // part before it identifies the shared prefix.
 std::string affinity_key(gateway_request const& r)
@@ -392,6 +387,8 @@
         attempts_.last_failure == error_kind::upstream_paused;
     error_kind const kind =
         has_specific_failure ? attempts_.last_failure : error_kind::no_upstream;
+    if (kind == error_kind::upstream_limited)
+        context_.state.limited_refusals.add(now);
     if (has_response_head_ || ran_ != run_state::not_run)
         give_up(error_kind::upstream_failed, ran_, now);
     else
@@ -409,30 +406,16 @@
     if (kind == error_kind::upstream_paused && last_selection_.resumes_at > now)
         return last_selection_.resumes_at - now + base_delay;
     if (kind == error_kind::upstream_limited)
-        return base_delay + limit_backoff(now);
+        return base_delay +
+               limit_backoff(
+                   {.until_next = last_selection_.resumes_at - now,
+                    .limits_per_second = last_selection_.limit_per_second,
+                    .gateways = context_.state.limit_view.live,
+                    .refused = context_.state.limited_refusals.count(now)},
+                   hash_ >> 24U);
     return base_delay;
 }
 
-// Returns the time until the next token, and a part of the time that the
-// gateway's part of the limits takes for those that were refused lately.
-// Callers come back at any gateway, so that the part is that of an average one.
-duration proxied_request::limit_backoff(steady_time now) const
-{
-    gateway_state& s = context_.state;
-    s.limited_refusals.add(now);
-    auto const refused = static_cast<double>(s.limited_refusals.count(now));
-    double const fair_rate =
-        std::max(last_selection_.limit_per_second, min_limit_per_second) /
-        static_cast<double>(std::max<std::size_t>(s.limit_view.live, 1));
-    duration const next =
-        std::max(last_selection_.resumes_at - now, duration{0});
-    duration const backlog =
-        from_seconds(std::min(refused / fair_rate, to_seconds(max_backoff)));
-    auto const part =
-        static_cast<duration::rep>((hash_ >> 24U) % backoff_steps);
-    return std::min(next, max_backoff) + backlog * part / backoff_steps;
-}
-
 bool proxied_request::retry_selection(steady_time now)
 {
     if (is_done_ || !is_waiting_)
--- a/src/gateway/proxied_request.hpp
+++ b/src/gateway/proxied_request.hpp
@@ -143,7 +143,6 @@
     void queue_or_refuse(steady_time now);
     duration max_queue_time() const;
     duration retry_after_for(error_kind kind, steady_time now) const;
-    duration limit_backoff(steady_time now) const;
     void release();
     void release_work(double part);
     void on_head(http_response_head&& head);
--- a/src/gateway/proxied_request_response.cpp
+++ b/src/gateway/proxied_request_response.cpp
@@ -20,6 +20,8 @@
 // measured as too slow.
 constexpr duration load_warm_up = std::chrono::milliseconds(1000);
 
+// Characters of an invalid header in a log line.
+constexpr std::size_t max_logged_value = 32;
 // The mean time between events is taken over this many, or at the end of a
 // stream that has fewer but more than the minimum.
 constexpr std::uint64_t gap_events = 6;
@@ -120,31 +122,34 @@
     upstream_notices& all = context_.state.upstreams.notices;
     metrics& m = context_.state.counters;
     std::string const incarnation = std::to_string(u.started_unix_ms);
-    if (a.has_invalid_limit)
+    if (!a.invalid_limit.empty())
     {
         m.count("upstream_notices_total", "bad_limit");
         context_.log.write(
             log_event::upstream_limit_bad,
-            {{"upstream", u.id}, {"started_ms", incarnation}});
+            {{"upstream", u.id},
+             {"started_ms", incarnation},
+             {"value", a.invalid_limit.substr(0, max_logged_value)}});
         return;
     }
-    upstream_notice const* const known =
+    upstream_notice const* const notice =
         find_notice(all, u.id, u.started_unix_ms);
     std::optional<double> const before =
-        known == nullptr ? std::nullopt : known->limit.per_second;
-    limit_word const* const word = record_limit(
+        notice == nullptr ? std::nullopt : notice->limit.per_second;
+    known_limit const* const changed = record_limit(
         all, u.id, u.started_unix_ms, a.limit_per_second, sent_, now);
-    if (word == nullptr)
+    if (changed == nullptr)
         return;
     context_.state.is_report_due = true;
-    m.count("upstream_notices_total", word->per_second ? "limit" : "no_limit");
+    m.count(
+        "upstream_notices_total", changed->per_second ? "limit" : "no_limit");
     context_.log.write(
         log_event::upstream_limit_changed,
         {{"upstream", u.id},
          {"started_ms", incarnation},
-         {"limit_per_s", limit_text(word->per_second)},
+         {"limit_per_s", limit_text(changed->per_second)},
          {"before", limit_text(before)},
-         {"change", std::to_string(word->change)}});
+         {"change", std::to_string(changed->change)}});
 }
 
 void proxied_request::on_upstream_refusal(upstream_response const& a)
--- a/src/gateway/request_protocol.hpp
+++ b/src/gateway/request_protocol.hpp
@@ -77,7 +77,7 @@
     bool has_invalid_pause = false; // the requested backoff is out of range
     // Requests per second that the upstream accepts from all callers together.
     std::optional<double> limit_per_second;
-    bool has_invalid_limit = false; // the limit is not a number, or negative
+    std::string invalid_limit; // a limit that is not a number, or negative
     std::optional<upstream_load_report> load;
     std::optional<int> confidence; // 0 to 100, as the model reports it
 };
--- a/src/gateway/store_controller.cpp
+++ b/src/gateway/store_controller.cpp
@@ -66,6 +66,11 @@
 constexpr duration write_retry_delay = milliseconds(500);
 constexpr duration write_timeout = seconds(2);
 
+std::string count_text(timing_sums const& s)
+{
+    return std::to_string(static_cast<std::uint64_t>(s.count));
+}
+
 } // namespace
 
 store_controller::store_controller(
@@ -545,9 +550,9 @@
              {"target", t.order.target},
              {"answers", std::to_string(e.target.answers)},
              {"bad", std::to_string(e.target.bad)},
-             {"first_samples", std::to_string(e.timing.first_event.count)},
+             {"first_samples", count_text(e.timing.first_event)},
              {"first_log_ratio", std::to_string(mean_of(e.timing.first_event))},
-             {"gap_samples", std::to_string(e.timing.event_gap.count)},
+             {"gap_samples", count_text(e.timing.event_gap)},
              {"gap_log_ratio", std::to_string(mean_of(e.timing.event_gap))}});
     }
     version_rollout_decision const d = decide_version_rollout(
@@ -569,9 +574,9 @@
          {"reason", std::string(d.reason)},
          {"answers", std::to_string(e.target.answers)},
          {"bad", std::to_string(e.target.bad)},
-         {"first_samples", std::to_string(e.timing.first_event.count)},
+         {"first_samples", count_text(e.timing.first_event)},
          {"first_log_ratio", std::to_string(mean_of(e.timing.first_event))},
-         {"gap_samples", std::to_string(e.timing.event_gap.count)},
+         {"gap_samples", count_text(e.timing.event_gap)},
          {"gap_log_ratio", std::to_string(mean_of(e.timing.event_gap))},
          {"elapsed_ms", std::to_string(elapsed_of(t, now).count() / 1000)}});
     http_call call = protocol_.put_status(
--- a/src/gateway/upstream_limit.cpp
+++ b/src/gateway/upstream_limit.cpp
@@ -51,27 +51,30 @@
 }
 
 bool record_response_limit(
-    limit_word& word, std::optional<double> per_second, steady_time sent,
+    known_limit& known, std::optional<double> per_second, steady_time sent,
     steady_time now)
 {
-    bool const may_be_older = sent < word.learned_at;
-    bool const is_lower = as_number(per_second) < as_number(word.per_second);
-    if (per_second == word.per_second || (may_be_older && !is_lower))
+    bool const may_be_older = sent < known.learned_at;
+    bool const is_lower = as_number(per_second) < as_number(known.per_second);
+    if (per_second == known.per_second || (may_be_older && !is_lower))
         return false;
-    word = {
-        .change = word.change + 1, .per_second = per_second, .learned_at = now};
+    known = {
+        .change = known.change + 1,
+        .per_second = per_second,
+        .learned_at = now};
     return true;
 }
 
-bool merge_word(limit_word& word, limit_word const& peer, steady_time now)
+bool merge_known_limit(
+    known_limit& known, known_limit const& peer, steady_time now)
 {
     bool const is_later =
-        peer.change > word.change ||
-        (peer.change == word.change &&
-         as_number(peer.per_second) < as_number(word.per_second));
+        peer.change > known.change ||
+        (peer.change == known.change &&
+         as_number(peer.per_second) < as_number(known.per_second));
     if (!is_later)
         return false;
-    word = {
+    known = {
         .change = peer.change,
         .per_second = peer.per_second,
         .learned_at = now};
@@ -199,4 +202,17 @@
     return true;
 }
 
+duration limit_backoff(limit_refusal const& r, std::uint64_t hash)
+{
+    double const per_gateway =
+        std::max(r.limits_per_second, min_limit_per_second) /
+        static_cast<double>(std::max<std::size_t>(r.gateways, 1));
+    double const backlog_s = std::min(
+        static_cast<double>(r.refused) / per_gateway, to_seconds(max_backoff));
+    double const part = static_cast<double>(hash % spread_steps) /
+                        static_cast<double>(spread_steps);
+    duration const next = std::clamp(r.until_next, duration{0}, max_backoff);
+    return next + from_seconds(backlog_s * part);
+}
+
 } // namespace marjorambeam
--- a/src/gateway/upstream_limit.hpp
+++ b/src/gateway/upstream_limit.hpp
@@ -2,9 +2,12 @@
 // limit that a gateway may use.
 //
 // Example:
-//   if (record_response_limit(word, response.limit_per_second, sent, now))
-//       report_to_peers(word);
-//   set_share(gate, limit_share(*word.per_second, "i-7", view), opens_at, now);
+//   if (record_response_limit(known, response.limit_per_second, sent, now))
+//       report_to_peers(known);
+//   auto sharers = limit_sharers(*known.per_second, "i-7", view);
+//   set_share(
+//       gate, limit_share(*known.per_second, sharers.size(), view), opens_at,
+//       now);
 //   if (has_token(gate, now)) { take_token(gate, now); send(); }
 //
 // A limit bounds the requests that all gateways together send per second. It
@@ -30,10 +33,10 @@
 namespace marjorambeam
 {
 
-// What is known of the limit of an upstream. Gateways exchange words. Changes
-// are numbered instead of dated, so that the delay of a report does not make an
-// old word look new.
-struct limit_word
+// What a gateway knows of the limit of an upstream, which it reports to the
+// others. Changes are numbered instead of dated, so that the delay of a report
+// does not make an old limit look new.
+struct known_limit
 {
     std::uint64_t change = 0;         // number of the change; 0: no limit yet
     std::optional<double> per_second; // nothing: it names no limit
@@ -44,17 +47,18 @@
 std::string limit_text(std::optional<double> per_second);
 
 // Records the limit in a response to a request sent at `sent`. Returns whether
-// the word changed. Responses may overtake one another: a request that was sent
-// before the present word was learned may have been answered before it too, so
+// it changed. Responses may overtake one another: a request that was sent
+// before the known limit was learned may have been answered before that too, so
 // that its response can only lower the limit. Not thread-safe.
 bool record_response_limit(
-    limit_word& word, std::optional<double> per_second, steady_time sent,
+    known_limit& known, std::optional<double> per_second, steady_time sent,
     steady_time now);
 
-// Replaces `word` by the word of a peer if that is later; of two words with the
-// same number, the lower limit counts. Returns whether the word changed. Not
-// thread-safe.
-bool merge_word(limit_word& word, limit_word const& peer, steady_time now);
+// Replaces `known` by the limit that a peer knows if that is a later change; of
+// two changes with the same number, the lower limit counts. Returns whether it
+// changed. Not thread-safe.
+bool merge_known_limit(
+    known_limit& known, known_limit const& peer, steady_time now);
 
 // The gateways among which a limit is shared.
 struct sharer_view
@@ -167,4 +171,22 @@
     limit_gate& g, std::uint64_t number, claim_answer const& a,
     steady_time now);
 
+// Why callers are refused: all upstreams of a service are at their limits.
+struct limit_refusal
+{
+    duration until_next{0};       // until the next token of this gateway
+    double limits_per_second = 0; // sum of the upstreams' limits
+    std::size_t gateways = 1;     // that serve callers
+    std::size_t refused = 1;      // callers of this gateway in the last second
+};
+
+// Longest time over which refused callers come back.
+constexpr duration max_backoff = std::chrono::seconds(10);
+
+// Returns after what time a refused caller comes back: the time until the next
+// token, and a part of the time that the limits take for the callers that were
+// refused lately. Callers may come back at any gateway, so that this is the
+// time at an average one. `hash` is uniform over callers. Thread-safe.
+duration limit_backoff(limit_refusal const& r, std::uint64_t hash);
+
 } // namespace marjorambeam
--- a/src/gateway/upstream_notice.cpp
+++ b/src/gateway/upstream_notice.cpp
@@ -76,7 +76,7 @@
     return true;
 }
 
-limit_word const* record_limit(
+known_limit const* record_limit(
     upstream_notices& all, std::string_view id, std::int64_t started_unix_ms,
     std::optional<double> per_second, steady_time sent, steady_time now)
 {
@@ -92,11 +92,11 @@
 
 bool merge_limit(
     upstream_notices& all, std::string_view id, std::int64_t started_unix_ms,
-    limit_word const& peer, steady_time now)
+    known_limit const& peer, steady_time now)
 {
     upstream_notice* const n =
         find_or_add_notice(all, id, started_unix_ms, now);
-    return n != nullptr && merge_word(n->limit, peer, now);
+    return n != nullptr && merge_known_limit(n->limit, peer, now);
 }
 
 limit_gate const* gate_of(upstream_notice const* n)
--- a/src/gateway/upstream_notice.hpp
+++ b/src/gateway/upstream_notice.hpp
@@ -30,7 +30,7 @@
     bool is_draining = false;
     steady_time paused_until{}; // end of the requested pause
     steady_time resumes_at{};   // no requests before, see record_pause()
-    limit_word limit;
+    known_limit limit;
     limit_gate gate; // in use while `limit` names a number
 };
 
@@ -64,18 +64,17 @@
     duration pause, std::uint64_t hash, steady_time now);
 
 // Records the request limit in a response of the upstream, or that it names
-// none; see record_response_limit(). Returns the changed word, or null if
-// nothing changed. The pointer is valid until the notice is removed. Not
-// thread-safe.
-limit_word const* record_limit(
+// none; see record_response_limit(). Returns the limit if it changed, else
+// null. The pointer is valid until the notice is removed. Not thread-safe.
+known_limit const* record_limit(
     upstream_notices& all, std::string_view id, std::int64_t started_unix_ms,
     std::optional<double> per_second, steady_time sent, steady_time now);
 
-// Merges a peer's word about the limit of this incarnation; see merge_word().
-// Returns whether it changed. Not thread-safe.
+// Merges what a peer knows of the limit of this incarnation; see
+// merge_known_limit(). // Returns whether it changed. Not thread-safe.
 bool merge_limit(
     upstream_notices& all, std::string_view id, std::int64_t started_unix_ms,
-    limit_word const& peer, steady_time now);
+    known_limit const& peer, steady_time now);
 
 // Returns the gate of the upstream's request limit, or null if it names none.
 // `n` may be null. Thread-safe.
--- a/src/log/log_events.cpp
+++ b/src/log/log_events.cpp
@@ -133,8 +133,8 @@
     log_event_row{
         upstream_limit_bad, "upstream_limit_bad", log_level::warning,
         "The upstream names no valid request limit.",
-        "The limit in an answer of `upstream` can't be read or is negative; it "
-        "is ignored, and what was known stays."},
+        "`value`, the limit in an answer of `upstream`, is no number or is "
+        "negative; it is ignored, and what was known stays."},
     log_event_row{
         upstream_limit_reported, "upstream_limit_reported", log_level::info,
         "Another gateway reports a changed request limit.",
