Log the prompt parts and the progress of requests on a crashed upstream

The lines of a crash named the request by a hash and nothing else, so that they could not tell whether the requests that were blamed had anything in common (hypothesis 1), whether they had begun to be answered (3), or by how many gateways a crash was seen (4).

Change: crash_confirmed has request_id, parts and events; a metric counts the suspects that this gateway confirmed and those that others reported. Nothing that decides is changed.

--- a/src/gateway/crash_attribution.cpp
+++ b/src/gateway/crash_attribution.cpp
@@ -60,7 +60,8 @@
         std::string const name =
             it.upstream + "/" + std::to_string(it.upstream_started_ms);
         if (record_crash(b, it.fingerprint, name, now))
-            b.to_report.push_back({it.fingerprint, name});
+            b.to_report.push_back(
+                {it.fingerprint, name, it.request_id, it.parts, it.events});
     }
     std::erase_if(
         b.suspicions,
--- a/src/gateway/crash_attribution.hpp
+++ b/src/gateway/crash_attribution.hpp
@@ -52,6 +52,9 @@
     std::string upstream;
     std::int64_t upstream_started_ms = 0; // identifies the incarnation
     steady_time at{};
+    std::string request_id;
+    std::vector<std::string> parts; // shared parts of its prompt, in order
+    std::uint64_t events = 0;       // received before the connection broke
 };
 
 // A crash to report to the other gateways.
@@ -59,6 +62,9 @@
 {
     std::uint64_t fingerprint = 0;
     std::string upstream; // its id and start time
+    std::string request_id;
+    std::vector<std::string> parts;
+    std::uint64_t events = 0;
 };
 
 struct crash_attribution
--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -2,6 +2,9 @@
 
 #include "gateway/reader_election.hpp"
 
+#include <span>
+#include <utility>
+
 namespace marjorambeam
 {
 namespace
@@ -20,6 +23,17 @@
 // that their callers receive an error.
 constexpr duration abort_margin = milliseconds(600);
 
+// Longest list of parts in a log line, in bytes; callers choose the ids.
+constexpr std::size_t max_logged_parts = 200;
+
+std::string list_text(std::span<std::string const> all)
+{
+    std::string text;
+    for (std::string const& it : all)
+        text.append(text.empty() ? "" : ",").append(it);
+    return text.substr(0, max_logged_parts);
+}
+
 http_server_settings admin_settings(std::string const& address)
 {
     http_server_settings s;
@@ -159,8 +173,12 @@
     {
         log_.write(
             log_event::crash_confirmed,
-            {{"fingerprint", to_hex(it.fingerprint)},
-             {"upstream", it.upstream}});
+            {{"request_id", it.request_id},
+             {"fingerprint", to_hex(it.fingerprint)},
+             {"upstream", it.upstream},
+             {"parts", list_text(it.parts)},
+             {"events", std::to_string(it.events)}});
+        state_.counters.count("crash_suspects_total", "own");
         message const m =
             to_call(upstream_crash_report{it.fingerprint, it.upstream});
         for (auto const& [name, p] : state_.peers)
@@ -196,8 +214,11 @@
     {
         result<upstream_crash_report> const b = decode_crash_report(*call);
         if (b)
+        {
+            state_.counters.count("crash_suspects_total", "reported");
             record_crash(
                 state_.crash_records, b->fingerprint, b->upstream, now);
+        }
         else
             state_.counters.count("bad_datagrams_total", "break");
     }
--- a/src/gateway/proxied_request_failure.cpp
+++ b/src/gateway/proxied_request_failure.cpp
@@ -21,6 +21,15 @@
 // long; other streams of a live upstream would have sent something.
 constexpr duration silence_timeout = milliseconds(1200);
 
+// Ids of the parts of the prompt that other requests may share.
+std::vector<std::string> shared_parts(gateway_request const& r)
+{
+    std::vector<std::string> ids;
+    for (std::size_t i = 0; i + 1 < r.prompt.size(); ++i)
+        ids.push_back(r.prompt[i].id);
+    return ids;
+}
+
 std::string to_integer_text(double n)
 {
     return std::to_string(static_cast<std::int64_t>(n));
@@ -105,8 +114,13 @@
         if (is_connection_failure)
             record_suspicion(
                 context_.state.crash_records,
-                {fingerprint_, upstream_->info.id,
-                 upstream_->info.started_unix_ms, now});
+                {.fingerprint = fingerprint_,
+                 .upstream = upstream_->info.id,
+                 .upstream_started_ms = upstream_->info.started_unix_ms,
+                 .at = now,
+                 .request_id = request_.attempt_id,
+                 .parts = shared_parts(request_),
+                 .events = attempt_events_});
         record_version_outcome(attempt_outcome::no_response);
     }
     attempts_.last_failure = kind;
--- a/src/log/log_events.cpp
+++ b/src/log/log_events.cpp
@@ -176,7 +176,9 @@
     log_event_row{
         crash_confirmed, "crash_confirmed", log_level::warning,
         "A request was at work when its upstream crashed.",
-        "Counts against the request with this `fingerprint`."},
+        "Counts against the request with this `fingerprint`. `parts` are the "
+        "shared parts of its prompt, `events` what `upstream` had written of "
+        "the answer."},
     log_event_row{
         request_quarantined, "request_quarantined", log_level::warning,
         "A request is quarantined; it crashes upstreams.",
