--- a/src/error/error.cpp
+++ b/src/error/error.cpp
@@ -143,6 +143,9 @@
     error_answer{
         kind::quarantined, "quarantined", 422, run::not_run, advice::later,
         seconds(600)},
+    error_answer{
+        kind::request_quarantined, "request_quarantined", 503, run::not_run,
+        advice::later, seconds(600)},
     error_answer{
         kind::generation_stale, "generation_stale", 503, run::not_run,
         advice::later, milliseconds(200)},
--- a/src/error/error.hpp
+++ b/src/error/error.hpp
@@ -72,6 +72,7 @@
     frame_stale,
     protocol_mismatch,
     quarantined,
+    request_quarantined,
     generation_stale,
     isolated,
     not_ready,
--- /dev/null
+++ b/src/gateway/crash_evidence.cpp
@@ -0,0 +1,449 @@
+#include "gateway/crash_evidence.hpp"
+
+#include "base/hash.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <iterator>
+#include <optional>
+#include <set>
+#include <tuple>
+#include <utility>
+
+namespace marjorambeam
+{
+namespace
+{
+
+using crash_entry = part_record::crash_entry;
+
+bool has_part(request_traits const& t, std::uint64_t part)
+{
+    return std::find(t.parts.begin(), t.parts.end(), part) != t.parts.end();
+}
+
+upstream_crash* find_crash(crash_evidence& e, std::uint64_t id)
+{
+    auto const it = std::find_if(
+        e.crashes.begin(), e.crashes.end(),
+        [&](upstream_crash const& c) { return c.id == id; });
+    return it == e.crashes.end() ? nullptr : &*it;
+}
+
+void add_part_crash(
+    crash_evidence& e, std::uint64_t part, std::uint64_t crash,
+    std::size_t position)
+{
+    part_record& r = e.parts[part];
+    r.position = std::max(r.position, position);
+    bool const is_known = std::any_of(
+        r.crashes.begin(), r.crashes.end(),
+        [&](crash_entry const& it) { return it.crash == crash; });
+    if (!is_known)
+        r.crashes.push_back({crash, std::exchange(r.survivals, 0)});
+}
+
+// Removes the crash from the record of a part. Returns whether none is left.
+bool remove_part_crash(part_record& r, std::uint64_t crash)
+{
+    auto const it = std::find_if(
+        r.crashes.begin(), r.crashes.end(),
+        [&](crash_entry const& c) { return c.crash == crash; });
+    if (it == r.crashes.end())
+        return r.crashes.empty();
+    auto const next = std::next(it);
+    (next == r.crashes.end() ? r.survivals : next->survivals) += it->survivals;
+    r.crashes.erase(it);
+    return r.crashes.empty();
+}
+
+void drop_oldest_crash(crash_evidence& e)
+{
+    upstream_crash const c = std::move(e.crashes.front());
+    e.crashes.pop_front();
+    e.has_changed = true;
+    for (request_traits const& t : c.suspects)
+    {
+        for (std::uint64_t const part : t.parts)
+        {
+            auto const it = e.parts.find(part);
+            if (it != e.parts.end() && remove_part_crash(it->second, c.id))
+                e.parts.erase(it);
+        }
+        auto const r = e.requests.find(t.request);
+        if (r == e.requests.end())
+            continue;
+        std::erase(r->second, c.id);
+        if (r->second.empty())
+            e.requests.erase(r);
+    }
+}
+
+std::size_t crashes_of(crash_evidence const& e, std::uint64_t request)
+{
+    auto const it = e.requests.find(request);
+    return it == e.requests.end() ? 0 : it->second.size();
+}
+
+template <class Is>
+std::vector<crash_suspicion>
+take_suspicions(crash_evidence& e, steady_time now, Is is_of_crash)
+{
+    std::vector<crash_suspicion> taken;
+    for (crash_suspicion& it : e.suspicions)
+    {
+        if (is_of_crash(it) && now - it.at <= crash_suspicion_ttl)
+            taken.push_back(it);
+    }
+    std::erase_if(e.suspicions, is_of_crash);
+    return taken;
+}
+
+// Records confirmed suspicions, which are of one crash at most for each
+// incarnation, and queues them for the other gateways.
+void record_confirmed(
+    crash_evidence& e, std::span<crash_suspicion const> confirmed)
+{
+    for (crash_suspicion const& it : confirmed)
+    {
+        std::uint64_t const id = crash_id(it.upstream, it.upstream_started_ms);
+        record_crash(e, id, it.at, {&it.traits, 1});
+        auto const known = std::find_if(
+            e.unreported_crashes.begin(), e.unreported_crashes.end(),
+            [&](upstream_crash const& c) { return c.id == id; });
+        if (known == e.unreported_crashes.end())
+            e.unreported_crashes.push_back({id, it.at, {it.traits}});
+        else
+            known->suspects.push_back(it.traits);
+    }
+}
+
+// The crashes, grouped by what may be one cause.
+class crash_groups
+{
+public:
+    explicit crash_groups(std::deque<upstream_crash> const& crashes)
+    {
+        std::vector<upstream_crash const*> all;
+        for (upstream_crash const& it : crashes)
+            all.push_back(&it);
+        std::sort(
+            all.begin(), all.end(),
+            [](auto const* a, auto const* b)
+            { return std::tie(a->at, a->id) < std::tie(b->at, b->id); });
+        std::optional<steady_time> start;
+        std::size_t group = 0;
+        for (upstream_crash const* it : all)
+        {
+            if (start && it->at - *start > common_cause_window)
+                ++group;
+            if (!start || group != last_)
+                start = it->at;
+            last_ = group;
+            by_id_[it->id] = {group, it};
+        }
+    }
+
+    std::size_t group_of(std::uint64_t crash) const
+    {
+        return by_id_.at(crash).group;
+    }
+    upstream_crash const& crash(std::uint64_t id) const
+    {
+        return *by_id_.at(id).crash;
+    }
+
+private:
+    struct grouped
+    {
+        std::size_t group = 0;
+        upstream_crash const* crash = nullptr;
+    };
+    std::unordered_map<std::uint64_t, grouped> by_id_;
+    std::size_t last_ = 0;
+};
+
+// The evidence against a part that no guilty part explains.
+struct part_judgement
+{
+    double score = 0;
+    std::size_t in_a_row = 0;           // groups of crashes since an answer
+    std::size_t explained = 0;          // crashes since an answer
+    std::vector<std::uint64_t> crashes; // unexplained, since the score was 0
+
+    void add_survivals(std::uint32_t n)
+    {
+        if (n == 0)
+            return;
+        in_a_row = 0;
+        explained = 0;
+        score = std::max(0.0, score - n * survival_score);
+        if (score == 0)
+            crashes.clear();
+    }
+};
+
+part_judgement judge_part(
+    part_record const& r, crash_groups const& groups,
+    std::set<std::uint64_t> const& explained, double crash_score)
+{
+    part_judgement j;
+    std::set<std::size_t> counted;
+    for (crash_entry const& it : r.crashes)
+    {
+        j.add_survivals(it.survivals);
+        if (explained.contains(it.crash))
+        {
+            ++j.explained;
+            continue;
+        }
+        j.crashes.push_back(it.crash);
+        if (!counted.insert(groups.group_of(it.crash)).second)
+            continue;
+        j.score += crash_score;
+        ++j.in_a_row;
+    }
+    j.add_survivals(r.survivals);
+    return j;
+}
+
+struct blamed_requests
+{
+    std::set<std::uint64_t> requests;
+    std::set<std::uint64_t> organisations;
+};
+
+blamed_requests blamed_for(
+    std::uint64_t part, part_judgement const& j, crash_groups const& groups)
+{
+    blamed_requests b;
+    for (std::uint64_t const id : j.crashes)
+    {
+        for (request_traits const& t : groups.crash(id).suspects)
+        {
+            if (!has_part(t, part))
+                continue;
+            b.requests.insert(t.request);
+            b.organisations.insert(t.organisation);
+        }
+    }
+    return b;
+}
+
+bool is_guilty(part_judgement const& j, std::size_t requests)
+{
+    if (j.explained >= min_companion_crashes && j.in_a_row > 0)
+        return j.score >= companion_conviction_score;
+    bool const has_several =
+        requests >= 2 && j.in_a_row >= crashes_until_suspected;
+    return has_several &&
+           (j.score >= conviction_score || j.in_a_row >= crashes_until_guilty);
+}
+
+} // namespace
+
+std::uint64_t request_fingerprint(
+    std::string_view target, std::string_view organisation,
+    std::string_view body)
+{
+    return hash64(body, hash64(organisation, hash64(target)));
+}
+
+std::uint64_t part_key(std::string_view id)
+{
+    return std::max<std::uint64_t>(hash64(id), 1);
+}
+
+std::uint64_t crash_id(std::string_view upstream, std::int64_t started_ms)
+{
+    return hash64(upstream, static_cast<std::uint64_t>(started_ms));
+}
+
+void record_suspicion(crash_evidence& e, crash_suspicion&& s)
+{
+    std::erase_if(
+        e.suspicions, [&](crash_suspicion const& it)
+        { return s.at - it.at > crash_suspicion_ttl; });
+    if (e.suspicions.size() >= max_suspicions)
+        e.suspicions.erase(e.suspicions.begin());
+    e.suspicions.push_back(std::move(s));
+}
+
+std::vector<crash_suspicion>
+confirm_crash(crash_evidence& e, std::string_view upstream, steady_time now)
+{
+    std::vector<crash_suspicion> confirmed = take_suspicions(
+        e, now,
+        [&](crash_suspicion const& it) { return it.upstream == upstream; });
+    record_confirmed(e, confirmed);
+    return confirmed;
+}
+
+std::vector<crash_suspicion>
+confirm_crash(crash_evidence& e, std::uint64_t crash, steady_time now)
+{
+    std::vector<crash_suspicion> confirmed = take_suspicions(
+        e, now,
+        [&](crash_suspicion const& it)
+        { return crash_id(it.upstream, it.upstream_started_ms) == crash; });
+    record_confirmed(e, confirmed);
+    return confirmed;
+}
+
+void record_crash(
+    crash_evidence& e, std::uint64_t crash, steady_time at,
+    std::span<request_traits const> suspects)
+{
+    upstream_crash* c = find_crash(e, crash);
+    if (c == nullptr)
+    {
+        if (e.crashes.size() >= max_crash_records)
+            drop_oldest_crash(e);
+        c = &e.crashes.emplace_back(upstream_crash{crash, at, {}});
+    }
+    c->at = std::min(c->at, at);
+    for (request_traits const& t : suspects)
+    {
+        bool const is_known = std::any_of(
+            c->suspects.begin(), c->suspects.end(),
+            [&](request_traits const& it) { return it.request == t.request; });
+        if (is_known || c->suspects.size() >= max_suspects)
+            continue;
+        e.has_changed = true;
+        c->suspects.push_back(t);
+        e.requests[t.request].push_back(crash);
+        std::size_t const n = std::min(t.parts.size(), max_judged_parts);
+        for (std::size_t i = 0; i < n; ++i)
+            add_part_crash(e, t.parts[i], crash, i);
+    }
+    while (e.parts.size() > max_part_records && e.crashes.size() > 1)
+        drop_oldest_crash(e);
+}
+
+void record_survival(
+    crash_evidence& e, request_traits const& traits, steady_time now)
+{
+    e.answered.add(now);
+    e.requests.erase(traits.request);
+    for (std::uint64_t const part : traits.parts)
+    {
+        auto const it = e.parts.find(part);
+        if (it == e.parts.end())
+            continue;
+        ++it->second.survivals;
+        ++e.unreported_survivals[part];
+        e.has_changed = true;
+    }
+}
+
+void record_reported_survivals(
+    crash_evidence& e, std::uint64_t part, std::uint32_t n)
+{
+    auto const it = e.parts.find(part);
+    if (it == e.parts.end())
+        return;
+    it->second.survivals += n;
+    e.has_changed = true;
+}
+
+bool may_repeat(crash_evidence const& e, request_traits const& traits)
+{
+    return crashes_of(e, traits.request) < crashes_without_repeat;
+}
+
+bool reaches_crash_limit(crash_evidence const& e, std::uint64_t request)
+{
+    return crashes_of(e, request) >= crash_limit;
+}
+
+void forget_part(crash_evidence& e, std::uint64_t part)
+{
+    e.parts.erase(part);
+    e.unreported_survivals.erase(part);
+    for (upstream_crash& c : e.crashes)
+    {
+        for (request_traits& t : c.suspects)
+            std::erase(t.parts, part);
+    }
+    e.has_changed = true;
+}
+
+void expire_crashes(crash_evidence& e, steady_time now)
+{
+    while (!e.crashes.empty() && now - e.crashes.front().at > crash_record_ttl)
+        drop_oldest_crash(e);
+}
+
+double crash_share(crash_evidence& e, std::size_t gateways, steady_time now)
+{
+    std::size_t lost = 0;
+    for (upstream_crash const& it : e.crashes)
+    {
+        if (now - it.at <= crash_share_window)
+            lost += it.suspects.size();
+    }
+    auto const answered = static_cast<double>(e.answered.count(now) * gateways);
+    auto const all = static_cast<double>(lost) + answered;
+    double const share = all > 0 ? static_cast<double>(lost) / all : 0;
+    return std::clamp(share, min_crash_share, max_crash_share);
+}
+
+part_findings judge_parts(crash_evidence const& e, double crash_share)
+{
+    part_findings found;
+    crash_groups const groups(e.crashes);
+    double const crash_score = -std::log(crash_share);
+    std::set<std::uint64_t> explained;
+    std::set<std::uint64_t> convicted;
+    for (;;)
+    {
+        std::optional<part_finding> worst;
+        std::size_t worst_position = 0;
+        for (auto const& [part, r] : e.parts)
+        {
+            if (r.crashes.size() < crashes_until_suspected ||
+                convicted.contains(part))
+                continue;
+            part_judgement const j =
+                judge_part(r, groups, explained, crash_score);
+            bool const may_be_worst =
+                j.score > 0 &&
+                (!worst ||
+                 std::tie(j.score, r.position, part) >
+                     std::tie(worst->score, worst_position, worst->part));
+            if (!may_be_worst)
+                continue;
+            blamed_requests const b = blamed_for(part, j, groups);
+            if (!is_guilty(j, b.requests.size()))
+                continue;
+            worst = part_finding{
+                .part = part,
+                .organisation =
+                    b.organisations.size() == 1 ? *b.organisations.begin() : 0,
+                .crashes = j.crashes.size(),
+                .requests = b.requests.size(),
+                .score = j.score};
+            worst_position = r.position;
+        }
+        if (!worst)
+            break;
+        convicted.insert(worst->part);
+        for (crash_entry const& it : e.parts.at(worst->part).crashes)
+            explained.insert(it.crash);
+        found.guilty.push_back(*worst);
+    }
+    for (auto const& [part, r] : e.parts)
+    {
+        if (convicted.contains(part))
+            continue;
+        part_judgement const j = judge_part(r, groups, explained, crash_score);
+        if (j.in_a_row >= crashes_until_suspected)
+            found.suspected.push_back(part);
+        else if (j.score == 0)
+            (j.explained > 0 ? found.explained : found.answered)
+                .push_back(part);
+    }
+    return found;
+}
+
+} // namespace marjorambeam
--- /dev/null
+++ b/src/gateway/crash_evidence.hpp
@@ -0,0 +1,215 @@
+// Evidence of which requests, and which parts of prompts, crash the upstreams
+// that begin to answer them.
+//
+// Example:
+//   record_suspicion(e, {traits, upstream, started_ms, now});
+//   confirm_crash(e, upstream, now); // it is unreachable or has restarted
+//   record_survival(e, traits, now); // an upstream answers such a request
+//   for (part_finding const& it : judge_parts(e, crash_share(e, n, now)))
+//       quarantine(it);
+//
+// An upstream that crashes takes down every request it holds, so one crash
+// proves nothing. Suspects are the requests that it had not begun to answer; a
+// request that is being answered did not crash it. Parts are judged by a
+// sequential likelihood ratio: each crash with the part speaks against it by
+// how rarely a sound request is lost in a crash, each answered request with the
+// part speaks for it, and a crash that another part explains does not count.
+// Gateways exchange their evidence, see crash_sharing.hpp.
+//
+// No I/O. Functions that take a crash_evidence are not thread-safe.
+#pragma once
+
+#include "base/time.hpp"
+#include "gateway/rate_window.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <span>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace marjorambeam
+{
+
+// What a request has in common with others, as hashes.
+struct request_traits
+{
+    std::uint64_t request = 0;        // of the same contents
+    std::uint64_t organisation = 0;   // 0: none
+    std::vector<std::uint64_t> parts; // shared parts of its prompt, in order
+};
+
+// Shared parts of a prompt that count; of more, the last ones, which fewer
+// requests have.
+constexpr std::size_t max_judged_parts = 16;
+
+// Crashes after which a request is not repeated, and after which it is refused.
+// Few sound requests are in two crashes before they are answered.
+constexpr std::size_t crashes_without_repeat = 2;
+constexpr std::size_t crash_limit = 3;
+// A crash is detected within this time: the upstream is unreachable, no longer
+// listed, or has restarted.
+constexpr duration crash_suspicion_ttl = std::chrono::seconds(6);
+// Parts that crash upstreams rarely must not be forgotten in between.
+constexpr duration crash_record_ttl = std::chrono::hours(1);
+// Bounds of the memory, also against callers that make up parts.
+constexpr std::size_t max_crash_records = 64;
+constexpr std::size_t max_suspicions = 4096;
+constexpr std::size_t max_suspects = 128; // of one crash
+constexpr std::size_t max_part_records = 16'384;
+// Crashes within this time may have one cause, such as a power failure.
+constexpr duration common_cause_window = std::chrono::milliseconds(200);
+// Requests of this time are the baseline for how often sound ones are lost.
+constexpr duration crash_share_window = std::chrono::seconds(10);
+
+// An upstream's connection broke before it had begun to answer the request.
+struct crash_suspicion
+{
+    request_traits traits;
+    std::string upstream;
+    std::int64_t upstream_started_ms = 0; // identifies the incarnation
+    steady_time at{};
+};
+
+struct upstream_crash
+{
+    std::uint64_t id = 0; // see crash_id()
+    steady_time at{};
+    std::vector<request_traits> suspects;
+};
+
+// The crashes of requests with one part, in the order in which they became
+// known, and the answers in between.
+struct part_record
+{
+    struct crash_entry
+    {
+        std::uint64_t crash = 0;
+        std::uint32_t survivals = 0; // since the entry before
+    };
+    std::vector<crash_entry> crashes;
+    std::uint32_t survivals = 0; // since the last crash
+    std::size_t position = 0;    // greatest position in a prompt
+};
+
+struct crash_evidence
+{
+    std::deque<upstream_crash> crashes; // in the order in which they were known
+    std::unordered_map<std::uint64_t, part_record> parts;
+    // Crashes of each request, by its `request_traits::request`.
+    std::unordered_map<std::uint64_t, std::vector<std::uint64_t>> requests;
+    std::vector<crash_suspicion> suspicions;
+    // Drained by the sender of reports.
+    std::vector<upstream_crash> unreported_crashes;
+    std::map<std::uint64_t, std::uint32_t> unreported_survivals; // by part
+    rate_window answered{crash_share_window}; // requests of this gateway
+    bool has_changed = false;                 // since the parts were judged
+};
+
+// A part that crashes upstreams.
+struct part_finding
+{
+    std::uint64_t part = 0;
+    std::uint64_t organisation = 0; // whose requests crashed; 0: of several
+    std::size_t crashes = 0;        // that no other part explains
+    std::size_t requests = 0;       // different ones among them
+    double score = 0;               // logarithm of the likelihood ratio
+};
+
+// The result of judging all parts.
+struct part_findings
+{
+    std::vector<part_finding> guilty;
+    // Requests with these are not repeated until more is known.
+    std::vector<std::uint64_t> suspected;
+    // Nothing is left against these: guilty parts explain their crashes, or
+    // requests with them have been answered since.
+    std::vector<std::uint64_t> explained;
+    std::vector<std::uint64_t> answered;
+};
+
+// Logarithm of the odds against a part before there is evidence: few parts of
+// thousands are deadly.
+constexpr double conviction_score = 9.2;
+// The same for a part that was in crashes with a guilty one and was never
+// answered without it.
+constexpr double companion_conviction_score = 3;
+constexpr std::size_t min_companion_crashes = 3;
+// Weight of one answered request: a deadly part survives one in fifty at most.
+constexpr double survival_score = 3.9;
+// A part with this many crashes in a row, of different requests and apart from
+// each other, is guilty however common crashes are.
+constexpr std::size_t crashes_until_guilty = 5;
+constexpr std::size_t crashes_until_suspected = 2;
+// Bounds of the share of requests that are lost in crashes.
+constexpr double min_crash_share = 0.005;
+constexpr double max_crash_share = 0.5;
+
+// Returns a hash that identifies a request's contents. Thread-safe.
+std::uint64_t request_fingerprint(
+    std::string_view target, std::string_view organisation,
+    std::string_view body);
+
+// Returns the key of a prompt's part in traits, which is not 0. Thread-safe.
+std::uint64_t part_key(std::string_view id);
+
+// Returns the id of the crash of an upstream's incarnation. Thread-safe.
+std::uint64_t crash_id(std::string_view upstream, std::int64_t started_ms);
+
+// Records that the upstream's connection broke before it had begun to answer
+// the request. Drops expired suspicions and, beyond the maximum, the oldest.
+// Not thread-safe.
+void record_suspicion(crash_evidence& e, crash_suspicion&& s);
+
+// Attributes the crash of the upstream to the requests recently suspected
+// there, and adds it to `unreported_crashes`. Returns the suspicions that it
+// confirmed. Not thread-safe.
+std::vector<crash_suspicion>
+confirm_crash(crash_evidence& e, std::string_view upstream, steady_time now);
+
+// The same for the incarnation that another gateway reports.
+std::vector<crash_suspicion>
+confirm_crash(crash_evidence& e, std::uint64_t crash, steady_time now);
+
+// Records suspects of a crash; those that are known already have no effect. Not
+// thread-safe.
+void record_crash(
+    crash_evidence& e, std::uint64_t crash, steady_time at,
+    std::span<request_traits const> suspects);
+
+// Records that an upstream answers the request: it and its parts did not crash
+// it. Clears the record of the request. Not thread-safe.
+void record_survival(
+    crash_evidence& e, request_traits const& traits, steady_time now);
+
+// Records answers that another gateway reports. Parts that are in no crash are
+// ignored. Not thread-safe.
+void record_reported_survivals(
+    crash_evidence& e, std::uint64_t part, std::uint32_t n);
+
+// Whether the request crashed so many upstreams that it is not repeated, or
+// refused. Not thread-safe.
+bool may_repeat(crash_evidence const& e, request_traits const& traits);
+bool reaches_crash_limit(crash_evidence const& e, std::uint64_t request);
+
+// Drops all evidence against the part, because it has been proven sound or is
+// to be tried anew. Not thread-safe.
+void forget_part(crash_evidence& e, std::uint64_t part);
+
+// Drops crashes that are older than `crash_record_ttl`. Not thread-safe.
+void expire_crashes(crash_evidence& e, steady_time now);
+
+// Returns the share of requests that were lately lost in crashes, within its
+// bounds. `gateways` is the number that serve requests: each knows the crashes
+// of all but only its own answers. Not thread-safe.
+double crash_share(crash_evidence& e, std::size_t gateways, steady_time now);
+
+// Judges all parts with crashes. Of parts with the same evidence the one
+// furthest back is guilty, which the fewest requests have. Not thread-safe.
+part_findings judge_parts(crash_evidence const& e, double crash_share);
+
+} // namespace marjorambeam
--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -2,9 +2,6 @@
 
 #include "gateway/reader_election.hpp"
 
-#include <span>
-#include <utility>
-
 namespace marjorambeam
 {
 namespace
@@ -23,17 +20,6 @@
 // that their callers receive an error.
 constexpr duration abort_margin = milliseconds(600);
 
-// Longest list of parts in a log line, in bytes; callers choose the ids.
-constexpr std::size_t max_logged_parts = 200;
-
-std::string list_text(std::span<std::string const> all)
-{
-    std::string text;
-    for (std::string const& it : all)
-        text.append(text.empty() ? "" : ",").append(it);
-    return text.substr(0, max_logged_parts);
-}
-
 http_server_settings admin_settings(std::string const& address)
 {
     http_server_settings s;
@@ -62,10 +48,14 @@
     , limits_(
           state_, peers_,
           [this](steady_time now) { requests_.dispatch_waiting(now); })
+    , quarantine_(
+          state_, peers_, client_, pool_, protocols.store, protocols.documents,
+          [this](steady_time now) { requests_.abort_quarantined(now); })
     , requests_(
-          loop, state_, protocols.calls, pool_, limits_)
+          loop, state_, protocols.calls, pool_, limits_, quarantine_)
     , store_(
-          loop, state_, client_, peers_, protocols.store, protocols.documents)
+          loop, state_, client_, peers_, quarantine_, protocols.store,
+          protocols.documents)
     , readiness_(
           loop, admin_settings(settings.readiness_address),
           [this](std::shared_ptr<http_exchange> const& ex) { on_admin(ex); })
@@ -111,6 +101,7 @@
     m.set("log_lines_unread_total", static_cast<double>(lines.unread));
     m.set("requests_active", static_cast<double>(requests_.active()));
     limits_.set_gauges();
+    quarantine_.set_gauges();
     return m.render();
 }
 
@@ -165,27 +156,6 @@
     limits_.send_reports(now);
 }
 
-void gateway_daemon::report_crashes()
-{
-    std::vector<confirmed_crash> const all =
-        std::exchange(state_.crash_records.to_report, {});
-    for (confirmed_crash const& it : all)
-    {
-        log_.write(
-            log_event::crash_confirmed,
-            {{"request_id", it.request_id},
-             {"fingerprint", to_hex(it.fingerprint)},
-             {"upstream", it.upstream},
-             {"parts", list_text(it.parts)},
-             {"events", std::to_string(it.events)}});
-        state_.counters.count("crash_suspects_total", "own");
-        message const m =
-            to_call(upstream_crash_report{it.fingerprint, it.upstream});
-        for (auto const& [name, p] : state_.peers)
-            peers_.send(p.address, m);
-    }
-}
-
 void gateway_daemon::on_message(message&& m)
 {
     auto const* const call = std::get_if<peer_call>(&m);
@@ -210,19 +180,9 @@
         else
             state_.counters.count("bad_datagrams_total", "relay");
     }
-    else if (call != nullptr && call->name == crash_report_call)
-    {
-        result<upstream_crash_report> const b = decode_crash_report(*call);
-        if (b)
-        {
-            state_.counters.count("crash_suspects_total", "reported");
-            record_crash(
-                state_.crash_records, b->fingerprint, b->upstream, now);
-        }
-        else
-            state_.counters.count("bad_datagrams_total", "break");
-    }
-    else if (call == nullptr || !limits_.on_message(*call, now))
+    else if (
+        call == nullptr || (!quarantine_.on_message(*call, now) &&
+                            !limits_.on_message(*call, now)))
     {
         state_.counters.count("bad_datagrams_total", "unknown message");
     }
@@ -235,7 +195,7 @@
     store_.tick(now);
     limits_.tick(now);
     send_reports(now);
-    report_crashes();
+    quarantine_.tick(now);
     expire_reports(state_, now);
     log_changes(now);
     if (now >= next_expiry_)
--- a/src/gateway/gateway_daemon.hpp
+++ b/src/gateway/gateway_daemon.hpp
@@ -13,6 +13,7 @@
 #include "gateway/gateway_state.hpp"
 #include "gateway/limit_controller.hpp"
 #include "gateway/peer_report.hpp"
+#include "gateway/quarantine_controller.hpp"
 #include "gateway/request_controller.hpp"
 #include "gateway/store_controller.hpp"
 #include "gateway/upstream_pool.hpp"
@@ -69,7 +70,6 @@
     void tick();
     void send_reports(steady_time now);
     void on_message(message&& m);
-    void report_crashes();
     void on_admin(std::shared_ptr<http_exchange> const& exchange);
     void continue_shutdown(steady_time now);
     void log_changes(steady_time now);
@@ -83,6 +83,7 @@
     upstream_pool pool_;
     datagram_socket peers_;
     limit_controller limits_;
+    quarantine_controller quarantine_;
     request_controller requests_;
     store_controller store_;
     http_server readiness_;
--- a/src/gateway/gateway_state.hpp
+++ b/src/gateway/gateway_state.hpp
@@ -12,8 +12,9 @@
 
 #include "base/id.hpp"
 #include "base/time.hpp"
-#include "gateway/crash_attribution.hpp"
+#include "gateway/crash_evidence.hpp"
 #include "gateway/gateway_config.hpp"
+#include "gateway/part_quarantine.hpp"
 #include "gateway/session_pins.hpp"
 #include "gateway/shared_limits.hpp"
 #include "gateway/state_relay.hpp"
@@ -87,6 +88,9 @@
     steady_time last_store_response_at{}; // last response of the store to it
     std::array<peer_copy, state_kind_count> copies{};
     std::map<std::uint32_t, peer_load> loads; // by upstream_state::number
+    // Process and number of its latest crash report.
+    incarnation crash_incarnation_id = 0;
+    std::uint64_t crash_sequence = 0;
 };
 
 // The gateways among which limits are shared, see refresh_limit_shares().
@@ -147,7 +151,9 @@
     // Callers refused because all upstreams were at their request limits.
     rate_window limited_refusals{std::chrono::seconds(1)};
     timing_baselines timings; // of versions that are not on trial
-    crash_attribution crash_records;
+    crash_evidence crashes;
+    part_quarantine quarantine;
+    std::uint64_t crash_reports_sent = 0;
     session_pins sessions;
     std::optional<steady_time> drain_started;
     steady_time started{};
--- a/src/gateway/local_response.cpp
+++ b/src/gateway/local_response.cpp
@@ -16,9 +16,7 @@
 int status_of(error const& e)
 {
     int const status = answer_for(e.kind).http_status;
-    // A request that crashes upstreams would crash more of them on a retry.
-    bool const may_retry = e.kind != error_kind::upstream_crashed;
-    if (e.run == run_state::not_run && status >= 500 && may_retry)
+    if (e.run == run_state::not_run && status >= 500)
         return not_run_status;
     if (e.run != run_state::not_run && status == not_run_status)
         return failed_status;
--- a/src/gateway/object_watch.hpp
+++ b/src/gateway/object_watch.hpp
@@ -74,6 +74,14 @@
     http_call (*put_status)(
         std::string_view address, std::string_view kind, std::string_view name,
         std::uint64_t revision, nlohmann::json const& status);
+    // Replaces the specification of an object that has `revision`, or removes
+    // such an object.
+    http_call (*replace)(
+        std::string_view address, std::string_view kind, std::string_view name,
+        std::uint64_t revision, nlohmann::json const& specification);
+    http_call (*remove)(
+        std::string_view address, std::string_view kind, std::string_view name,
+        std::uint64_t revision);
     // Errors: frame_stale when the history of the watch was dropped; conflict;
     // store_rate_limited; store_unavailable.
     result<platform_objects> (*decode)(http_reply const& reply);
--- a/src/gateway/peer_report.cpp
+++ b/src/gateway/peer_report.cpp
@@ -209,20 +209,9 @@
     return {.name = std::string(gateway_report_call), .body = encode_value(r)};
 }
 
-peer_call to_call(upstream_crash_report const& b)
-{
-    return {.name = std::string(crash_report_call), .body = encode_value(b)};
-}
-
 result<gateway_report> decode_report(peer_call const& call)
 {
     return decode_value<gateway_report>(call.body, trailing_bytes::ignored);
 }
 
-result<upstream_crash_report> decode_crash_report(peer_call const& call)
-{
-    return decode_value<upstream_crash_report>(
-        call.body, trailing_bytes::ignored);
-}
-
 } // namespace marjorambeam
--- a/src/gateway/peer_report.hpp
+++ b/src/gateway/peer_report.hpp
@@ -1,4 +1,4 @@
-// Datagrams that gateways exchange: state reports and crash reports.
+// State reports that gateways exchange in datagrams.
 //
 // Example:
 //   peer_call call = to_call(make_report(state, now));
@@ -21,9 +21,8 @@
 namespace marjorambeam
 {
 
-// Names of the peer_calls that carry these bodies.
+// Name of the peer_call that carries a report.
 constexpr std::string_view gateway_report_call = "gateway_report_4";
-constexpr std::string_view crash_report_call = "upstream_break";
 
 struct reported_load
 {
@@ -97,19 +96,6 @@
     }
 };
 
-// A request whose upstream crashed while it ran.
-struct upstream_crash_report
-{
-    std::uint64_t fingerprint = 0;
-    std::string upstream;
-
-    template <class Archive>
-    void serialize(Archive& ar)
-    {
-        ar(fingerprint, upstream);
-    }
-};
-
 // Returns the report that this gateway sends at `now`. Not thread-safe.
 gateway_report make_report(gateway_state const& s, steady_time now);
 
@@ -131,12 +117,10 @@
 // Not thread-safe.
 void expire_reports(gateway_state& s, steady_time now);
 
-// Encode a report for a datagram. Thread-safe.
+// Encodes a report for a datagram. Thread-safe.
 peer_call to_call(gateway_report const& r);
-peer_call to_call(upstream_crash_report const& b);
-// Decode a report. Errors: frame_corrupt. Precondition: `call.name` is the name
-// for that kind of report. Thread-safe.
+// Decodes a report. Errors: frame_corrupt. Precondition: the call is a
+// gateway_report_call. Thread-safe.
 result<gateway_report> decode_report(peer_call const& call);
-result<upstream_crash_report> decode_crash_report(peer_call const& call);
 
 } // namespace marjorambeam
--- a/src/gateway/proxied_request.cpp
+++ b/src/gateway/proxied_request.cpp
@@ -1,6 +1,7 @@
 #include "gateway/proxied_request.hpp"
 
 #include "base/hash.hpp"
+#include "base/id.hpp"
 #include "gateway/local_response.hpp"
 #include "gateway/model_escalation.hpp"
 
@@ -31,6 +32,21 @@
     return r.prompt[r.prompt.size() - 2].id;
 }
 
+request_traits
+traits_of(gateway_request const& r, std::string_view organisation)
+{
+    request_traits t;
+    t.request = request_fingerprint(r.target, organisation, r.body);
+    if (!organisation.empty())
+        t.organisation = part_key(organisation);
+    // The last part is the request's own.
+    std::size_t const shared = r.prompt.empty() ? 0 : r.prompt.size() - 1;
+    for (std::size_t i = shared - std::min(shared, max_judged_parts);
+         i < shared; ++i)
+        t.parts.push_back(part_key(r.prompt[i].id));
+    return t;
+}
+
 error_kind to_error_kind(selection_failure f)
 {
     switch (f)
@@ -77,8 +93,7 @@
         deadline_ = std::min(deadline_, now + *request_.remaining);
     service_ = pick_service(route_, hash_ >> 20U);
     affinity_ = affinity_key(request_);
-    fingerprint_ =
-        request_fingerprint(request_.target, organisation_, request_.body);
+    traits_ = traits_of(request_, organisation_);
     if (request_.resume_after)
         events_.start_after(*request_.resume_after);
 }
@@ -131,16 +146,7 @@
         it->second.canary.without_session += request_.session.empty() ? 1 : 0;
     }
     deadline_timer_.start(std::max(remaining(now), duration{0}));
-    if (reaches_crash_limit(context_.state.crash_records, fingerprint_, now))
-    {
-        context_.state.counters.count("quarantined_total", "", scope());
-        context_.log.write(
-            log_event::request_quarantined,
-            {{"request_id", request_.attempt_id},
-             {"fingerprint", to_hex(fingerprint_)}});
-        give_up(error_kind::upstream_crashed, run_state::not_run, now);
-        return;
-    }
+    take_trial_if_due(now);
     set_model(first_model(
         {.models = route_.models.size(),
          .is_resumed = request_.resume_after.has_value()}));
@@ -149,6 +155,78 @@
         queue_or_refuse(now);
 }
 
+// Lets the request through to an upstream although it has a quarantined part,
+// if this gateway may try whether the part still crashes upstreams.
+void proxied_request::take_trial_if_due(steady_time now)
+{
+    quarantine_entry const* const e =
+        find_quarantine(context_.state.quarantine, traits_);
+    if (e == nullptr)
+        return;
+    quarantine_key const key = e->document.key;
+    auto const version = context_.state.default_versions.find(service_);
+    context_.quarantine.claim_trial_if_due(
+        key,
+        version == context_.state.default_versions.end()
+            ? std::string_view()
+            : std::string_view(version->second),
+        now);
+    if (take_trial(context_.state.quarantine, key, now))
+        trial_ = key;
+}
+
+// Refuses the request if it, or a part of its prompt, crashes upstreams.
+bool proxied_request::is_refused_by_quarantine(steady_time now)
+{
+    if (reaches_crash_limit(context_.state.crashes, traits_.request))
+    {
+        refuse_quarantined("request", 0, max_quarantine_retry, now);
+        return true;
+    }
+    quarantine_entry const* const e =
+        trial_ ? nullptr : find_quarantine(context_.state.quarantine, traits_);
+    if (e == nullptr)
+        return false;
+    refuse_quarantined(
+        "part", e->document.key.part,
+        quarantine_retry_after(*e, to_unix_ms(wall_now())), now);
+    return true;
+}
+
+void proxied_request::refuse_quarantined(
+    std::string_view reason, std::uint64_t part, duration retry_after,
+    steady_time now)
+{
+    context_.state.counters.count("quarantined_total", reason, scope());
+    context_.log.write(
+        log_event::request_quarantined,
+        {{"request_id", request_.attempt_id},
+         {"reason", std::string(reason)},
+         {"fingerprint", to_hex(traits_.request)},
+         {"part", part == 0 ? "-" : to_hex(part)},
+         {"run", std::string(to_string(ran_))}});
+    if (has_response_head_ || ran_ != run_state::not_run)
+        give_up(error_kind::request_quarantined, ran_, now);
+    else
+        refuse(
+            error_kind::request_quarantined, spread(retry_after, hash_ >> 8U),
+            now);
+}
+
+void proxied_request::abort_if_quarantined(steady_time now)
+{
+    bool const is_answered =
+        connection_ && (has_survived_ || attempt_events_ > 0);
+    if (is_done_ || trial_ || is_answered ||
+        find_quarantine(context_.state.quarantine, traits_) == nullptr)
+        return;
+    auto const self = shared_from_this();
+    if (connection_ && connection_->is_connected() &&
+        ran_ == run_state::not_run)
+        ran_ = run_state::unknown;
+    is_refused_by_quarantine(now);
+}
+
 upstream_query proxied_request::make_query(version_rule const& rule) const
 {
     gateway_service const* const s = service();
@@ -193,6 +271,8 @@
 
 proxied_request::send_outcome proxied_request::send(steady_time now)
 {
+    if (is_refused_by_quarantine(now))
+        return send_outcome::finished;
     if (remaining(now) < min_attempt_time)
         return send_outcome::none;
     upstream_selection const c = select_next_upstream(now);
@@ -239,6 +319,7 @@
     last_event_ = now;
     is_event_stream_ = false;
     attempt_events_ = 0;
+    has_survived_ = false;
     body_.clear();
     std::optional<std::uint64_t> const after = events_.last_id();
     std::string const bytes = context_.protocol.encode_request(
@@ -420,6 +501,14 @@
 {
     if (is_done_ || !is_waiting_)
         return false;
+    if (suspended_failure_)
+    {
+        if (now < retry_at_)
+            return true;
+        is_waiting_ = false;
+        retry_or_give_up(*std::exchange(suspended_failure_, {}), true, now);
+        return false;
+    }
     send_outcome const o = send(now);
     if (o == send_outcome::none)
         queue_or_refuse(now);
--- a/src/gateway/proxied_request.hpp
+++ b/src/gateway/proxied_request.hpp
@@ -11,6 +11,7 @@
 #include "gateway/client_connection.hpp"
 #include "gateway/gateway_state.hpp"
 #include "gateway/limit_controller.hpp"
+#include "gateway/quarantine_controller.hpp"
 #include "gateway/upstream_pool.hpp"
 #include "http_stream/event_stream.hpp"
 #include "log/log.hpp"
@@ -44,6 +45,7 @@
     // Requests queued for an upstream.
     std::list<std::shared_ptr<proxied_request>>& waiting;
     limit_controller& limits;
+    quarantine_controller& quarantine;
     // Requests that wait for a token of a request limit, by service.
     std::map<std::string, std::size_t>& limit_waiters;
 };
@@ -93,6 +95,9 @@
     bool retry_selection(steady_time now);
     // Aborts the request because the process stops. Precondition: started.
     void abort_request(steady_time now);
+    // Ends the request if it must not be sent any more and no upstream has
+    // begun to answer it. Precondition: started.
+    void abort_if_quarantined(steady_time now);
 
     // Whether the request has ended.
     bool is_done() const
@@ -133,6 +138,16 @@
     };
 
     send_outcome send(steady_time now);
+    void take_trial_if_due(steady_time now);
+    bool is_refused_by_quarantine(steady_time now);
+    void refuse_quarantined(
+        std::string_view reason, std::uint64_t part, duration retry_after,
+        steady_time now);
+    bool record_possible_crash(
+        std::shared_ptr<upstream_state> const& upstream, error_kind kind,
+        steady_time now);
+    void retry_or_give_up(error_kind kind, bool may_have_run, steady_time now);
+    void record_survived_attempt(steady_time now);
     upstream_selection select_next_upstream(steady_time now);
     void set_model(std::size_t model);
     upstream_query make_query(version_rule const& rule) const;
@@ -193,7 +208,15 @@
     steady_time started_;
     steady_time deadline_;
     std::uint64_t hash_ = 0;
-    std::uint64_t fingerprint_ = 0;
+    request_traits traits_;
+    std::optional<quarantine_key> trial_; // the request is sent on trial
+    // The current attempt has been answered for long enough that the request
+    // did not crash its upstream.
+    bool has_survived_ = false;
+    // Why the attempt before failed, while the next one waits until it is known
+    // whether the upstream crashed.
+    std::optional<error_kind> suspended_failure_;
+    steady_time retry_at_{};
     std::string service_;
     std::string affinity_;
     std::size_t model_ = 0;
--- a/src/gateway/proxied_request_failure.cpp
+++ b/src/gateway/proxied_request_failure.cpp
@@ -20,15 +20,9 @@
 // An upstream is silent when it has sent nothing on any connection for this
 // long; other streams of a live upstream would have sent something.
 constexpr duration silence_timeout = milliseconds(1200);
-
-// Ids of the parts of the prompt that other requests may share.
-std::vector<std::string> shared_parts(gateway_request const& r)
-{
-    std::vector<std::string> ids;
-    for (std::size_t i = 0; i + 1 < r.prompt.size(); ++i)
-        ids.push_back(r.prompt[i].id);
-    return ids;
-}
+// Time for a connection to a crashed upstream to be refused, before a request
+// that may have crashed it is sent to another one.
+constexpr duration evidence_delay = milliseconds(25);
 
 std::string to_integer_text(double n)
 {
@@ -43,7 +37,10 @@
     if (why.is_unsent)
     {
         record_unreachable_upstream(now);
-        confirm_crash(context_.state.crash_records, upstream_->info.id, now);
+        auto const self = shared_from_this();
+        context_.quarantine.record_crash_of(upstream_->info.id, now);
+        if (is_done_)
+            return;
     }
     fail_attempt(why.kind, !why.is_unsent, why.why, now);
 }
@@ -72,7 +69,8 @@
     if (attempts_.runs >= route_.attempts ||
         attempts_.sends >= route_.attempts + max_free_sends)
         return false;
-    if (reaches_crash_limit(context_.state.crash_records, fingerprint_, now))
+    if (trial_ || !may_repeat(context_.state.crashes, traits_) ||
+        has_suspected_part(context_.state.quarantine, traits_))
         return false;
     return has_budget(extra_attempt_reason::after_failure, now);
 }
@@ -108,25 +106,48 @@
         ++attempts_.runs;
         if (ran_ == run_state::not_run)
             ran_ = run_state::unknown;
-        bool const is_connection_failure =
-            kind == error_kind::connection_lost ||
-            kind == error_kind::answer_cut;
-        if (is_connection_failure)
-            record_suspicion(
-                context_.state.crash_records,
-                {.fingerprint = fingerprint_,
-                 .upstream = upstream_->info.id,
-                 .upstream_started_ms = upstream_->info.started_unix_ms,
-                 .at = now,
-                 .request_id = request_.attempt_id,
-                 .parts = shared_parts(request_),
-                 .events = attempt_events_});
         record_version_outcome(attempt_outcome::no_response);
     }
     attempts_.last_failure = kind;
     last_selection_ = {};
+    std::shared_ptr<upstream_state> const upstream = upstream_;
     release();
     events_.restart();
+    bool const is_possible_crash =
+        may_have_run && record_possible_crash(upstream, kind, now);
+    if (is_done_)
+        return;
+    bool const awaits_evidence = is_possible_crash && !traits_.parts.empty() &&
+                                 may_retry(may_have_run, now);
+    if (!awaits_evidence)
+    {
+        retry_or_give_up(kind, may_have_run, now);
+        return;
+    }
+    suspended_failure_ = kind;
+    retry_at_ = now + evidence_delay;
+    is_waiting_ = true;
+    context_.waiting.push_back(shared_from_this());
+}
+
+// Suspects the request if its upstream may have crashed before it had answered
+// for long. Precondition: the attempt may have run.
+bool proxied_request::record_possible_crash(
+    std::shared_ptr<upstream_state> const& upstream, error_kind kind,
+    steady_time now)
+{
+    bool const is_connection_failure =
+        kind == error_kind::connection_lost || kind == error_kind::answer_cut;
+    if (!is_connection_failure || has_survived_)
+        return false;
+    auto const self = shared_from_this();
+    context_.quarantine.record_broken_attempt(upstream, traits_, request_, now);
+    return true;
+}
+
+void proxied_request::retry_or_give_up(
+    error_kind kind, bool may_have_run, steady_time now)
+{
     if (may_retry(may_have_run, now))
     {
         context_.state.counters.count(
--- a/src/gateway/proxied_request_response.cpp
+++ b/src/gateway/proxied_request_response.cpp
@@ -26,6 +26,8 @@
 // stream that has fewer but more than the minimum.
 constexpr std::uint64_t gap_events = 6;
 constexpr std::uint64_t min_gap_events = 2;
+// An upstream that has answered for this long is not crashed by the request.
+constexpr duration survival_time = std::chrono::milliseconds(200);
 
 } // namespace
 
@@ -170,6 +172,8 @@
     if (has_response_head_ || a.status / 100 != 2 || route_.models.empty() ||
         events_.last_id())
         return false;
+    if (find_quarantine(context_.state.quarantine, traits_) != nullptr)
+        return false;
     escalation_query const q{
         .models = route_.models.size(),
         .current = model_,
@@ -259,6 +263,8 @@
     {
         last_event_ = now;
         record_event_gap(events_.events() - before, now);
+        if (now - attempt_first_event_ >= survival_time)
+            record_survived_attempt(now);
     }
     client_->write(complete_events);
     record_pass_through_time();
@@ -286,7 +292,7 @@
                     static_cast<duration::rep>(attempt_events_ - 1),
                 now);
         record_outcome(*upstream_, false, now);
-        record_complete_response(context_.state.crash_records, fingerprint_);
+        record_survived_attempt(now);
         std::shared_ptr<upstream_connection> const c =
             std::exchange(connection_, nullptr);
         release();
@@ -304,6 +310,7 @@
     record_version_outcome(
         is_failure ? attempt_outcome::error_response : attempt_outcome::good);
     record_outcome(*upstream_, is_failure, now);
+    record_survived_attempt(now);
     std::shared_ptr<upstream_connection> const c =
         std::exchange(connection_, nullptr);
     release();
@@ -319,13 +326,21 @@
         give_up(error_kind::upstream_failed, run_state::ran, now);
         return;
     }
-    if (!is_failure)
-        record_complete_response(context_.state.crash_records, fingerprint_);
     client_->respond({head_.status, std::move(head_.headers)}, body_);
     record_pass_through_time();
     finish(log_event::request_served, "whole", head_.status, now);
 }
 
+// The upstream answers and did not crash when it began to.
+void proxied_request::record_survived_attempt(steady_time now)
+{
+    if (std::exchange(has_survived_, true))
+        return;
+    record_survival(context_.state.crashes, traits_, now);
+    if (trial_)
+        context_.quarantine.record_passed_trial(*trial_, now);
+}
+
 // Records the time since the loop woke up for the upstream's bytes.
 void proxied_request::record_pass_through_time()
 {
--- /dev/null
+++ b/src/gateway/quarantine_controller.cpp
@@ -0,0 +1,453 @@
+#include "gateway/quarantine_controller.hpp"
+
+#include "base/id.hpp"
+#include "gateway/reader_election.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace marjorambeam
+{
+namespace
+{
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// A crash is reported so often, against loss, with this time in between.
+constexpr int sends_per_crash = 3;
+constexpr duration resend_period = milliseconds(300);
+// Answers that decide about a part are reported at once until there are so many
+// since its last crash.
+constexpr std::uint32_t urgent_survivals = 3;
+// Time for the evidence against an entry to settle before it is stored; each
+// further gateway in the order of names waits longer, in case the one before
+// has not written it.
+constexpr duration write_after = milliseconds(100);
+constexpr duration write_stagger = seconds(1);
+constexpr duration write_retry_delay = milliseconds(500);
+constexpr duration write_timeout = seconds(2);
+constexpr int max_removal_tries = 20;
+// Longest list of parts in a log line, in bytes; callers choose the ids.
+constexpr std::size_t max_logged_parts = 200;
+
+std::string organisation_text(quarantine_key const& key)
+{
+    return key.organisation == 0 ? "-" : to_hex(key.organisation);
+}
+
+// Number of live gateways whose names come first.
+int rank_of(gateway_state const& s, steady_time now)
+{
+    return static_cast<int>(std::count_if(
+        s.peers.begin(), s.peers.end(),
+        [&](auto const& it) {
+            return it.first < s.settings.instance && is_live(s, it.second, now);
+        }));
+}
+
+std::string parts_text(gateway_request const& r)
+{
+    std::string text;
+    for (std::size_t i = 0; i + 1 < r.prompt.size(); ++i)
+        text.append(text.empty() ? "" : ",").append(r.prompt[i].id);
+    return text.substr(0, max_logged_parts);
+}
+
+} // namespace
+
+quarantine_controller::quarantine_controller(
+    gateway_state& state, datagram_socket& peers, http_client& client,
+    upstream_pool& pool, platform_store_protocol const& protocol,
+    store_documents const& documents, std::function<void(steady_time)> on_added)
+    : state_(state)
+    , peers_(peers)
+    , client_(client)
+    , pool_(pool)
+    , protocol_(protocol)
+    , documents_(documents)
+    , on_added_(std::move(on_added))
+{
+}
+
+void quarantine_controller::record_broken_attempt(
+    std::shared_ptr<upstream_state> const& upstream,
+    request_traits const& traits, gateway_request const& request,
+    steady_time now)
+{
+    upstream_info const& u = upstream->info;
+    log_.write(
+        log_event::crash_suspected,
+        {{"request_id", request.attempt_id},
+         {"upstream", u.id},
+         {"started_ms", std::to_string(u.started_unix_ms)},
+         {"fingerprint", to_hex(traits.request)},
+         {"parts", parts_text(request)}});
+    record_suspicion(state_.crashes, {traits, u.id, u.started_unix_ms, now});
+    pool_.probe(
+        upstream,
+        [this, id = u.id](bool is_reachable)
+        {
+            state_.counters.count(
+                "crash_probes_total", is_reachable ? "reachable" : "crashed");
+            if (!is_reachable)
+                record_crash_of(id, boot_now());
+        });
+}
+
+void quarantine_controller::record_crash_of(
+    std::string_view upstream, steady_time now)
+{
+    std::vector<crash_suspicion> const confirmed =
+        confirm_crash(state_.crashes, upstream, now);
+    if (confirmed.empty())
+        return;
+    log_confirmed(confirmed);
+    queue_reports(now);
+    refresh(now);
+}
+
+void quarantine_controller::log_confirmed(
+    std::span<crash_suspicion const> confirmed)
+{
+    for (crash_suspicion const& it : confirmed)
+    {
+        state_.counters.count("crash_suspects_total", "own");
+        log_.write(
+            log_event::crash_confirmed,
+            {{"upstream", it.upstream},
+             {"started_ms", std::to_string(it.upstream_started_ms)},
+             {"fingerprint", to_hex(it.traits.request)}});
+    }
+}
+
+void quarantine_controller::log_entry(
+    log_event event, quarantine_entry const& entry, std::string_view reason)
+{
+    part_finding const& f = entry.finding;
+    log_.write(
+        event, {{"part", to_hex(entry.document.key.part)},
+                {"organisation", organisation_text(entry.document.key)},
+                {"reason", std::string(reason)},
+                {"crashes", std::to_string(f.crashes)},
+                {"requests", std::to_string(f.requests)},
+                {"score", std::to_string(f.score)},
+                {"trials", std::to_string(entry.document.trials)}});
+}
+
+void quarantine_controller::refresh(steady_time now)
+{
+    if (!std::exchange(state_.crashes.has_changed, false))
+        return;
+    std::size_t const gateways = state_.peers.size() + 1;
+    double const share = crash_share(state_.crashes, gateways, now);
+    quarantine_changes const c = apply_findings(
+        state_.quarantine, judge_parts(state_.crashes, share), now,
+        to_unix_ms(wall_now()));
+    for (quarantine_entry const& it : c.withdrawn)
+    {
+        state_.counters.count("parts_released_total", "evidence");
+        log_entry(log_event::part_released, it, "evidence");
+    }
+    for (quarantine_entry const& it : c.cleared)
+    {
+        if (rank_of(state_, now) == 0)
+            remove(it, now);
+    }
+    for (quarantine_key const& it : c.added)
+    {
+        state_.counters.count("parts_quarantined_total", "evidence");
+        log_entry(
+            log_event::part_quarantined, state_.quarantine.entries.at(it),
+            "evidence");
+    }
+    if (!c.added.empty())
+        on_added_(now);
+}
+
+void quarantine_controller::queue_reports(steady_time now)
+{
+    for (upstream_crash& it :
+         std::exchange(state_.crashes.unreported_crashes, {}))
+        outgoing_.push_back({std::move(it), sends_per_crash, now});
+    send_reports(now);
+}
+
+bool quarantine_controller::has_urgent_survivals() const
+{
+    return std::any_of(
+        state_.crashes.unreported_survivals.begin(),
+        state_.crashes.unreported_survivals.end(),
+        [this](auto const& it)
+        {
+            auto const part = state_.crashes.parts.find(it.first);
+            return part != state_.crashes.parts.end() &&
+                   part->second.crashes.size() >= crashes_until_suspected &&
+                   part->second.survivals <= urgent_survivals;
+        });
+}
+
+void quarantine_controller::send_reports(steady_time now)
+{
+    std::vector<upstream_crash> crashes;
+    for (outgoing_crash& it : outgoing_)
+    {
+        if (now < it.next)
+            continue;
+        crashes.push_back(it.crash);
+        --it.sends_left;
+        it.next = now + resend_period;
+    }
+    std::erase_if(
+        outgoing_, [](outgoing_crash const& it) { return it.sends_left == 0; });
+    std::map<std::uint64_t, std::uint32_t> survivals;
+    if (!state_.crashes.unreported_survivals.empty() &&
+        (now >= next_survivals_ || has_urgent_survivals()))
+    {
+        next_survivals_ = now + report_period(state_.peers.size(), false);
+        survivals = std::exchange(state_.crashes.unreported_survivals, {});
+    }
+    for (crash_report const& it :
+         make_crash_reports(state_, crashes, survivals, now))
+    {
+        message const m = to_call(it);
+        for (auto const& [name, p] : state_.peers)
+            peers_.send(p.address, m);
+    }
+}
+
+bool quarantine_controller::on_message(peer_call const& call, steady_time now)
+{
+    if (call.name != crash_report_call)
+        return false;
+    result<crash_report> const r = decode_crash_report(call);
+    if (!r)
+    {
+        state_.counters.count("bad_datagrams_total", "crash report");
+        return true;
+    }
+    applied_crash_report const applied = apply_crash_report(state_, *r, now);
+    if (!applied.is_known_sender)
+    {
+        state_.counters.count("bad_datagrams_total", "crash report");
+        return true;
+    }
+    state_.counters.count("crash_reports_total");
+    log_confirmed(applied.confirmed);
+    if (!applied.confirmed.empty())
+        queue_reports(now);
+    refresh(now);
+    return true;
+}
+
+void quarantine_controller::tick(steady_time now)
+{
+    expire_crashes(state_.crashes, now);
+    refresh(now);
+    queue_reports(now);
+    write_entries(now);
+    retry_removals(now);
+}
+
+// Gateways write an entry in the order of their names, so that mostly one of
+// them does; the store refuses a second one.
+void quarantine_controller::write_entries(steady_time now)
+{
+    for (auto& [key, it] : state_.quarantine.entries)
+    {
+        duration const turn =
+            write_after + write_stagger * rank_of(state_, now);
+        if (it.is_stored || now < it.since + turn || now < it.next_write)
+            continue;
+        it.next_write = now + write_retry_delay;
+        http_call call = protocol_.create(
+            state_.settings.store_address, documents_.quarantine_kind,
+            name_of(key), documents_.encode_quarantine(it.document));
+        call.timeout = write_timeout;
+        client_.send(
+            std::move(call), [this](result<http_reply> const& reply)
+            { count_write(decode(reply)); });
+    }
+}
+
+result<platform_objects>
+quarantine_controller::decode(result<http_reply> const& reply) const
+{
+    if (!reply)
+        return tl::unexpected<error>(reply.error());
+    return protocol_.decode(*reply);
+}
+
+// The watch tells what the store holds; a conflict means that another gateway
+// has written it.
+void quarantine_controller::count_write(result<platform_objects> const& reply)
+{
+    state_.counters.count(
+        "quarantine_writes_total",
+        reply ? "done" : to_string(reply.error().kind));
+}
+
+void quarantine_controller::claim_trial_if_due(
+    quarantine_key const& key, std::string_view version, steady_time now)
+{
+    auto const it = state_.quarantine.entries.find(key);
+    if (it == state_.quarantine.entries.end())
+        return;
+    quarantine_entry& e = it->second;
+    if (e.version.empty())
+        e.version = version;
+    if (now < e.next_write || !is_trial_due(e, to_unix_ms(wall_now()), version))
+        return;
+    e.next_write = now + write_retry_delay;
+    e.version = version;
+    http_call call = protocol_.replace(
+        state_.settings.store_address, documents_.quarantine_kind, name_of(key),
+        e.revision,
+        documents_.encode_quarantine(claim_trial(e, to_unix_ms(wall_now()))));
+    call.timeout = write_timeout;
+    client_.send(
+        std::move(call),
+        [this, key](result<http_reply> const& reply)
+        {
+            result<platform_objects> const o = decode(reply);
+            count_write(o);
+            auto const entry = state_.quarantine.entries.find(key);
+            if (!o || entry == state_.quarantine.entries.end())
+                return;
+            entry->second.trial_until = boot_now() + trial_ttl;
+            state_.counters.count("quarantine_trials_total", "claimed");
+            log_entry(
+                log_event::quarantine_trial_claimed, entry->second, "due");
+        });
+}
+
+void quarantine_controller::record_passed_trial(
+    quarantine_key const& key, steady_time now)
+{
+    auto const it = state_.quarantine.entries.find(key);
+    if (it == state_.quarantine.entries.end())
+        return;
+    state_.counters.count("quarantine_trials_total", "passed");
+    quarantine_entry const e = it->second;
+    release(key, "trial");
+    remove(e, now);
+}
+
+void quarantine_controller::release(
+    quarantine_key const& key, std::string_view reason)
+{
+    auto const it = state_.quarantine.entries.find(key);
+    if (it == state_.quarantine.entries.end())
+        return;
+    log_entry(log_event::part_released, it->second, reason);
+    state_.counters.count("parts_released_total", reason);
+    remove_stored(state_.quarantine, key);
+    forget_part(state_.crashes, key.part);
+}
+
+void quarantine_controller::remove(
+    quarantine_entry const& entry, steady_time now)
+{
+    if (!entry.is_stored || removals_.contains(entry.document.key))
+        return;
+    removals_[entry.document.key] = {.revision = entry.revision};
+    retry_removals(now);
+}
+
+void quarantine_controller::retry_removals(steady_time now)
+{
+    for (auto it = removals_.begin(); it != removals_.end();)
+    {
+        auto& [key, r] = *it;
+        if (r.is_done || r.tries >= max_removal_tries)
+        {
+            it = removals_.erase(it);
+            continue;
+        }
+        ++it;
+        if (now < r.next)
+            continue;
+        r.next = now + write_retry_delay;
+        ++r.tries;
+        http_call call = protocol_.remove(
+            state_.settings.store_address, documents_.quarantine_kind,
+            name_of(key), r.revision);
+        call.timeout = write_timeout;
+        client_.send(
+            std::move(call),
+            [this, key = key](result<http_reply> const& reply)
+            {
+                result<platform_objects> const o = decode(reply);
+                count_write(o);
+                auto const pending = removals_.find(key);
+                if (o && pending != removals_.end())
+                    pending->second.is_done = true;
+            });
+    }
+}
+
+void quarantine_controller::apply_object(
+    platform_object const& o, steady_time now)
+{
+    if (o.is_deleted)
+    {
+        auto const it = std::find_if(
+            state_.quarantine.entries.begin(), state_.quarantine.entries.end(),
+            [&](auto const& e) { return name_of(e.first) == o.name; });
+        if (it != state_.quarantine.entries.end() && it->second.is_stored)
+            release(quarantine_key(it->first), "removed");
+        return;
+    }
+    result<stored_quarantine> const q = documents_.decode_quarantine(o);
+    if (!q || name_of(q->key) != o.name)
+    {
+        state_.counters.count("bad_documents_total", "quarantine");
+        return;
+    }
+    auto const removal = removals_.find(q->key);
+    if (removal != removals_.end())
+    {
+        removal->second.revision = o.revision;
+        return;
+    }
+    if (!apply_stored(state_.quarantine, *q, o.revision, now))
+        return;
+    state_.counters.count("parts_quarantined_total", "stored");
+    log_entry(
+        log_event::part_quarantined, state_.quarantine.entries.at(q->key),
+        "stored");
+    on_added_(now);
+}
+
+void quarantine_controller::replace_objects(
+    std::span<platform_object const> all, steady_time now)
+{
+    std::vector<quarantine_key> missing;
+    for (auto const& [key, it] : state_.quarantine.entries)
+    {
+        std::string const name = name_of(key);
+        bool const is_listed = std::any_of(
+            all.begin(), all.end(),
+            [&](platform_object const& o) { return o.name == name; });
+        if (it.is_stored && !is_listed)
+            missing.push_back(key);
+    }
+    for (quarantine_key const& it : missing)
+        release(it, "removed");
+    for (platform_object const& it : all)
+        apply_object(it, now);
+}
+
+void quarantine_controller::set_gauges()
+{
+    metrics& m = state_.counters;
+    m.set(
+        "quarantined_parts",
+        static_cast<double>(state_.quarantine.entries.size()));
+    m.set(
+        "suspected_parts",
+        static_cast<double>(state_.quarantine.suspected.size()));
+    m.set("known_crashes", static_cast<double>(state_.crashes.crashes.size()));
+}
+
+} // namespace marjorambeam
--- a/src/gateway/request_controller.cpp
+++ b/src/gateway/request_controller.cpp
@@ -30,13 +30,14 @@
 
 request_controller::request_controller(
     ev::loop_ref loop, gateway_state& state, request_protocol const& protocol,
-    upstream_pool& pool, limit_controller& limits)
+    upstream_pool& pool, limit_controller& limits,
+    quarantine_controller& quarantine)
     : loop_(loop)
     , state_(state)
     , protocol_(protocol)
     , pool_(pool)
-    , context_{loop, state,    protocol, pool,
-               log_, waiting_, limits,   limit_waiters_}
+    , context_{loop,     state,  protocol,   pool,          log_,
+               waiting_, limits, quarantine, limit_waiters_}
     , listener_(
           loop, state.settings.client_address, caller_stream_limits,
           [this](std::shared_ptr<tcp_stream> s)
@@ -263,6 +264,14 @@
            now - *state_.drain_started > serve_while_draining + sweep_period;
 }
 
+void request_controller::abort_quarantined(steady_time now)
+{
+    std::vector<std::shared_ptr<proxied_request>> const all(
+        active_requests_.begin(), active_requests_.end());
+    for (auto const& it : all)
+        it->abort_if_quarantined(now);
+}
+
 void request_controller::abort_all(steady_time now)
 {
     std::vector<std::shared_ptr<proxied_request>> const all(
--- a/src/gateway/request_controller.hpp
+++ b/src/gateway/request_controller.hpp
@@ -32,7 +32,7 @@
     request_controller(
         ev::loop_ref loop, gateway_state& state,
         request_protocol const& protocol, upstream_pool& pool,
-        limit_controller& limits);
+        limit_controller& limits, quarantine_controller& quarantine);
 
     // Announces to callers that their connections will close, and closes idle
     // ones later. Precondition: `drain_started` of the state is set.
@@ -44,6 +44,9 @@
     void abort_all(steady_time now);
     // Retries the selection of an upstream for the requests that wait.
     void dispatch_waiting(steady_time now);
+    // Ends the requests that must not be sent any more, unless they are being
+    // answered.
+    void abort_quarantined(steady_time now);
     // Number of active requests.
     std::size_t active() const
     {
--- a/src/gateway/state_relay.hpp
+++ b/src/gateway/state_relay.hpp
@@ -43,9 +43,10 @@
     upstreams,
     rollouts,
     zones,
-    gateways
+    gateways,
+    quarantines
 };
-constexpr std::size_t state_kind_count = 4;
+constexpr std::size_t state_kind_count = 5;
 
 struct relayed_object
 {
--- a/src/gateway/store_controller.cpp
+++ b/src/gateway/store_controller.cpp
@@ -75,11 +75,12 @@
 
 store_controller::store_controller(
     ev::loop_ref loop, gateway_state& state, http_client& client,
-    datagram_socket& peers, platform_store_protocol const& protocol,
-    store_documents const& documents)
+    datagram_socket& peers, quarantine_controller& quarantine,
+    platform_store_protocol const& protocol, store_documents const& documents)
     : state_(state)
     , client_(client)
     , peers_(peers)
+    , quarantine_(quarantine)
     , protocol_(protocol)
     , documents_(documents)
     , config_(
@@ -123,6 +124,13 @@
           make_handlers(
               &store_controller::replace_gateways,
               &store_controller::apply_gateway, state_kind::gateways))
+    , quarantines_(
+          loop, client, protocol, state.settings.store_address,
+          std::string(documents.quarantine_kind),
+          long_watch_timing(short_debounce),
+          make_handlers(
+              &store_controller::replace_quarantines,
+              &store_controller::apply_quarantine, state_kind::quarantines))
     , register_timer_(loop, [this] { register_self(); })
     , relay_timer_(loop, [this] { send_relays(); })
 {
@@ -172,6 +180,8 @@
         return rollouts_;
     case state_kind::zones:
         return zones_;
+    case state_kind::quarantines:
+        return quarantines_;
     default:
         return gateways_;
     }
@@ -183,6 +193,7 @@
     upstreams_.start(read_freshness::may_be_stale);
     rollouts_.start(read_freshness::may_be_stale);
     zones_.start(read_freshness::may_be_stale);
+    quarantines_.start(read_freshness::may_be_stale);
     register_self();
 }
 
@@ -291,7 +302,7 @@
     }
     log_.write(log_event::upstream_gone, {{"upstream", std::string(id)}});
     if (!it->second->info.is_draining)
-        confirm_crash(state_.crash_records, id, now);
+        quarantine_.record_crash_of(id, now);
     erase_upstream(state_.upstreams, it);
 }
 
@@ -317,7 +328,7 @@
                         u->info.started_unix_ms != info->started_unix_ms ||
                         u->info.address != info->address;
     if (is_new && u)
-        confirm_crash(state_.crash_records, info->id, now);
+        quarantine_.record_crash_of(info->id, now);
     if (is_new)
         u = std::make_shared<upstream_state>();
     gateway_service const* const s =
@@ -483,6 +494,16 @@
     update_gateways();
 }
 
+void store_controller::replace_quarantines(std::vector<platform_object>&& all)
+{
+    quarantine_.replace_objects(all, boot_now());
+}
+
+void store_controller::apply_quarantine(platform_object&& o)
+{
+    quarantine_.apply_object(o, boot_now());
+}
+
 void store_controller::update_gateways()
 {
     state_.gateways.clear();
--- a/src/gateway/store_controller.hpp
+++ b/src/gateway/store_controller.hpp
@@ -12,7 +12,9 @@
 #include "gateway/gateway_state.hpp"
 #include "gateway/object_query.hpp"
 #include "gateway/object_watch.hpp"
+#include "gateway/quarantine_controller.hpp"
 #include "gateway/state_relay.hpp"
+#include "gateway/store_documents.hpp"
 #include "http_client/http_client.hpp"
 #include "log/log.hpp"
 #include "transport/transport.hpp"
@@ -29,32 +31,6 @@
 namespace marjorambeam
 {
 
-// Registration of a gateway in the store.
-struct registered_gateway
-{
-    std::string name;
-    std::string address; // receives datagrams from peers
-};
-
-// Object kinds of a deployment's store and the codecs of their documents.
-struct store_documents
-{
-    std::string_view config_kind;
-    std::string_view config_name; // of the active configuration
-    std::string_view upstream_kind;
-    std::string_view rollout_kind;
-    std::string_view zone_out_kind; // one object per disabled zone
-    std::string_view gateway_kind;
-    // The decoders fail with bad_document.
-    result<gateway_config> (*decode_config)(platform_object const& o);
-    result<upstream_info> (*decode_upstream)(platform_object const& o);
-    result<version_rollout> (*decode_rollout)(platform_object const& o);
-    nlohmann::json (*encode_rollout_status)(
-        version_rollout const& order, version_rollout_decision const& d);
-    result<registered_gateway> (*decode_gateway)(platform_object const& o);
-    nlohmann::json (*encode_gateway)(registered_gateway const& g);
-};
-
 // Bounds of the delay between probes of a lost store.
 constexpr duration initial_probe_delay = std::chrono::milliseconds(100);
 constexpr duration max_probe_delay = std::chrono::milliseconds(250);
@@ -67,7 +43,8 @@
     // relayed over `peers`. Loop thread only.
     store_controller(
         ev::loop_ref loop, gateway_state& state, http_client& client,
-        datagram_socket& peers, platform_store_protocol const& protocol,
+        datagram_socket& peers, quarantine_controller& quarantine,
+        platform_store_protocol const& protocol,
         store_documents const& documents);
 
     // Starts the watches and registers this gateway. Precondition: not started.
@@ -100,6 +77,8 @@
     void apply_zone(platform_object&& o);
     void replace_gateways(std::vector<platform_object>&& all);
     void apply_gateway(platform_object&& o);
+    void replace_quarantines(std::vector<platform_object>&& all);
+    void apply_quarantine(platform_object&& o);
     void set_default_version(std::string const& service);
     void update_gateways();
     void renew_after_history_drop();
@@ -120,6 +99,7 @@
     gateway_state& state_;
     http_client& client_;
     datagram_socket& peers_;
+    quarantine_controller& quarantine_;
     platform_store_protocol const& protocol_;
     store_documents const& documents_;
     logger log_{"store"};
@@ -129,6 +109,7 @@
     object_watch rollouts_;
     object_watch zones_;
     object_watch gateways_;
+    object_watch quarantines_;
     loop_timer register_timer_;
     loop_timer relay_timer_;
     bool is_registered_ = false;
--- a/src/gateway/upstream_pool.cpp
+++ b/src/gateway/upstream_pool.cpp
@@ -1,6 +1,8 @@
 #include "gateway/upstream_pool.hpp"
 
 #include <algorithm>
+#include <cerrno>
+#include <utility>
 
 namespace marjorambeam
 {
@@ -90,6 +92,20 @@
     stream_->close();
 }
 
+void upstream_connection::await_connection(
+    std::function<void(bool is_connected)> done)
+{
+    auto const shared =
+        std::make_shared<std::function<void(bool)>>(std::move(done));
+    auto call = [shared](bool is_connected)
+    {
+        if (auto const f = std::exchange(*shared, {}))
+            f(is_connected);
+    };
+    stream_->on_connected([call] { call(true); });
+    stream_->on_end([call](stream_end) { call(false); });
+}
+
 bool upstream_connection::is_reusable() const
 {
     return stream_->is_connected() && !is_busy_ && keep_alive_ &&
@@ -259,6 +275,39 @@
     idle_[c->upstream()->info.id].push_back(c);
 }
 
+void upstream_pool::probe(
+    std::shared_ptr<upstream_state> const& upstream,
+    std::function<void(bool is_reachable)> done)
+{
+    std::string const id = upstream->info.id;
+    if (probes_.contains(id))
+        return;
+    counters_.count("upstream_connections_total");
+    std::shared_ptr<tcp_stream> stream = tcp_stream::connect(
+        loop_, upstream->info.address, upstream_stream_limits);
+    if (!stream)
+    {
+        // Lack of a descriptor says nothing about the upstream.
+        if (errno == ECONNREFUSED)
+            done(false);
+        return;
+    }
+    auto const c =
+        std::make_shared<upstream_connection>(std::move(stream), upstream);
+    probes_[id] = c;
+    c->await_connection(
+        [this, id, done = std::move(done)](bool is_connected)
+        {
+            auto const it = probes_.find(id);
+            std::shared_ptr<upstream_connection> const self =
+                std::move(it->second);
+            probes_.erase(it);
+            if (is_connected)
+                put_back(self, boot_now());
+            done(is_connected);
+        });
+}
+
 void upstream_pool::sweep(upstream_table const& upstreams, steady_time now)
 {
     for (auto it = idle_.begin(); it != idle_.end();)
--- a/src/gateway/upstream_pool.hpp
+++ b/src/gateway/upstream_pool.hpp
@@ -64,6 +64,10 @@
     // Closes the connection without calling any handler.
     void abort();
 
+    // Calls `done` when the connection is established or was refused.
+    // Precondition: no request is pending.
+    void await_connection(std::function<void(bool is_connected)> done);
+
     // Whether the connection is established.
     bool is_connected() const
     {
@@ -133,6 +137,14 @@
     void
     put_back(std::shared_ptr<upstream_connection> const& c, steady_time now);
 
+    // Opens a connection, unless one is being opened by this function, and
+    // keeps it for reuse. Calls `done` once, with whether the upstream accepts
+    // connections; not if a probe is under way. Precondition: what `done`
+    // refers to outlives the pool.
+    void probe(
+        std::shared_ptr<upstream_state> const& upstream,
+        std::function<void(bool is_reachable)> done);
+
     // Closes connections that exceed the idle limit, and those to upstreams
     // that are no longer listed.
     void sweep(upstream_table const& upstreams, steady_time now);
@@ -147,6 +159,9 @@
         std::string, std::vector<std::shared_ptr<upstream_connection>>,
         std::less<>>
         idle_;
+    // Connections that probe() is opening, by upstream.
+    std::map<std::string, std::shared_ptr<upstream_connection>, std::less<>>
+        probes_;
 };
 
 } // namespace marjorambeam
--- a/src/log/log_events.cpp
+++ b/src/log/log_events.cpp
@@ -173,16 +173,38 @@
     log_event_row{
         rollout_judge_ended, "rollout_judge_ended", log_level::info,
         "This entry no longer judges roll-outs.", "It lost the lease."},
+    log_event_row{
+        crash_suspected, "crash_suspected", log_level::warning,
+        "A connection broke before the request was answered.",
+        "`upstream`, of lifetime `started_ms`, may have crashed. `parts` are "
+        "the shared parts of the request's prompt."},
     log_event_row{
         crash_confirmed, "crash_confirmed", log_level::warning,
-        "A request was at work when its upstream crashed.",
-        "Counts against the request with this `fingerprint`. `parts` are the "
-        "shared parts of its prompt, `events` what `upstream` had written of "
-        "the answer."},
+        "A request was unanswered when its upstream crashed.",
+        "Counts against the request with this `fingerprint` and against the "
+        "shared parts of its prompt."},
+    log_event_row{
+        part_quarantined, "part_quarantined", log_level::warning,
+        "A part of prompts is quarantined; it crashes upstreams.",
+        "Requests with `part` (a hash) are refused, those of `organisation` "
+        "(a hash) or of all (`-`). `crashes` of so many different `requests` "
+        "led to `score`; zeros if the entry comes from the store (`reason`)."},
+    log_event_row{
+        part_released, "part_released", log_level::info,
+        "A part of prompts is no longer quarantined.",
+        "`reason`: `evidence` (another part explains the crashes, or requests "
+        "with it were answered), `trial` (a request was let through and "
+        "answered) or `removed` (from the store)."},
+    log_event_row{
+        quarantine_trial_claimed, "quarantine_trial_claimed", log_level::info,
+        "A request with a quarantined part may be sent on trial.",
+        "This gateway lets the next one through; `trials` before it."},
     log_event_row{
         request_quarantined, "request_quarantined", log_level::warning,
-        "A request is quarantined; it crashes upstreams.",
-        "Requests with this `fingerprint` are refused."},
+        "A request is not sent; it crashes upstreams.",
+        "`reason`: `request` (this one, with `fingerprint`, crashed several "
+        "upstreams) or `part` (of its prompt, see part_quarantined). `run` "
+        "says whether it may have run before."},
     log_event_row{
         request_refused, "request_refused", log_level::warning,
         "Request refused.",
