--- a/src/gateway/crash_evidence.cpp
+++ b/src/gateway/crash_evidence.cpp
@@ -15,14 +15,13 @@
 namespace
 {
 
-using crash_entry = part_record::crash_entry;
-
 bool has_part(request_traits const& t, std::uint64_t part)
 {
     return std::find(t.parts.begin(), t.parts.end(), part) != t.parts.end();
 }
 
-upstream_crash* find_crash(crash_evidence& e, std::uint64_t id)
+template <class Evidence>
+auto find_crash(Evidence& e, std::uint64_t id)
 {
     auto const it = std::find_if(
         e.crashes.begin(), e.crashes.end(),
@@ -30,17 +29,44 @@
     return it == e.crashes.end() ? nullptr : &*it;
 }
 
+// Whether the crash counts against those of the entry.
+bool is_suspected_of(upstream_crash const& c, crash_entry const& it)
+{
+    return it.has_begun || !c.has_begun;
+}
+
+// Adds a crash of `request`, with the answers since the one before.
+void add_crash(
+    std::vector<crash_entry>& entries, crash_entry const& added,
+    std::uint32_t& survivals)
+{
+    auto const known = std::find_if(
+        entries.begin(), entries.end(),
+        [&](crash_entry const& c) { return c.crash == added.crash; });
+    if (known == entries.end())
+    {
+        entries.push_back(added);
+        entries.back().survivals = std::exchange(survivals, 0);
+        return;
+    }
+    bool const is_stronger = added.has_begun && !known->has_begun;
+    bool const is_equal = added.has_begun == known->has_begun;
+    if (is_stronger || (is_equal && added.request < known->request))
+        known->request = added.request;
+    known->has_begun = known->has_begun || added.has_begun;
+}
+
 void add_part_crash(
-    crash_evidence& e, std::uint64_t part, std::uint64_t crash,
+    crash_evidence& e, std::uint64_t part, crash_entry const& added,
     std::size_t position)
 {
-    part_record& r = e.parts[part];
+    auto const [it, is_new] = e.parts.try_emplace(part);
+    part_record& r = it->second;
+    if (is_new)
+        r.was_answered =
+            e.recent_parts.contains(part) || e.earlier_parts.contains(part);
     r.position = std::max(r.position, position);
-    bool const is_known = std::any_of(
-        r.crashes.begin(), r.crashes.end(),
-        [&](crash_entry const& it) { return it.crash == crash; });
-    if (!is_known)
-        r.crashes.push_back({crash, std::exchange(r.survivals, 0)});
+    add_crash(r.crashes, added, r.survivals);
 }
 
 // Removes the crash from the record of a part. Returns whether none is left.
@@ -62,7 +88,7 @@
     upstream_crash const c = std::move(e.crashes.front());
     e.crashes.pop_front();
     e.has_changed = true;
-    for (request_traits const& t : c.suspects)
+    for (auto const& [t, has_begun] : c.suspects)
     {
         for (std::uint64_t const part : t.parts)
         {
@@ -73,7 +99,8 @@
         auto const r = e.requests.find(t.request);
         if (r == e.requests.end())
             continue;
-        std::erase(r->second, c.id);
+        std::erase_if(
+            r->second, [&](crash_entry const& it) { return it.crash == c.id; });
         if (r->second.empty())
             e.requests.erase(r);
     }
@@ -82,7 +109,15 @@
 std::size_t crashes_of(crash_evidence const& e, std::uint64_t request)
 {
     auto const it = e.requests.find(request);
-    return it == e.requests.end() ? 0 : it->second.size();
+    if (it == e.requests.end())
+        return 0;
+    return static_cast<std::size_t>(std::count_if(
+        it->second.begin(), it->second.end(),
+        [&](crash_entry const& c)
+        {
+            upstream_crash const* const crash = find_crash(e, c.crash);
+            return crash != nullptr && is_suspected_of(*crash, c);
+        }));
 }
 
 template <class Is>
@@ -107,14 +142,14 @@
     for (crash_suspicion const& it : confirmed)
     {
         std::uint64_t const id = crash_id(it.upstream, it.upstream_started_ms);
-        record_crash(e, id, it.at, {&it.traits, 1});
+        record_crash(e, id, it.at, {&it.suspect, 1});
         auto const known = std::find_if(
             e.unreported_crashes.begin(), e.unreported_crashes.end(),
             [&](upstream_crash const& c) { return c.id == id; });
         if (known == e.unreported_crashes.end())
-            e.unreported_crashes.push_back({id, it.at, {it.traits}});
+            e.unreported_crashes.push_back({id, it.at, {it.suspect}, false});
         else
-            known->suspects.push_back(it.traits);
+            known->suspects.push_back(it.suspect);
     }
 }
 
@@ -125,6 +160,7 @@
     explicit crash_groups(std::deque<upstream_crash> const& crashes)
     {
         std::vector<upstream_crash const*> all;
+        all.reserve(crashes.size());
         for (upstream_crash const& it : crashes)
             all.push_back(&it);
         std::sort(
@@ -170,6 +206,7 @@
     std::size_t in_a_row = 0;           // groups of crashes since an answer
     std::size_t explained = 0;          // crashes since an answer
     std::vector<std::uint64_t> crashes; // unexplained, since the score was 0
+    std::set<std::uint64_t> requests;   // in them
 
     void add_survivals(std::uint32_t n)
     {
@@ -178,8 +215,10 @@
         in_a_row = 0;
         explained = 0;
         score = std::max(0.0, score - n * survival_score);
-        if (score == 0)
-            crashes.clear();
+        if (score != 0)
+            return;
+        crashes.clear();
+        requests.clear();
     }
 };
 
@@ -192,6 +231,8 @@
     for (crash_entry const& it : r.crashes)
     {
         j.add_survivals(it.survivals);
+        if (!is_suspected_of(groups.crash(it.crash), it))
+            continue;
         if (explained.contains(it.crash))
         {
             ++j.explained;
@@ -200,7 +241,8 @@
         j.crashes.push_back(it.crash);
         if (!counted.insert(groups.group_of(it.crash)).second)
             continue;
-        j.score += crash_score;
+        if (j.requests.insert(it.request).second)
+            j.score += crash_score;
         ++j.in_a_row;
     }
     j.add_survivals(r.survivals);
@@ -219,9 +261,10 @@
     blamed_requests b;
     for (std::uint64_t const id : j.crashes)
     {
-        for (request_traits const& t : groups.crash(id).suspects)
+        upstream_crash const& c = groups.crash(id);
+        for (auto const& [t, has_begun] : c.suspects)
         {
-            if (!has_part(t, part))
+            if (!has_part(t, part) || (c.has_begun && !has_begun))
                 continue;
             b.requests.insert(t.request);
             b.organisations.insert(t.organisation);
@@ -292,29 +335,35 @@
 
 void record_crash(
     crash_evidence& e, std::uint64_t crash, steady_time at,
-    std::span<request_traits const> suspects)
+    std::span<crash_suspect const> suspects)
 {
     upstream_crash* c = find_crash(e, crash);
     if (c == nullptr)
     {
         if (e.crashes.size() >= max_crash_records)
             drop_oldest_crash(e);
-        c = &e.crashes.emplace_back(upstream_crash{crash, at, {}});
+        c = &e.crashes.emplace_back(upstream_crash{.id = crash, .at = at});
     }
     c->at = std::min(c->at, at);
-    for (request_traits const& t : suspects)
+    for (crash_suspect const& it : suspects)
     {
+        request_traits const& t = it.traits;
         bool const is_known = std::any_of(
             c->suspects.begin(), c->suspects.end(),
-            [&](request_traits const& it) { return it.request == t.request; });
+            [&](crash_suspect const& s)
+            { return s.traits.request == t.request; });
         if (is_known || c->suspects.size() >= max_suspects)
             continue;
         e.has_changed = true;
-        c->suspects.push_back(t);
-        e.requests[t.request].push_back(crash);
+        c->suspects.push_back(it);
+        c->has_begun = c->has_begun || it.has_begun;
+        crash_entry const added{
+            .crash = crash, .has_begun = it.has_begun, .request = t.request};
+        std::uint32_t unused = 0;
+        add_crash(e.requests[t.request], added, unused);
         std::size_t const n = std::min(t.parts.size(), max_judged_parts);
         for (std::size_t i = 0; i < n; ++i)
-            add_part_crash(e, t.parts[i], crash, i);
+            add_part_crash(e, t.parts[i], added, i);
     }
     while (e.parts.size() > max_part_records && e.crashes.size() > 1)
         drop_oldest_crash(e);
@@ -325,6 +374,14 @@
 {
     e.answered.add(now);
     e.requests.erase(traits.request);
+    bool const is_period_over = now - e.recent_since > recent_answer_period ||
+                                e.recent_parts.size() >= max_recent_parts;
+    if (is_period_over)
+    {
+        e.earlier_parts = std::exchange(e.recent_parts, {});
+        e.recent_since = now;
+    }
+    e.recent_parts.insert(traits.parts.begin(), traits.parts.end());
     for (std::uint64_t const part : traits.parts)
     {
         auto const it = e.parts.find(part);
@@ -362,8 +419,8 @@
     e.unreported_survivals.erase(part);
     for (upstream_crash& c : e.crashes)
     {
-        for (request_traits& t : c.suspects)
-            std::erase(t.parts, part);
+        for (crash_suspect& it : c.suspects)
+            std::erase(it.traits.parts, part);
     }
     e.has_changed = true;
 }
@@ -377,18 +434,27 @@
 double crash_share(crash_evidence& e, std::size_t gateways, steady_time now)
 {
     std::size_t lost = 0;
+    duration time = min_crash_share_time;
     for (upstream_crash const& it : e.crashes)
     {
-        if (now - it.at <= crash_share_window)
-            lost += it.suspects.size();
+        if (now - it.at > crash_share_window)
+            continue;
+        lost += static_cast<std::size_t>(std::count_if(
+            it.suspects.begin(), it.suspects.end(),
+            [&](crash_suspect const& s)
+            { return s.has_begun || !it.has_begun; }));
+        time = std::max(time, now - it.at);
     }
-    auto const answered = static_cast<double>(e.answered.count(now) * gateways);
-    auto const all = static_cast<double>(lost) + answered;
+    double const answered =
+        static_cast<double>(e.answered.count(now) * gateways) *
+        to_seconds(time) / to_seconds(crash_share_window);
+    double const all = static_cast<double>(lost) + answered;
     double const share = all > 0 ? static_cast<double>(lost) / all : 0;
     return std::clamp(share, min_crash_share, max_crash_share);
 }
 
-part_findings judge_parts(crash_evidence const& e, double crash_share)
+part_findings
+judge_parts(crash_evidence const& e, double crash_share, steady_time now)
 {
     part_findings found;
     crash_groups const groups(e.crashes);
@@ -413,6 +479,11 @@
                      std::tie(worst->score, worst_position, worst->part));
             if (!may_be_worst)
                 continue;
+            bool const awaits_answers =
+                r.was_answered &&
+                now - groups.crash(j.crashes.front()).at < answered_part_delay;
+            if (awaits_answers)
+                continue;
             blamed_requests const b = blamed_for(part, j, groups);
             if (!is_guilty(j, b.requests.size()))
                 continue;
@@ -429,7 +500,10 @@
             break;
         convicted.insert(worst->part);
         for (crash_entry const& it : e.parts.at(worst->part).crashes)
-            explained.insert(it.crash);
+        {
+            if (is_suspected_of(groups.crash(it.crash), it))
+                explained.insert(it.crash);
+        }
         found.guilty.push_back(*worst);
     }
     for (auto const& [part, r] : e.parts)
--- a/src/gateway/crash_evidence.hpp
+++ b/src/gateway/crash_evidence.hpp
@@ -9,11 +9,13 @@
 //       quarantine(it);
 //
 // An upstream that crashes takes down every request it holds, so one crash
-// proves nothing. Suspects are the requests that it had not begun to answer; a
-// request that is being answered did not crash it. Parts are judged by a
+// proves nothing. A request that is being answered did not crash it. Suspects
+// are those whose answer had just begun, with a head and nothing behind it, or,
+// if there is none, those that were still waiting. Parts are judged by a
 // sequential likelihood ratio: each crash with the part speaks against it by
 // how rarely a sound request is lost in a crash, each answered request with the
-// part speaks for it, and a crash that another part explains does not count.
+// part speaks for it, and a crash that another part explains does not count. A
+// repeated request adds nothing, because its own part may be the deadly one.
 // Gateways exchange their evidence, see crash_sharing.hpp.
 //
 // No I/O. Functions that take a crash_evidence are not thread-safe.
@@ -30,6 +32,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 namespace marjorambeam
@@ -63,13 +66,27 @@
 constexpr std::size_t max_part_records = 16'384;
 // Crashes within this time may have one cause, such as a power failure.
 constexpr duration common_cause_window = std::chrono::milliseconds(200);
-// Requests of this time are the baseline for how often sound ones are lost.
+// Requests of this time are the baseline for how often sound ones are lost, and
+// the shortest time over which crashes are compared with it.
 constexpr duration crash_share_window = std::chrono::seconds(10);
+constexpr duration min_crash_share_time = std::chrono::seconds(1);
+// A part that was answered before, for up to twice this time, is judged when
+// its crashes are so far apart that answers of other gateways had time to come.
+constexpr duration recent_answer_period = std::chrono::seconds(15);
+constexpr duration answered_part_delay = std::chrono::seconds(2);
+constexpr std::size_t max_recent_parts = 8192;
+
+// A request on an upstream that crashed.
+struct crash_suspect
+{
+    request_traits traits;
+    bool has_begun = false; // the head of its answer had arrived
+};
 
-// An upstream's connection broke before it had begun to answer the request.
+// An upstream's connection broke before the request had been answered for long.
 struct crash_suspicion
 {
-    request_traits traits;
+    crash_suspect suspect;
     std::string upstream;
     std::int64_t upstream_started_ms = 0; // identifies the incarnation
     steady_time at{};
@@ -79,21 +96,30 @@
 {
     std::uint64_t id = 0; // see crash_id()
     steady_time at{};
-    std::vector<request_traits> suspects;
+    std::vector<crash_suspect> suspects;
+    bool has_begun = false; // any of them; the others do not count then
+};
+
+// A crash of a request, or of requests with one part.
+struct crash_entry
+{
+    std::uint64_t crash = 0;
+    bool has_begun = false; // the request, or one with the part
+    // The request, or one with the part: the least, so that the order of
+    // reports does not matter.
+    std::uint64_t request = 0;
+    // Answers to requests with the part since the entry before.
+    std::uint32_t survivals = 0;
 };
 
 // The crashes of requests with one part, in the order in which they became
 // known, and the answers in between.
 struct part_record
 {
-    struct crash_entry
-    {
-        std::uint64_t crash = 0;
-        std::uint32_t survivals = 0; // since the entry before
-    };
     std::vector<crash_entry> crashes;
     std::uint32_t survivals = 0; // since the last crash
     std::size_t position = 0;    // greatest position in a prompt
+    bool was_answered = false;   // lately, before its first crash
 };
 
 struct crash_evidence
@@ -101,13 +127,17 @@
     std::deque<upstream_crash> crashes; // in the order in which they were known
     std::unordered_map<std::uint64_t, part_record> parts;
     // Crashes of each request, by its `request_traits::request`.
-    std::unordered_map<std::uint64_t, std::vector<std::uint64_t>> requests;
+    std::unordered_map<std::uint64_t, std::vector<crash_entry>> requests;
     std::vector<crash_suspicion> suspicions;
     // Drained by the sender of reports.
     std::vector<upstream_crash> unreported_crashes;
     std::map<std::uint64_t, std::uint32_t> unreported_survivals; // by part
     rate_window answered{crash_share_window}; // requests of this gateway
-    bool has_changed = false;                 // since the parts were judged
+    // Parts of requests that this gateway had answered lately, in two periods.
+    std::unordered_set<std::uint64_t> recent_parts;
+    std::unordered_set<std::uint64_t> earlier_parts;
+    steady_time recent_since{};
+    bool has_changed = false; // since the parts were judged
 };
 
 // A part that crashes upstreams.
@@ -132,9 +162,9 @@
     std::vector<std::uint64_t> answered;
 };
 
-// Logarithm of the odds against a part before there is evidence: few parts of
-// thousands are deadly.
-constexpr double conviction_score = 9.2;
+// Logarithm of the odds for a part before there is evidence: few parts of many
+// thousands are deadly, and each crash puts several to the test.
+constexpr double conviction_score = 12;
 // The same for a part that was in crashes with a guilty one and was never
 // answered without it.
 constexpr double companion_conviction_score = 3;
@@ -160,9 +190,9 @@
 // Returns the id of the crash of an upstream's incarnation. Thread-safe.
 std::uint64_t crash_id(std::string_view upstream, std::int64_t started_ms);
 
-// Records that the upstream's connection broke before it had begun to answer
-// the request. Drops expired suspicions and, beyond the maximum, the oldest.
-// Not thread-safe.
+// Records that the upstream's connection broke before the request had been
+// answered for long. Drops expired suspicions and, beyond the maximum, the
+// oldest. Not thread-safe.
 void record_suspicion(crash_evidence& e, crash_suspicion&& s);
 
 // Attributes the crash of the upstream to the requests recently suspected
@@ -179,7 +209,7 @@
 // thread-safe.
 void record_crash(
     crash_evidence& e, std::uint64_t crash, steady_time at,
-    std::span<request_traits const> suspects);
+    std::span<crash_suspect const> suspects);
 
 // Records that an upstream answers the request: it and its parts did not crash
 // it. Clears the record of the request. Not thread-safe.
@@ -210,6 +240,7 @@
 
 // Judges all parts with crashes. Of parts with the same evidence the one
 // furthest back is guilty, which the fewest requests have. Not thread-safe.
-part_findings judge_parts(crash_evidence const& e, double crash_share);
+part_findings
+judge_parts(crash_evidence const& e, double crash_share, steady_time now);
 
 } // namespace marjorambeam
--- a/src/gateway/crash_sharing.cpp
+++ b/src/gateway/crash_sharing.cpp
@@ -1,5 +1,6 @@
 #include "gateway/crash_sharing.hpp"
 
+#include "gateway/reader_election.hpp"
 #include "wire/value.hpp"
 
 #include <algorithm>
@@ -17,7 +18,7 @@
 constexpr std::size_t max_report_bytes = 1100;
 // Encoded sizes, in bytes.
 constexpr std::size_t crash_bytes = 24;
-constexpr std::size_t suspect_bytes = 24; // without its parts
+constexpr std::size_t suspect_bytes = 25; // without its parts
 constexpr std::size_t part_bytes = 8;
 constexpr std::size_t survivals_bytes = 12;
 // A report of a crash that is older was delayed and says nothing of its time.
@@ -36,7 +37,7 @@
     void add(upstream_crash const& c)
     {
         bool is_open = false;
-        for (request_traits const& t : c.suspects)
+        for (auto const& [t, has_begun] : c.suspects)
         {
             std::size_t const n = suspect_bytes + part_bytes * t.parts.size();
             if (reserve(n + crash_bytes) || !is_open)
@@ -49,7 +50,7 @@
             }
             is_open = true;
             reports_.back().crashes.back().suspects.push_back(
-                {t.request, t.organisation, t.parts});
+                {t.request, t.organisation, t.parts, has_begun});
             used_ += n;
         }
     }
@@ -87,6 +88,29 @@
     std::size_t used_ = 0;
 };
 
+bool has_urgent_survivals(crash_evidence const& e)
+{
+    return std::any_of(
+        e.unreported_survivals.begin(), e.unreported_survivals.end(),
+        [&](auto const& it)
+        {
+            auto const part = e.parts.find(it.first);
+            return part != e.parts.end() &&
+                   part->second.crashes.size() >= crashes_until_suspected &&
+                   part->second.survivals <= urgent_survivals;
+        });
+}
+
+// Number of live gateways whose names come first.
+int rank_of(gateway_state const& s, steady_time now)
+{
+    return static_cast<int>(std::count_if(
+        s.peers.begin(), s.peers.end(),
+        [&](auto const& it) {
+            return it.first < s.settings.instance && is_live(s, it.second, now);
+        }));
+}
+
 // Whether the report is newer than all of its sender that were applied.
 bool record_sequence(gateway_peer& p, crash_report const& r)
 {
@@ -103,18 +127,62 @@
 
 } // namespace
 
-std::vector<crash_report> make_crash_reports(
-    gateway_state& s, std::span<upstream_crash const> crashes,
-    std::map<std::uint64_t, std::uint32_t> const& survivals, steady_time now)
+std::vector<crash_report> due_crash_reports(gateway_state& s, steady_time now)
 {
+    crash_evidence& e = s.crashes;
+    for (upstream_crash& it : std::exchange(e.unreported_crashes, {}))
+        s.outgoing_crashes.push_back({std::move(it), sends_per_crash, now});
     report_writer w(s, now);
-    for (upstream_crash const& it : crashes)
-        w.add(it);
-    for (auto const& [part, n] : survivals)
+    for (outgoing_crash& it : s.outgoing_crashes)
+    {
+        if (now < it.next)
+            continue;
+        w.add(it.crash);
+        --it.sends_left;
+        it.next = now + crash_resend_period;
+    }
+    std::erase_if(
+        s.outgoing_crashes,
+        [](outgoing_crash const& it) { return it.sends_left == 0; });
+    bool const sends_survivals =
+        !e.unreported_survivals.empty() &&
+        (now >= s.next_survivals || has_urgent_survivals(e));
+    if (!sends_survivals)
+        return w.take();
+    s.next_survivals = now + report_period(s.peers.size(), false);
+    for (auto const& [part, n] : std::exchange(e.unreported_survivals, {}))
         w.add(part, n);
     return w.take();
 }
 
+quarantine_changes
+judge_crashes(gateway_state& s, steady_time now, std::int64_t unix_ms)
+{
+    // Some parts are judged by time, too.
+    bool const is_due = s.crashes.has_changed ||
+                        (!s.crashes.crashes.empty() && now >= s.next_judgement);
+    if (!is_due)
+        return {};
+    s.crashes.has_changed = false;
+    s.next_judgement = now + judgement_period;
+    double const share = crash_share(s.crashes, s.peers.size() + 1, now);
+    return apply_findings(
+        s.quarantine, judge_parts(s.crashes, share, now), now, unix_ms);
+}
+
+bool is_turn_to_store(
+    gateway_state const& s, quarantine_entry const& entry, steady_time now)
+{
+    duration const turn =
+        store_entry_after + store_entry_stagger * rank_of(s, now);
+    return !entry.is_stored && now >= entry.since + turn;
+}
+
+bool is_turn_to_remove(gateway_state const& s, steady_time now)
+{
+    return rank_of(s, now) == 0;
+}
+
 applied_crash_report
 apply_crash_report(gateway_state& s, crash_report const& r, steady_time now)
 {
@@ -124,9 +192,11 @@
     applied_crash_report applied{.is_known_sender = true};
     for (reported_crash const& c : r.crashes)
     {
-        std::vector<request_traits> suspects;
+        std::vector<crash_suspect> suspects;
+        suspects.reserve(c.suspects.size());
         for (reported_suspect const& it : c.suspects)
-            suspects.push_back({it.request, it.organisation, it.parts});
+            suspects.push_back(
+                {{it.request, it.organisation, it.parts}, it.has_begun});
         duration const age = milliseconds(
             std::clamp<std::int64_t>(c.age_ms, 0, max_report_age_ms));
         record_crash(s.crashes, c.id, now - age, suspects);
--- a/src/gateway/crash_sharing.hpp
+++ b/src/gateway/crash_sharing.hpp
@@ -1,10 +1,11 @@
-// How gateways exchange evidence of crashes: who was on a crashed upstream, and
-// which suspected parts of prompts were answered elsewhere.
+// How gateways exchange evidence of crashes (who was on a crashed upstream, and
+// which suspected parts of prompts were answered elsewhere), and act on it.
 //
 // Example:
-//   for (crash_report const& it : make_crash_reports(state, crashes, answers))
+//   for (crash_report const& it : due_crash_reports(state, now))
 //       send_to_all(to_call(it));
 //   apply_crash_report(state, *report, now);
+//   quarantine_changes c = judge_crashes(state, now, unix_now);
 //
 // No I/O. Not thread-safe.
 #pragma once
@@ -15,8 +16,6 @@
 #include <cereal/types/string.hpp>
 #include <cereal/types/vector.hpp>
 #include <cstdint>
-#include <map>
-#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -29,14 +28,15 @@
 
 struct reported_suspect
 {
-    std::uint64_t request = 0; // the fields of request_traits
+    std::uint64_t request = 0; // the fields of crash_suspect
     std::uint64_t organisation = 0;
     std::vector<std::uint64_t> parts;
+    bool has_begun = false;
 
     template <class Archive>
     void serialize(Archive& ar)
     {
-        ar(request, organisation, parts);
+        ar(request, organisation, parts, has_begun);
     }
 };
 
@@ -80,19 +80,44 @@
     }
 };
 
-// Returns reports that fit into datagrams, and numbers them. Not thread-safe.
-std::vector<crash_report> make_crash_reports(
-    gateway_state& s, std::span<upstream_crash const> crashes,
-    std::map<std::uint64_t, std::uint32_t> const& survivals, steady_time now);
+// A crash is reported so often, against loss, with this time in between.
+constexpr int sends_per_crash = 3;
+constexpr duration crash_resend_period = std::chrono::milliseconds(300);
+// Answers that decide about a part are reported at once until there are so many
+// since its last crash; others with the period of state reports.
+constexpr std::uint32_t urgent_survivals = 3;
+// Time between judgements without new evidence.
+constexpr duration judgement_period = std::chrono::milliseconds(500);
+// Time for the evidence of an entry to settle before it is stored. Each further
+// gateway in the order of names waits longer, in case the one before has not
+// stored it.
+constexpr duration store_entry_after = std::chrono::milliseconds(300);
+constexpr duration store_entry_stagger = std::chrono::seconds(1);
+
+// Returns the reports to send at `now`, which fit into datagrams. Takes what
+// they contain from the evidence. Not thread-safe.
+std::vector<crash_report> due_crash_reports(gateway_state& s, steady_time now);
+
+// Judges the parts if the evidence has changed or some time has passed, and
+// applies the findings. Not thread-safe.
+quarantine_changes
+judge_crashes(gateway_state& s, steady_time now, std::int64_t unix_ms);
+
+// Whether it is this gateway's turn to store an entry that is not in the store,
+// or to remove one. Not thread-safe.
+bool is_turn_to_store(
+    gateway_state const& s, quarantine_entry const& entry, steady_time now);
+bool is_turn_to_remove(gateway_state const& s, steady_time now);
 
-// Applies another gateway's report: crashes always, since each counts once,
-// answers only of a report that has not been applied. Confirms own suspicions
-// of the crashes, which are returned. Not thread-safe.
 struct applied_crash_report
 {
     bool is_known_sender = false;
-    std::vector<crash_suspicion> confirmed;
+    std::vector<crash_suspicion> confirmed; // of this gateway
 };
+
+// Applies another gateway's report: crashes always, since each counts once, and
+// answers unless the report or a later one was applied before. Confirms this
+// gateway's suspicions of the crashes. Not thread-safe.
 applied_crash_report
 apply_crash_report(gateway_state& s, crash_report const& r, steady_time now);
 
--- a/src/gateway/gateway_state.hpp
+++ b/src/gateway/gateway_state.hpp
@@ -103,6 +103,14 @@
     std::size_t possible = 0;
 };
 
+// A crash that is still to be reported to the other gateways.
+struct outgoing_crash
+{
+    upstream_crash crash;
+    int sends_left = 0;
+    steady_time next{};
+};
+
 // This gateway's copy of one kind of objects, compared with the readers'.
 struct local_copy
 {
@@ -153,6 +161,9 @@
     timing_baselines timings; // of versions that are not on trial
     crash_evidence crashes;
     part_quarantine quarantine;
+    std::vector<outgoing_crash> outgoing_crashes;
+    steady_time next_survivals{}; // reported, unless they are urgent
+    steady_time next_judgement{}; // of parts, without new evidence
     std::uint64_t crash_reports_sent = 0;
     session_pins sessions;
     std::optional<steady_time> drain_started;
--- a/src/gateway/proxied_request_failure.cpp
+++ b/src/gateway/proxied_request_failure.cpp
@@ -141,7 +141,10 @@
     if (!is_connection_failure || has_survived_)
         return false;
     auto const self = shared_from_this();
-    context_.quarantine.record_broken_attempt(upstream, traits_, request_, now);
+    context_.quarantine.record_broken_attempt(
+        upstream,
+        {.traits = traits_, .has_begun = kind == error_kind::answer_cut},
+        request_, now);
     return true;
 }
 
--- a/src/gateway/quarantine_controller.cpp
+++ b/src/gateway/quarantine_controller.cpp
@@ -1,7 +1,6 @@
 #include "gateway/quarantine_controller.hpp"
 
 #include "base/id.hpp"
-#include "gateway/reader_election.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -14,17 +13,6 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-// A crash is reported so often, against loss, with this time in between.
-constexpr int sends_per_crash = 3;
-constexpr duration resend_period = milliseconds(300);
-// Answers that decide about a part are reported at once until there are so many
-// since its last crash.
-constexpr std::uint32_t urgent_survivals = 3;
-// Time for the evidence against an entry to settle before it is stored; each
-// further gateway in the order of names waits longer, in case the one before
-// has not written it.
-constexpr duration write_after = milliseconds(100);
-constexpr duration write_stagger = seconds(1);
 constexpr duration write_retry_delay = milliseconds(500);
 constexpr duration write_timeout = seconds(2);
 constexpr int max_removal_tries = 20;
@@ -36,16 +24,6 @@
     return key.organisation == 0 ? "-" : to_hex(key.organisation);
 }
 
-// Number of live gateways whose names come first.
-int rank_of(gateway_state const& s, steady_time now)
-{
-    return static_cast<int>(std::count_if(
-        s.peers.begin(), s.peers.end(),
-        [&](auto const& it) {
-            return it.first < s.settings.instance && is_live(s, it.second, now);
-        }));
-}
-
 std::string parts_text(gateway_request const& r)
 {
     std::string text;
@@ -72,7 +50,7 @@
 
 void quarantine_controller::record_broken_attempt(
     std::shared_ptr<upstream_state> const& upstream,
-    request_traits const& traits, gateway_request const& request,
+    crash_suspect const& suspect, gateway_request const& request,
     steady_time now)
 {
     upstream_info const& u = upstream->info;
@@ -81,9 +59,10 @@
         {{"request_id", request.attempt_id},
          {"upstream", u.id},
          {"started_ms", std::to_string(u.started_unix_ms)},
-         {"fingerprint", to_hex(traits.request)},
-         {"parts", parts_text(request)}});
-    record_suspicion(state_.crashes, {traits, u.id, u.started_unix_ms, now});
+         {"fingerprint", to_hex(suspect.traits.request)},
+         {"parts", parts_text(request)},
+         {"begun", suspect.has_begun ? "yes" : "no"}});
+    record_suspicion(state_.crashes, {suspect, u.id, u.started_unix_ms, now});
     pool_.probe(
         upstream,
         [this, id = u.id](bool is_reachable)
@@ -103,7 +82,7 @@
     if (confirmed.empty())
         return;
     log_confirmed(confirmed);
-    queue_reports(now);
+    send_reports(now);
     refresh(now);
 }
 
@@ -117,7 +96,7 @@
             log_event::crash_confirmed,
             {{"upstream", it.upstream},
              {"started_ms", std::to_string(it.upstream_started_ms)},
-             {"fingerprint", to_hex(it.traits.request)}});
+             {"fingerprint", to_hex(it.suspect.traits.request)}});
     }
 }
 
@@ -137,13 +116,8 @@
 
 void quarantine_controller::refresh(steady_time now)
 {
-    if (!std::exchange(state_.crashes.has_changed, false))
-        return;
-    std::size_t const gateways = state_.peers.size() + 1;
-    double const share = crash_share(state_.crashes, gateways, now);
-    quarantine_changes const c = apply_findings(
-        state_.quarantine, judge_parts(state_.crashes, share), now,
-        to_unix_ms(wall_now()));
+    quarantine_changes const c =
+        judge_crashes(state_, now, to_unix_ms(wall_now()));
     for (quarantine_entry const& it : c.withdrawn)
     {
         state_.counters.count("parts_released_total", "evidence");
@@ -151,7 +125,7 @@
     }
     for (quarantine_entry const& it : c.cleared)
     {
-        if (rank_of(state_, now) == 0)
+        if (is_turn_to_remove(state_, now))
             remove(it, now);
     }
     for (quarantine_key const& it : c.added)
@@ -165,50 +139,9 @@
         on_added_(now);
 }
 
-void quarantine_controller::queue_reports(steady_time now)
-{
-    for (upstream_crash& it :
-         std::exchange(state_.crashes.unreported_crashes, {}))
-        outgoing_.push_back({std::move(it), sends_per_crash, now});
-    send_reports(now);
-}
-
-bool quarantine_controller::has_urgent_survivals() const
-{
-    return std::any_of(
-        state_.crashes.unreported_survivals.begin(),
-        state_.crashes.unreported_survivals.end(),
-        [this](auto const& it)
-        {
-            auto const part = state_.crashes.parts.find(it.first);
-            return part != state_.crashes.parts.end() &&
-                   part->second.crashes.size() >= crashes_until_suspected &&
-                   part->second.survivals <= urgent_survivals;
-        });
-}
-
 void quarantine_controller::send_reports(steady_time now)
 {
-    std::vector<upstream_crash> crashes;
-    for (outgoing_crash& it : outgoing_)
-    {
-        if (now < it.next)
-            continue;
-        crashes.push_back(it.crash);
-        --it.sends_left;
-        it.next = now + resend_period;
-    }
-    std::erase_if(
-        outgoing_, [](outgoing_crash const& it) { return it.sends_left == 0; });
-    std::map<std::uint64_t, std::uint32_t> survivals;
-    if (!state_.crashes.unreported_survivals.empty() &&
-        (now >= next_survivals_ || has_urgent_survivals()))
-    {
-        next_survivals_ = now + report_period(state_.peers.size(), false);
-        survivals = std::exchange(state_.crashes.unreported_survivals, {});
-    }
-    for (crash_report const& it :
-         make_crash_reports(state_, crashes, survivals, now))
+    for (crash_report const& it : due_crash_reports(state_, now))
     {
         message const m = to_call(it);
         for (auto const& [name, p] : state_.peers)
@@ -235,8 +168,10 @@
     state_.counters.count("crash_reports_total");
     log_confirmed(applied.confirmed);
     if (!applied.confirmed.empty())
-        queue_reports(now);
-    refresh(now);
+        send_reports(now);
+    // Answers alone can wait for the next tick.
+    if (!r->crashes.empty())
+        refresh(now);
     return true;
 }
 
@@ -244,7 +179,7 @@
 {
     expire_crashes(state_.crashes, now);
     refresh(now);
-    queue_reports(now);
+    send_reports(now);
     write_entries(now);
     retry_removals(now);
 }
@@ -255,9 +190,7 @@
 {
     for (auto& [key, it] : state_.quarantine.entries)
     {
-        duration const turn =
-            write_after + write_stagger * rank_of(state_, now);
-        if (it.is_stored || now < it.since + turn || now < it.next_write)
+        if (now < it.next_write || !is_turn_to_store(state_, it, now))
             continue;
         it.next_write = now + write_retry_delay;
         http_call call = protocol_.create(
--- a/src/gateway/quarantine_controller.hpp
+++ b/src/gateway/quarantine_controller.hpp
@@ -2,7 +2,7 @@
 // gateways, and keeps them out.
 //
 // Example:
-//   quarantine.record_broken_attempt(*upstream, traits, id, now);
+//   quarantine.record_broken_attempt(upstream, suspect, request, now);
 //   if (quarantine_entry const* it = find_quarantine(state.quarantine, traits))
 //       ...
 //   quarantine.tick(now);
@@ -24,7 +24,6 @@
 #include <span>
 #include <string>
 #include <string_view>
-#include <vector>
 
 namespace marjorambeam
 {
@@ -42,12 +41,12 @@
         store_documents const& documents,
         std::function<void(steady_time)> on_added);
 
-    // Records that the upstream's connection broke before it had begun to
-    // answer the request, and tries at once whether it still accepts
+    // Records that the upstream's connection broke before the request had been
+    // answered for long, and tries at once whether it still accepts
     // connections.
     void record_broken_attempt(
         std::shared_ptr<upstream_state> const& upstream,
-        request_traits const& traits, gateway_request const& request,
+        crash_suspect const& suspect, gateway_request const& request,
         steady_time now);
     // The upstream is unreachable, gone or has restarted.
     void record_crash_of(std::string_view upstream, steady_time now);
@@ -74,14 +73,6 @@
     void set_gauges();
 
 private:
-    // A crash that is still to be reported, several times against loss.
-    struct outgoing_crash
-    {
-        upstream_crash crash;
-        int sends_left = 0;
-        steady_time next{};
-    };
-
     // An object that is to be removed from the store.
     struct pending_removal
     {
@@ -95,9 +86,7 @@
     void log_entry(
         log_event event, quarantine_entry const& entry,
         std::string_view reason);
-    void queue_reports(steady_time now);
     void send_reports(steady_time now);
-    bool has_urgent_survivals() const;
     void write_entries(steady_time now);
     void release(quarantine_key const& key, std::string_view reason);
     void remove(quarantine_entry const& entry, steady_time now);
@@ -113,9 +102,7 @@
     store_documents const& documents_;
     std::function<void(steady_time)> on_added_;
     logger log_{"quarantine"};
-    std::vector<outgoing_crash> outgoing_;
     std::map<quarantine_key, pending_removal> removals_;
-    steady_time next_survivals_{};
 };
 
 } // namespace marjorambeam
--- a/src/log/log_events.cpp
+++ b/src/log/log_events.cpp
@@ -177,7 +177,8 @@
         crash_suspected, "crash_suspected", log_level::warning,
         "A connection broke before the request was answered.",
         "`upstream`, of lifetime `started_ms`, may have crashed. `parts` are "
-        "the shared parts of the request's prompt."},
+        "the shared parts of the request's prompt; `begun` says whether the "
+        "head of its answer had arrived."},
     log_event_row{
         crash_confirmed, "crash_confirmed", log_level::warning,
         "A request was unanswered when its upstream crashed.",
