Suspect answers that the gateway drops just before a crash

Cause: half of the deadly requests were invisible. A small model sends the head of an answer with low confidence; the gateway drops it and asks a larger model; the first engine goes on for some ms, crashes, and nobody at the gateway has an attempt there.

Change: an attempt that is dropped after the head of its answer and before it was answered for 0.2 s leaves a suspicion, which counts if the upstream crashes within 0.3 s, whoever saw that. The fingerprint covers the prompt. The share of lost requests leaves out those with the part that is judged. The model of fleets drops 30% of the first answers at their head.

Evidence: "An answer dropped just before a crash is suspected of it", "The fingerprint covers ... prompt" and "The share of lost requests is that of all requests without the part" failed before.

--- a/bench/crash_fleet/crash_fleet_model.cpp
+++ b/bench/crash_fleet/crash_fleet_model.cpp
@@ -122,6 +122,12 @@
     return partition_.contains(a) == partition_.contains(b);
 }
 
+bool crash_fleet_model::draw_share(double share)
+{
+    constexpr std::uint64_t steps = 10'000;
+    return random_() % steps < static_cast<std::uint64_t>(share * steps);
+}
+
 duration crash_fleet_model::draw(duration most)
 {
     return duration(static_cast<duration::rep>(
@@ -233,6 +239,8 @@
     // Now and then the end comes before the head.
     constexpr std::uint64_t lost_head_one_in = 20;
     r.has_begun = random_() % lost_head_one_in != 0;
+    if (r.has_begun && escalate(number))
+        return;
     if (r.is_deadly && !is_mended_)
     {
         caused_.push_back(now_);
@@ -253,6 +261,46 @@
         });
 }
 
+// Drops an answer at its head and asks another engine. The first one goes on
+// for a moment.
+bool crash_fleet_model::escalate(std::uint64_t number)
+{
+    constexpr duration cancel_delay = milliseconds(30);
+    request& r = requests_.at(number);
+    if (r.is_escalated || !draw_share(settings_.escalated_share))
+        return false;
+    r.is_escalated = true;
+    ++r.attempt;
+    engine& e = engines_[r.engine];
+    e.requests.erase(number);
+    std::uint64_t const incarnation = e.incarnation;
+    at_gateway(
+        now_, r.gateway, r.gateway_life,
+        [this, number, i = r.engine, incarnation]
+        {
+            request const& again = requests_.at(number);
+            record_suspicion(
+                gateways_[again.gateway].state->crashes,
+                {.suspect = {.traits = again.traits, .has_begun = true},
+                 .upstream = name_of_engine(i),
+                 .upstream_started_ms = static_cast<std::int64_t>(incarnation),
+                 .at = now_,
+                 .was_dropped = true});
+            send(number);
+        });
+    if (!r.is_deadly || is_mended_)
+        return true;
+    at(now_ + cancel_delay,
+       [this, i = r.engine, incarnation]
+       {
+           if (engines_[i].incarnation != incarnation)
+               return;
+           caused_.push_back(now_);
+           crash(i);
+       });
+    return true;
+}
+
 void crash_fleet_model::crash(std::size_t i)
 {
     engine& e = engines_[i];
@@ -330,7 +378,6 @@
 
 void crash_fleet_model::send_reports(std::size_t i)
 {
-    constexpr std::uint64_t steps = 10'000;
     for (crash_report const& it : due_crash_reports(*gateways_[i].state, now_))
     {
         auto const r = std::make_shared<crash_report const>(it);
@@ -339,10 +386,7 @@
             if (k == i)
                 continue;
             ++messages_;
-            bool const is_lost =
-                random_() % steps <
-                static_cast<std::uint64_t>(settings_.loss * steps);
-            if (is_lost || !is_connected(i, k) ||
+            if (draw_share(settings_.loss) || !is_connected(i, k) ||
                 now_ < gateways_[k].down_until)
                 continue;
             at_gateway(
@@ -450,7 +494,7 @@
         ++n.asked;
         n.refused += r.is_refused ? 1 : 0;
         n.given_up += r.is_given_up ? 1 : 0;
-        n.repeated += r.sends > 1 ? 1 : 0;
+        n.repeated += r.sends > (r.is_escalated ? 2U : 1U) ? 1 : 0;
     }
     return n;
 }
--- a/bench/crash_fleet/crash_fleet_model.hpp
+++ b/bench/crash_fleet/crash_fleet_model.hpp
@@ -35,6 +35,8 @@
     std::size_t organisations = 10;
     std::size_t deadly_organisations = 1; // whose requests have deadly parts
     std::size_t attempts = 3;
+    // Of requests, whose first answer is dropped at its head.
+    double escalated_share = 0.3;
     duration max_delay = std::chrono::milliseconds(20);
     duration max_store_delay = std::chrono::milliseconds(600);
     duration mean_prefill = std::chrono::milliseconds(400);
@@ -130,7 +132,8 @@
         std::size_t sends = 0;
         steady_time asked{};
         bool is_deadly = false;
-        bool has_begun = false; // the head of its answer was sent
+        bool has_begun = false;    // the head of its answer was sent
+        bool is_escalated = false; // its first answer was dropped
         bool is_refused = false;
         bool is_given_up = false;
     };
@@ -169,6 +172,8 @@
     void ask();
     void send(std::uint64_t number);
     void begin_answer(std::uint64_t number, std::uint64_t attempt);
+    bool escalate(std::uint64_t number);
+    bool draw_share(double share);
     void crash(std::size_t engine);
     void break_attempt(
         std::uint64_t number, bool has_begun, std::string const& upstream,
--- a/src/gateway/crash_evidence.cpp
+++ b/src/gateway/crash_evidence.cpp
@@ -120,14 +120,35 @@
         }));
 }
 
+// Whether a dropped answer may have crashed the upstream at `crashed`.
+bool is_near(crash_suspicion const& it, steady_time crashed)
+{
+    return it.at - crashed <= crash_time_error &&
+           crashed - it.at <= dropped_answer_window;
+}
+
+// Takes the suspicions of one crash, which happened at `crashed` if it is known
+// from elsewhere.
 template <class Is>
-std::vector<crash_suspicion>
-take_suspicions(crash_evidence& e, steady_time now, Is is_of_crash)
+std::vector<crash_suspicion> take_suspicions(
+    crash_evidence& e, std::optional<steady_time> crashed, steady_time now,
+    Is is_of_crash)
 {
     std::vector<crash_suspicion> taken;
-    for (crash_suspicion& it : e.suspicions)
+    for (crash_suspicion const& it : e.suspicions)
     {
-        if (is_of_crash(it) && now - it.at <= crash_suspicion_ttl)
+        if (!is_of_crash(it) || it.was_dropped ||
+            now - it.at > crash_suspicion_ttl)
+            continue;
+        crashed = crashed ? std::min(*crashed, it.at) : it.at;
+        taken.push_back(it);
+    }
+    for (crash_suspicion const& it : e.suspicions)
+    {
+        if (!is_of_crash(it) || !it.was_dropped)
+            continue;
+        if (crashed ? is_near(it, *crashed)
+                    : now - it.at <= dropped_suspicion_ttl)
             taken.push_back(it);
     }
     std::erase_if(e.suspicions, is_of_crash);
@@ -285,11 +306,12 @@
 
 } // namespace
 
-std::uint64_t request_fingerprint(
-    std::string_view target, std::string_view organisation,
-    std::string_view body)
+std::uint64_t request_fingerprint(request_contents const& r)
 {
-    return hash64(body, hash64(organisation, hash64(target)));
+    std::uint64_t h = hash64(r.body, hash64(r.organisation, hash64(r.target)));
+    for (std::string_view const it : r.prompt)
+        h = hash64(it, h);
+    return h;
 }
 
 std::uint64_t part_key(std::string_view id)
@@ -305,8 +327,12 @@
 void record_suspicion(crash_evidence& e, crash_suspicion&& s)
 {
     std::erase_if(
-        e.suspicions, [&](crash_suspicion const& it)
-        { return s.at - it.at > crash_suspicion_ttl; });
+        e.suspicions,
+        [&](crash_suspicion const& it)
+        {
+            return s.at - it.at > (it.was_dropped ? dropped_suspicion_ttl
+                                                  : crash_suspicion_ttl);
+        });
     if (e.suspicions.size() >= max_suspicions)
         e.suspicions.erase(e.suspicions.begin());
     e.suspicions.push_back(std::move(s));
@@ -316,7 +342,7 @@
 confirm_crash(crash_evidence& e, std::string_view upstream, steady_time now)
 {
     std::vector<crash_suspicion> confirmed = take_suspicions(
-        e, now,
+        e, std::nullopt, now,
         [&](crash_suspicion const& it) { return it.upstream == upstream; });
     record_confirmed(e, confirmed);
     return confirmed;
@@ -325,8 +351,9 @@
 std::vector<crash_suspicion>
 confirm_crash(crash_evidence& e, std::uint64_t crash, steady_time now)
 {
+    upstream_crash const* const known = find_crash(e, crash);
     std::vector<crash_suspicion> confirmed = take_suspicions(
-        e, now,
+        e, known == nullptr ? std::nullopt : std::optional(known->at), now,
         [&](crash_suspicion const& it)
         { return crash_id(it.upstream, it.upstream_started_ms) == crash; });
     record_confirmed(e, confirmed);
@@ -431,35 +458,50 @@
         drop_oldest_crash(e);
 }
 
-double crash_share(crash_evidence& e, std::size_t gateways, steady_time now)
+crash_baseline
+baseline_of(crash_evidence& e, std::size_t gateways, steady_time now)
 {
-    std::size_t lost = 0;
+    crash_baseline b;
     duration time = min_crash_share_time;
-    for (upstream_crash const& it : e.crashes)
+    for (upstream_crash const& c : e.crashes)
     {
-        if (now - it.at > crash_share_window)
+        if (now - c.at > crash_share_window)
             continue;
-        lost += static_cast<std::size_t>(std::count_if(
-            it.suspects.begin(), it.suspects.end(),
-            [&](crash_suspect const& s)
-            { return s.has_begun || !it.has_begun; }));
-        time = std::max(time, now - it.at);
+        time = std::max(time, now - c.at);
+        for (auto const& [t, has_begun] : c.suspects)
+        {
+            if (c.has_begun && !has_begun)
+                continue;
+            ++b.lost;
+            for (std::uint64_t const part : t.parts)
+                ++b.lost_with[part];
+        }
     }
-    double const answered =
-        static_cast<double>(e.answered.count(now) * gateways) *
-        to_seconds(time) / to_seconds(crash_share_window);
-    double const all = static_cast<double>(lost) + answered;
-    double const share = all > 0 ? static_cast<double>(lost) / all : 0;
-    return std::clamp(share, min_crash_share, max_crash_share);
+    b.answered = static_cast<double>(e.answered.count(now) * gateways) *
+                 to_seconds(time) / to_seconds(crash_share_window);
+    return b;
+}
+
+double crash_share(crash_baseline const& b, std::uint64_t part)
+{
+    auto const own = b.lost_with.find(part);
+    double const lost =
+        b.lost - (own == b.lost_with.end() ? 0 : own->second) + 1;
+    return std::clamp(
+        lost / (lost + b.answered), min_crash_share, max_crash_share);
 }
 
 part_findings
-judge_parts(crash_evidence const& e, double crash_share, steady_time now)
+judge_parts(crash_evidence const& e, crash_baseline const& b, steady_time now)
 {
     part_findings found;
     crash_groups const groups(e.crashes);
-    double const crash_score = -std::log(crash_share);
     std::set<std::uint64_t> explained;
+    auto const judge = [&](std::uint64_t part, part_record const& r)
+    {
+        double const crash_score = -std::log(crash_share(b, part));
+        return judge_part(r, groups, explained, crash_score);
+    };
     std::set<std::uint64_t> convicted;
     for (;;)
     {
@@ -470,8 +512,7 @@
             if (r.crashes.size() < crashes_until_suspected ||
                 convicted.contains(part))
                 continue;
-            part_judgement const j =
-                judge_part(r, groups, explained, crash_score);
+            part_judgement const j = judge(part, r);
             bool const may_be_worst =
                 j.score > 0 &&
                 (!worst ||
@@ -484,15 +525,16 @@
                 now - groups.crash(j.crashes.front()).at < answered_part_delay;
             if (awaits_answers)
                 continue;
-            blamed_requests const b = blamed_for(part, j, groups);
-            if (!is_guilty(j, b.requests.size()))
+            blamed_requests const blamed = blamed_for(part, j, groups);
+            if (!is_guilty(j, blamed.requests.size()))
                 continue;
             worst = part_finding{
                 .part = part,
-                .organisation =
-                    b.organisations.size() == 1 ? *b.organisations.begin() : 0,
+                .organisation = blamed.organisations.size() == 1
+                                    ? *blamed.organisations.begin()
+                                    : 0,
                 .crashes = j.crashes.size(),
-                .requests = b.requests.size(),
+                .requests = blamed.requests.size(),
                 .score = j.score};
             worst_position = r.position;
         }
@@ -510,7 +552,7 @@
     {
         if (convicted.contains(part))
             continue;
-        part_judgement const j = judge_part(r, groups, explained, crash_score);
+        part_judgement const j = judge(part, r);
         if (j.in_a_row >= crashes_until_suspected)
             found.suspected.push_back(part);
         else if (j.score == 0)
--- a/src/gateway/crash_evidence.hpp
+++ b/src/gateway/crash_evidence.hpp
@@ -5,7 +5,8 @@
 //   record_suspicion(e, {traits, upstream, started_ms, now});
 //   confirm_crash(e, upstream, now); // it is unreachable or has restarted
 //   record_survival(e, traits, now); // an upstream answers such a request
-//   for (part_finding const& it : judge_parts(e, crash_share(e, n, now)))
+//   crash_baseline const b = baseline_of(e, gateways, now);
+//   for (part_finding const& it : judge_parts(e, b, now).guilty)
 //       quarantine(it);
 //
 // An upstream that crashes takes down every request it holds, so one crash
@@ -57,6 +58,12 @@
 // A crash is detected within this time: the upstream is unreachable, no longer
 // listed, or has restarted.
 constexpr duration crash_suspicion_ttl = std::chrono::seconds(6);
+// A dropped answer is suspected of a crash so soon after it. The difference may
+// be negative by the error of reported ages.
+constexpr duration dropped_answer_window = std::chrono::milliseconds(300);
+constexpr duration crash_time_error = std::chrono::milliseconds(50);
+// The same if it is not known when the upstream crashed.
+constexpr duration dropped_suspicion_ttl = std::chrono::seconds(1);
 // Parts that crash upstreams rarely must not be forgotten in between.
 constexpr duration crash_record_ttl = std::chrono::hours(1);
 // Bounds of the memory, also against callers that make up parts.
@@ -83,13 +90,17 @@
     bool has_begun = false; // the head of its answer had arrived
 };
 
-// An upstream's connection broke before the request had been answered for long.
+// An upstream's connection broke before the request had been answered for long,
+// or the gateway dropped an answer that had just begun.
 struct crash_suspicion
 {
     crash_suspect suspect;
     std::string upstream;
     std::int64_t upstream_started_ms = 0; // identifies the incarnation
     steady_time at{};
+    // By the gateway, as when it asks a larger model. The upstream may go on
+    // with the answer, and crash on it unseen.
+    bool was_dropped = false;
 };
 
 struct upstream_crash
@@ -179,10 +190,17 @@
 constexpr double min_crash_share = 0.005;
 constexpr double max_crash_share = 0.5;
 
+// What makes a request the same as another one.
+struct request_contents
+{
+    std::string_view target;
+    std::string_view organisation;
+    std::string_view body;
+    std::span<std::string_view const> prompt; // ids of all its parts
+};
+
 // Returns a hash that identifies a request's contents. Thread-safe.
-std::uint64_t request_fingerprint(
-    std::string_view target, std::string_view organisation,
-    std::string_view body);
+std::uint64_t request_fingerprint(request_contents const& r);
 
 // Returns the key of a prompt's part in traits, which is not 0. Thread-safe.
 std::uint64_t part_key(std::string_view id);
@@ -233,14 +251,28 @@
 // Drops crashes that are older than `crash_record_ttl`. Not thread-safe.
 void expire_crashes(crash_evidence& e, steady_time now);
 
-// Returns the share of requests that were lately lost in crashes, within its
-// bounds. `gateways` is the number that serve requests: each knows the crashes
-// of all but only its own answers. Not thread-safe.
-double crash_share(crash_evidence& e, std::size_t gateways, steady_time now);
+// How often requests were lately lost in crashes. A deadly part's own crashes
+// say nothing of how often sound requests are lost.
+struct crash_baseline
+{
+    double lost = 0;                                     // in crashes
+    double answered = 0;                                 // in the same time
+    std::unordered_map<std::uint64_t, double> lost_with; // those with a part
+};
+
+// Returns the baseline of all gateways. `gateways` is the number that serve
+// requests: each knows the crashes of all but only its own answers. Not
+// thread-safe.
+crash_baseline
+baseline_of(crash_evidence& e, std::size_t gateways, steady_time now);
+
+// Returns the share of the requests without the part that were lost in crashes,
+// within its bounds, counting one more than were seen. Thread-safe.
+double crash_share(crash_baseline const& b, std::uint64_t part);
 
 // Judges all parts with crashes. Of parts with the same evidence the one
 // furthest back is guilty, which the fewest requests have. Not thread-safe.
 part_findings
-judge_parts(crash_evidence const& e, double crash_share, steady_time now);
+judge_parts(crash_evidence const& e, crash_baseline const& b, steady_time now);
 
 } // namespace marjorambeam
--- a/src/gateway/crash_evidence_benchmark.cpp
+++ b/src/gateway/crash_evidence_benchmark.cpp
@@ -34,10 +34,11 @@
 // Judges all parts, by the number of suspects of each crash.
 void judge_all_parts(benchmark::State& state)
 {
-    crash_evidence const e = evidence_of(state.range(0));
+    crash_evidence e = evidence_of(state.range(0));
     for (auto _ : state)
     {
-        part_findings found = judge_parts(e, max_crash_share, start);
+        crash_baseline const b = baseline_of(e, 1, start);
+        part_findings found = judge_parts(e, b, start);
         benchmark::DoNotOptimize(found);
     }
 }
--- a/src/gateway/crash_evidence_test.cpp
+++ b/src/gateway/crash_evidence_test.cpp
@@ -4,6 +4,7 @@
 #include <catch2/catch.hpp>
 #include <random>
 #include <rapidcheck.h>
+#include <set>
 
 using namespace marjorambeam;
 using std::chrono::milliseconds;
@@ -25,6 +26,13 @@
     others = 100
 };
 
+// A baseline of many requests, of which this share was lost.
+crash_baseline baseline(double share)
+{
+    constexpr double requests = 1e6;
+    return {.lost = share * requests, .answered = (1 - share) * requests};
+}
+
 // Evidence of crashes that are a second apart.
 struct crash_story
 {
@@ -63,7 +71,7 @@
     }
     part_findings findings(double share = usual_share) const
     {
-        return judge_parts(e, share, now);
+        return judge_parts(e, baseline(share), now);
     }
     std::vector<std::uint64_t> guilty(double share = usual_share) const
     {
@@ -115,6 +123,45 @@
     CHECK(e.unreported_crashes.empty());
 }
 
+// Guards against a deadly part that goes unseen because the gateway drops the
+// answer, to ask a larger model, before the upstream crashes on it, and against
+// blame for answers that were dropped long before.
+TEST_CASE("An answer dropped just before a crash is suspected of it")
+{
+    crash_evidence e;
+    auto suspicion = [](std::uint64_t request, steady_time at, bool was_dropped)
+    {
+        return crash_suspicion{
+            .suspect = {{.request = request}, true},
+            .upstream = "a",
+            .upstream_started_ms = 5,
+            .at = at,
+            .was_dropped = was_dropped};
+    };
+    bool const is_seen_here = GENERATE(false, true);
+    CAPTURE(is_seen_here);
+    steady_time const crashed = start + seconds(3);
+    record_suspicion(e, suspicion(1, crashed - milliseconds(100), true));
+    record_suspicion(
+        e, suspicion(2, crashed - 2 * dropped_answer_window, true));
+    record_suspicion(e, suspicion(3, crashed + milliseconds(400), true));
+    if (is_seen_here)
+        record_suspicion(e, suspicion(4, crashed, false));
+    else
+        record_crash(e, crash_id("a", 5), crashed, {});
+    std::vector<crash_suspicion> const confirmed =
+        is_seen_here
+            ? confirm_crash(e, "a", crashed + milliseconds(500))
+            : confirm_crash(e, crash_id("a", 5), crashed + milliseconds(500));
+    std::set<std::uint64_t> requests;
+    for (crash_suspicion const& it : confirmed)
+        requests.insert(it.suspect.traits.request);
+    CHECK(
+        requests == (is_seen_here ? std::set<std::uint64_t>{1, 4}
+                                  : std::set<std::uint64_t>{1}));
+    CHECK(e.suspicions.empty());
+}
+
 // Guards against counting a crash twice when several gateways report it, and
 // against keeping the record of a request that was answered later.
 TEST_CASE("A crash counts once and an answer clears the request's record")
@@ -133,13 +180,19 @@
 }
 
 // Guards against different requests that share a fingerprint.
-TEST_CASE("The fingerprint covers path, organisation and body")
+TEST_CASE("The fingerprint covers path, organisation, body and prompt")
 {
-    std::uint64_t const one = request_fingerprint("/a", "o", "body");
-    CHECK(one == request_fingerprint("/a", "o", "body"));
-    CHECK(one != request_fingerprint("/b", "o", "body"));
-    CHECK(one != request_fingerprint("/a", "p", "body"));
-    CHECK(one != request_fingerprint("/a", "o", "bodx"));
+    std::vector<std::string_view> const prompt{"shared", "own"};
+    std::vector<std::string_view> const other{"shared", "other"};
+    request_contents const r{
+        .target = "/a", .organisation = "o", .body = "body", .prompt = prompt};
+    std::uint64_t const one = request_fingerprint(r);
+    CHECK(one == request_fingerprint({"/a", "o", "body", prompt}));
+    CHECK(one != request_fingerprint({"/b", "o", "body", prompt}));
+    CHECK(one != request_fingerprint({"/a", "p", "body", prompt}));
+    CHECK(one != request_fingerprint({"/a", "o", "bodx", prompt}));
+    CHECK(one != request_fingerprint({"/a", "o", "body", other}));
+    CHECK(one != request_fingerprint({"/a", "o", "body", {}}));
 }
 
 // Guards against unbounded memory use when callers make up parts.
@@ -433,7 +486,8 @@
                     record_reported_survivals(e, others + i, 1);
                 parts guilty;
                 for (part_finding const& f :
-                     judge_parts(e, usual_share, start + seconds(9)).guilty)
+                     judge_parts(e, baseline(usual_share), start + seconds(9))
+                         .guilty)
                     guilty.push_back(f.part);
                 return guilty;
             };
@@ -445,20 +499,24 @@
 }
 
 // Guards against a baseline that a single gateway of a large fleet takes from
-// its own few answers.
-TEST_CASE("The share of lost requests counts the answers of all gateways")
+// its own few answers, and against a deadly part that makes crashes look common
+// and so hides among them.
+TEST_CASE("The share of lost requests is that of all requests without the part")
 {
     crash_story s;
     for (int i = 0; i < 20; ++i)
         s.answer({others});
-    s.crash({s.request({first}), s.request({second})});
-    // Of one second, two were lost and two answered for each gateway.
-    CHECK(crash_share(s.e, 1, s.now) == Approx(0.5));
-    CHECK(crash_share(s.e, 49, s.now) == Approx(0.02));
-    CHECK(
-        crash_share(s.e, 49, s.now + seconds(4)) ==
-        Approx(0.02 / 4).margin(1e-4));
+    s.crash({s.request({first}), s.request({first, second})});
+    // Of one second, two were lost, one more is counted, and two were answered
+    // for each gateway.
+    auto share = [&](std::size_t gateways, duration later, std::uint64_t part)
+    { return crash_share(baseline_of(s.e, gateways, s.now + later), part); };
+    CHECK(share(1, duration{0}, others) == Approx(max_crash_share));
+    CHECK(share(49, duration{0}, others) == Approx(3.0 / (3 + 98)));
+    CHECK(share(49, seconds(4), others) == Approx(3.0 / (3 + 4 * 98)));
+    CHECK(share(49, duration{0}, second) == Approx(2.0 / (2 + 98)));
+    CHECK(share(49, duration{0}, first) == Approx(1.0 / (1 + 98)));
+    // Nothing is known of the time since.
     CHECK(
-        crash_share(s.e, 49, s.now + crash_share_window + seconds(1)) ==
-        min_crash_share);
+        share(49, crash_share_window + seconds(1), others) == max_crash_share);
 }
--- a/src/gateway/crash_sharing.cpp
+++ b/src/gateway/crash_sharing.cpp
@@ -165,9 +165,9 @@
         return {};
     s.crashes.has_changed = false;
     s.next_judgement = now + judgement_period;
-    double const share = crash_share(s.crashes, s.peers.size() + 1, now);
+    crash_baseline const b = baseline_of(s.crashes, s.peers.size() + 1, now);
     return apply_findings(
-        s.quarantine, judge_parts(s.crashes, share, now), now, unix_ms);
+        s.quarantine, judge_parts(s.crashes, b, now), now, unix_ms);
 }
 
 bool is_turn_to_store(
--- a/src/gateway/crash_sharing_test.cpp
+++ b/src/gateway/crash_sharing_test.cpp
@@ -128,7 +128,7 @@
     record_crash(b.crashes, 99, t, r);
     record_survival(b.crashes, {.request = 3, .parts = {10}}, t);
     CHECK(due_crash_reports(b, t).size() == 1);
-    for (std::uint64_t i = 0; i < 2 * urgent_survivals; ++i)
+    for (std::uint64_t i = 0; i < 2UL * urgent_survivals; ++i)
         record_survival(b.crashes, {.request = 4 + i, .parts = {10}}, t);
     CHECK(due_crash_reports(b, t).empty());
     CHECK(due_crash_reports(b, t + seconds(1)).size() == 1);
--- a/src/gateway/proxied_request.cpp
+++ b/src/gateway/proxied_request.cpp
@@ -36,7 +36,15 @@
 traits_of(gateway_request const& r, std::string_view organisation)
 {
     request_traits t;
-    t.request = request_fingerprint(r.target, organisation, r.body);
+    std::vector<std::string_view> ids;
+    ids.reserve(r.prompt.size());
+    for (prompt_part const& it : r.prompt)
+        ids.emplace_back(it.id);
+    t.request = request_fingerprint(
+        {.target = r.target,
+         .organisation = organisation,
+         .body = r.body,
+         .prompt = ids});
     if (!organisation.empty())
         t.organisation = part_key(organisation);
     // The last part is the request's own.
@@ -320,6 +328,7 @@
     is_event_stream_ = false;
     attempt_events_ = 0;
     has_survived_ = false;
+    has_attempt_head_ = false;
     body_.clear();
     std::optional<std::uint64_t> const after = events_.last_id();
     std::string const bytes = context_.protocol.encode_request(
@@ -374,6 +383,9 @@
     attempt_timer_.stop();
     if (connection_)
     {
+        if (has_attempt_head_ && !has_survived_)
+            context_.quarantine.record_dropped_answer(
+                upstream_->info, traits_, boot_now());
         connection_->abort();
         connection_.reset();
     }
--- a/src/gateway/proxied_request.hpp
+++ b/src/gateway/proxied_request.hpp
@@ -213,6 +213,7 @@
     // The current attempt has been answered for long enough that the request
     // did not crash its upstream.
     bool has_survived_ = false;
+    bool has_attempt_head_ = false; // of the current attempt's answer
     // Why the attempt before failed, while the next one waits until it is known
     // whether the upstream crashed.
     std::optional<error_kind> suspended_failure_;
--- a/src/gateway/proxied_request_failure.cpp
+++ b/src/gateway/proxied_request_failure.cpp
@@ -24,6 +24,12 @@
 // that may have crashed it is sent to another one.
 constexpr duration evidence_delay = milliseconds(25);
 
+bool is_connection_failure(error_kind kind)
+{
+    return kind == error_kind::connection_lost ||
+           kind == error_kind::answer_cut;
+}
+
 std::string to_integer_text(double n)
 {
     return std::to_string(static_cast<std::int64_t>(n));
@@ -111,6 +117,8 @@
     attempts_.last_failure = kind;
     last_selection_ = {};
     std::shared_ptr<upstream_state> const upstream = upstream_;
+    if (is_connection_failure(kind))
+        has_attempt_head_ = false; // the upstream ended the answer
     release();
     events_.restart();
     bool const is_possible_crash =
@@ -136,9 +144,7 @@
     std::shared_ptr<upstream_state> const& upstream, error_kind kind,
     steady_time now)
 {
-    bool const is_connection_failure =
-        kind == error_kind::connection_lost || kind == error_kind::answer_cut;
-    if (!is_connection_failure || has_survived_)
+    if (!is_connection_failure(kind) || has_survived_)
         return false;
     auto const self = shared_from_this();
     context_.quarantine.record_broken_attempt(
--- a/src/gateway/proxied_request_response.cpp
+++ b/src/gateway/proxied_request_response.cpp
@@ -55,6 +55,7 @@
         return;
     }
     ran_ = run_state::ran;
+    has_attempt_head_ = true;
     if (sent_ - context_.state.started > load_warm_up)
         record_first_event(
             context_.state.upstreams, *upstream_, work_before_first_event_,
--- a/src/gateway/quarantine_controller.cpp
+++ b/src/gateway/quarantine_controller.cpp
@@ -74,6 +74,18 @@
         });
 }
 
+void quarantine_controller::record_dropped_answer(
+    upstream_info const& upstream, request_traits const& traits,
+    steady_time now)
+{
+    record_suspicion(
+        state_.crashes, {.suspect = {.traits = traits, .has_begun = true},
+                         .upstream = upstream.id,
+                         .upstream_started_ms = upstream.started_unix_ms,
+                         .at = now,
+                         .was_dropped = true});
+}
+
 void quarantine_controller::record_crash_of(
     std::string_view upstream, steady_time now)
 {
@@ -96,7 +108,8 @@
             log_event::crash_confirmed,
             {{"upstream", it.upstream},
              {"started_ms", std::to_string(it.upstream_started_ms)},
-             {"fingerprint", to_hex(it.suspect.traits.request)}});
+             {"fingerprint", to_hex(it.suspect.traits.request)},
+             {"dropped", it.was_dropped ? "yes" : "no"}});
     }
 }
 
--- a/src/gateway/quarantine_controller.hpp
+++ b/src/gateway/quarantine_controller.hpp
@@ -48,6 +48,10 @@
         std::shared_ptr<upstream_state> const& upstream,
         crash_suspect const& suspect, gateway_request const& request,
         steady_time now);
+    // Records that this gateway has dropped an answer that had just begun.
+    void record_dropped_answer(
+        upstream_info const& upstream, request_traits const& traits,
+        steady_time now);
     // The upstream is unreachable, gone or has restarted.
     void record_crash_of(std::string_view upstream, steady_time now);
     // Judges the parts if there is new evidence.
