Drop suspicions of an upstream that answers afterwards

Cause: a broken connection stays suspected for six seconds, until its upstream is known to have crashed, whatever the upstream does meanwhile.

Change: an answer of the same incarnation ends suspicions that are older than 0.1 s; dropped answers have their own, shorter window.

Evidence: "An answer ends earlier suspicions of its upstream", which has no counterpart before.

--- a/src/gateway/crash_evidence.cpp
+++ b/src/gateway/crash_evidence.cpp
@@ -338,6 +338,20 @@
     e.suspicions.push_back(std::move(s));
 }
 
+void record_sign_of_life(
+    crash_evidence& e, std::string_view upstream, std::int64_t started_ms,
+    steady_time now)
+{
+    std::erase_if(
+        e.suspicions,
+        [&](crash_suspicion const& it)
+        {
+            return now - it.at > read_delay && !it.was_dropped &&
+                   it.upstream_started_ms == started_ms &&
+                   it.upstream == upstream;
+        });
+}
+
 std::vector<crash_suspicion>
 confirm_crash(crash_evidence& e, std::string_view upstream, steady_time now)
 {
--- a/src/gateway/crash_evidence.hpp
+++ b/src/gateway/crash_evidence.hpp
@@ -58,6 +58,9 @@
 // A crash is detected within this time: the upstream is unreachable, no longer
 // listed, or has restarted.
 constexpr duration crash_suspicion_ttl = std::chrono::seconds(6);
+// Answers that an upstream sent before it crashed may be read so long after a
+// connection that broke with the crash.
+constexpr duration read_delay = std::chrono::milliseconds(100);
 // A dropped answer is suspected of a crash so soon after it. The difference may
 // be negative by the error of reported ages.
 constexpr duration dropped_answer_window = std::chrono::milliseconds(300);
@@ -213,6 +216,12 @@
 // oldest. Not thread-safe.
 void record_suspicion(crash_evidence& e, crash_suspicion&& s);
 
+// Drops suspicions of the incarnation from before it sent an answer at `now`:
+// it has not crashed since. Not thread-safe.
+void record_sign_of_life(
+    crash_evidence& e, std::string_view upstream, std::int64_t started_ms,
+    steady_time now);
+
 // Attributes the crash of the upstream to the requests recently suspected
 // there, and adds it to `unreported_crashes`. Returns the suspicions that it
 // confirmed. Not thread-safe.
--- a/src/gateway/crash_evidence_test.cpp
+++ b/src/gateway/crash_evidence_test.cpp
@@ -123,6 +123,23 @@
     CHECK(e.unreported_crashes.empty());
 }
 
+// Guards against blame for a connection that was reset by an upstream which
+// went on to answer others, and crashed later.
+TEST_CASE("An answer ends earlier suspicions of its upstream")
+{
+    crash_evidence e;
+    for (char const* it : {"a", "b"})
+        record_suspicion(e, {{.traits = {.request = 1}}, it, 5, start});
+    steady_time const later = start + seconds(1);
+    record_sign_of_life(e, "a", 4, later);
+    record_sign_of_life(e, "b", 5, start + read_delay / 2);
+    CHECK(e.suspicions.size() == 2);
+    record_sign_of_life(e, "a", 5, later);
+    record_suspicion(e, {{.traits = {.request = 2}}, "a", 5, later});
+    CHECK(confirm_crash(e, "a", later).size() == 1);
+    CHECK(confirm_crash(e, "b", later).size() == 1);
+}
+
 // Guards against a deadly part that goes unseen because the gateway drops the
 // answer, to ask a larger model, before the upstream crashes on it, and against
 // blame for answers that were dropped long before.
--- a/src/gateway/proxied_request_response.cpp
+++ b/src/gateway/proxied_request_response.cpp
@@ -47,6 +47,9 @@
              {"started_ms", std::to_string(upstream_->info.started_unix_ms)},
              {"failures", std::to_string(upstream_->consecutive_failures)}});
     record_response(*upstream_, now);
+    record_sign_of_life(
+        context_.state.crashes, upstream_->info.id,
+        upstream_->info.started_unix_ms, now);
     record_upstream_notices(a, now);
     is_event_stream_ = false;
     if (a.is_other_instance || (a.has_not_run && a.status >= 400))
