--- a/src/ctl/explain_log.cpp
+++ b/src/ctl/explain_log.cpp
@@ -65,6 +65,9 @@
     kind_reason{
         error_kind::upstream_crashed,
         "requests like it had crashed several upstreams"},
+    kind_reason{
+        error_kind::request_quarantined,
+        "it, or a part of its prompt, had crashed several upstreams"},
     kind_reason{
         error_kind::deadline_unreachable,
         "no upstream was free before its deadline"},
--- a/src/ctl/explain_log_test.cpp
+++ b/src/ctl/explain_log_test.cpp
@@ -82,3 +82,26 @@
     CHECK(x.cause.starts_with("No end was logged"));
     CHECK(x.cause.find("it has not run") != std::string::npos);
 }
+
+// Guards against a refusal by quarantine that is told without the part and what
+// it was convicted by.
+TEST_CASE("a request with a quarantined part is explained with the verdict")
+{
+    std::istringstream log(
+        at("01.0", "e1",
+           "warning quarantine: A part of prompts is quarantined; it crashes "
+           "upstreams. event=part_quarantined part=7b crashes=5") +
+        at("30.0", "e1",
+           "warning quarantine: A request is not sent; it crashes upstreams. "
+           "event=request_quarantined request_id=a1 reason=part part=7b") +
+        at("30.0", "e1",
+           "warning request: Request failed. event=request_failed "
+           "request_id=a1 kind=request_quarantined run=not_run status=503"));
+    log_explanation const x = explain_from_log(log, "a1");
+    CHECK(
+        x.cause == "Refused with status 503: it, or a part of its prompt, had "
+                   "crashed several upstreams. It has not run.");
+    REQUIRE(x.lines.size() == 2);
+    REQUIRE(x.context.size() == 1);
+    CHECK(x.context.front().event == "part_quarantined");
+}
