Log and count the eras of the store and the revisions of the copies

Change: the era is decoded from each answer; store_era_changed has era, before, revision, copies and config; store_era is a gauge. Nothing that decides is changed.

--- a/src/gateway/gateway_state.hpp
+++ b/src/gateway/gateway_state.hpp
@@ -146,6 +146,7 @@
         last_store_response_at; // last response of the store
     // When this gateway or a peer saw that the store had dropped its history.
     std::optional<steady_time> history_dropped;
+    std::uint64_t store_era = 0; // that its responses name; 0: none yet
     bool is_store_lost = false;
     steady_time outage_started_at{}; // start of the last store outage
     steady_time outage_ended_at{};   // its end
--- a/src/gateway/object_watch.cpp
+++ b/src/gateway/object_watch.cpp
@@ -218,6 +218,9 @@
         return;
     }
     result<platform_objects> objects = protocol_.decode(*reply);
+    if (handlers_.on_era)
+        handlers_.on_era(
+            protocol_.era(*reply), objects ? objects->revision : 0);
     if (!objects && objects.error().kind == error_kind::frame_stale)
     {
         // A parked copy may be older than the retained history.
--- a/src/gateway/object_watch.hpp
+++ b/src/gateway/object_watch.hpp
@@ -86,6 +86,9 @@
     // store_rate_limited; store_unavailable.
     result<platform_objects> (*decode)(http_reply const& reply);
     object_summary (*essence)(platform_object const& o);
+    // Returns the era of the store that the reply names; 0 if it names none.
+    // The store that comes back from an older copy begins another one.
+    std::uint64_t (*era)(http_reply const& reply);
 };
 
 struct watch_timing
@@ -115,6 +118,8 @@
     // known.
     std::function<void(std::optional<steady_time> as_of)> on_contact;
     std::function<void(error const&)> on_failure;
+    // The era of the store that a response names, and its revision.
+    std::function<void(std::uint64_t era, std::uint64_t revision)> on_era;
     // The history that the watch needs was compacted; it lists again.
     std::function<void()> on_history_dropped;
     // A response of the store has changed the copy; `sender`, `incarnation_id`,
--- a/src/gateway/store_controller.cpp
+++ b/src/gateway/store_controller.cpp
@@ -160,6 +160,8 @@
                 *state_.last_store_response_at > config_.response_due();
             on_failure(why, is_config && !has_responded);
         },
+        .on_era = [this](std::uint64_t era, std::uint64_t revision)
+        { record_era(era, revision); },
         .on_history_dropped = [this]
         { record_history_dropped(state_, boot_now()); },
         .on_copy_changed =
@@ -240,6 +242,27 @@
     park_or_resume();
 }
 
+void store_controller::record_era(std::uint64_t era, std::uint64_t revision)
+{
+    if (era == 0 || era == state_.store_era)
+        return;
+    std::string copies;
+    for (std::size_t i = 0; i < state_kind_count; ++i)
+        copies.append(i == 0 ? "" : ",")
+            .append(std::to_string(state_.kinds[i].revision));
+    log_.write(
+        log_event::store_era_changed,
+        {{"era", std::to_string(era)},
+         {"before", std::to_string(state_.store_era)},
+         {"revision", std::to_string(revision)},
+         {"copies", copies},
+         {"config",
+          std::to_string(state_.config ? state_.config->version : 0)}});
+    state_.counters.count("store_eras_total");
+    state_.store_era = era;
+    state_.counters.set("store_era", static_cast<double>(era));
+}
+
 void store_controller::apply_configs(std::vector<platform_object>&& all)
 {
     for (platform_object& it : all)
--- a/src/gateway/store_controller.hpp
+++ b/src/gateway/store_controller.hpp
@@ -66,6 +66,7 @@
         std::optional<state_kind> kind);
     void on_contact(std::optional<steady_time> as_of, bool is_config);
     void on_failure(error const& why, bool is_config);
+    void record_era(std::uint64_t era, std::uint64_t revision);
     void apply_configs(std::vector<platform_object>&& all);
     void apply_config(platform_object&& o);
     void replace_upstreams(std::vector<platform_object>&& all);
--- a/src/log/log_events.cpp
+++ b/src/log/log_events.cpp
@@ -64,6 +64,13 @@
     log_event_row{
         store_regained, "store_regained", log_level::info,
         "The store answers again.", "After `lost_ms`."},
+    log_event_row{
+        store_era_changed, "store_era_changed", log_level::warning,
+        "The store answers from another era.",
+        "It came back from an older copy: `era` in place of `before` (0: this "
+        "gateway has just started), now at `revision`. `copies` are the "
+        "revisions of this gateway's copies (upstreams, rollouts, zones, "
+        "gateways, quarantines), `config` is the version in force."},
     log_event_row{
         reading_began, "reading_began", log_level::info,
         "Reads the store by itself.",
--- a/src/log/log_events.hpp
+++ b/src/log/log_events.hpp
@@ -40,6 +40,7 @@
     isolation_ended,
     store_lost,
     store_regained,
+    store_era_changed,
     reading_began,
     reading_ended,
     peer_heard,
