Keep what is known when the store comes back from an older copy

Six tests showed what timing hid: copies that are wrong for good, gateways that miss zones out of service, rollouts that never end, work for upstreams that leave or are gone, gateways that forget one another, withdrawn keys confirmed.

Cause: revisions were taken for positions in one history. The store gives them out again in another era, which it names in each answer and nobody read. All six are of this class: state compared by a number that starts over.

Change: positions are an era and a revision. An answer of an earlier era is not used; the first one of a later era makes a gateway read all again. Relayed changes apply within one era only, and a copy of an earlier era than a reader's is fetched at once. For two seconds, in which operator and upstreams write theirs again, what the store lacks stays in force (store_era): upstreams, zones out, rollouts, gateways; then what was not written again is removed. An upstream that leaves, or is gone, does not come back with the older copy; a rollout's progress towards its target is kept and its status written again under the revision of this era; quarantined parts and this gateway's own entry are written again. A configuration is confirmed by a list that was sent after these two seconds, or holds a later version than before the era, and never while a live peer has a newer one.

The names of two messages between gateways rise by one, so that gateways of both builds do not take each other's.

--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -100,6 +100,7 @@
     m.set("log_lines_held_back_total", static_cast<double>(lines.held_back));
     m.set("log_lines_unread_total", static_cast<double>(lines.unread));
     m.set("requests_active", static_cast<double>(requests_.active()));
+    m.set("store_era", static_cast<double>(state_.era.number));
     limits_.set_gauges();
     quarantine_.set_gauges();
     return m.render();
--- a/src/gateway/gateway_state.hpp
+++ b/src/gateway/gateway_state.hpp
@@ -54,10 +54,19 @@
     bool operator==(gateway_settings const&) const = default;
 };
 
+// The status of a rollout that the store holds.
+struct stored_rollout_status
+{
+    version_rollout_state state = version_rollout_state::ordered;
+    std::string target;
+    bool takes_all = false;
+};
+
 // A rollout of a service, with the evidence for and against its target.
 struct rollout_progress
 {
-    version_rollout order;
+    version_rollout order; // in force
+    stored_rollout_status stored;
     steady_time first_seen{};              // by any gateway that reported it
     std::optional<steady_time> full_since; // the target has all requests
     bool is_known_bad = false;
@@ -70,7 +79,7 @@
 struct peer_copy
 {
     std::uint64_t digest = 0;
-    std::uint64_t revision = 0; // of the store, as of which it is complete
+    store_position position;          // as of which it is complete
     std::uint64_t fetched_digest = 0; // see record_fetch()
 };
 
@@ -85,6 +94,7 @@
     bool is_reader = false;                  // reads the store for others
     bool has_store = true;                   // can reach the store
     bool is_stopping = false;
+    std::int64_t config_version = 0;      // that it last reported
     steady_time last_store_response_at{}; // last response of the store to it
     std::array<peer_copy, state_kind_count> copies{};
     std::map<std::uint32_t, peer_load> loads; // by upstream_state::number
@@ -103,6 +113,25 @@
     std::size_t possible = 0;
 };
 
+// An upstream that is gone, in an incarnation.
+struct gone_upstream
+{
+    std::int64_t started_unix_ms = 0;
+    steady_time at{};
+};
+
+// The era of the store, see store_era.hpp.
+struct store_era_state
+{
+    std::uint64_t number = 0; // that its responses name; 0: none yet
+    // When this gateway heard that the store came back from an older copy.
+    std::optional<steady_time> begun;
+    std::int64_t config_version = 0;        // in force at that moment
+    std::int64_t listed_config_version = 0; // in the store since
+    bool is_settled = true; // what was not written again has been removed
+    std::map<std::string, gone_upstream, std::less<>> gone; // by id
+};
+
 // A crash that is still to be reported to the other gateways.
 struct outgoing_crash
 {
@@ -116,7 +145,7 @@
 {
     bool is_listed = false;
     std::uint64_t digest = 0;
-    std::uint64_t revision = 0; // of the store, as of which it is complete
+    store_position position; // as of which it is complete
     std::optional<steady_time> differs_since;
 };
 
@@ -146,7 +175,7 @@
         last_store_response_at; // last response of the store
     // When this gateway or a peer saw that the store had dropped its history.
     std::optional<steady_time> history_dropped;
-    std::uint64_t store_era = 0; // that its responses name; 0: none yet
+    store_era_state era;
     bool is_store_lost = false;
     steady_time outage_started_at{}; // start of the last store outage
     steady_time outage_ended_at{};   // its end
--- a/src/gateway/object_query.cpp
+++ b/src/gateway/object_query.cpp
@@ -41,6 +41,8 @@
 void object_query::on_reply(steady_time sent, result<http_reply> reply)
 {
     is_pending_ = false;
+    if (reply && !handlers_.accepts_era(protocol_.era(*reply)))
+        return;
     result<platform_objects> objects =
         reply ? protocol_.decode(*reply)
               : result<platform_objects>(tl::unexpected<error>(reply.error()));
--- a/src/gateway/object_query.hpp
+++ b/src/gateway/object_query.hpp
@@ -23,6 +23,8 @@
 
 struct query_handlers
 {
+    // Whether a response that names this era of the store may be used.
+    std::function<bool(std::uint64_t era)> accepts_era;
     std::function<void(std::vector<platform_object>&&)> on_objects;
     // What was read is confirmed as of this time.
     std::function<void(steady_time as_of)> on_contact;
--- a/src/gateway/object_watch.cpp
+++ b/src/gateway/object_watch.cpp
@@ -85,6 +85,12 @@
     start_list(freshness);
 }
 
+void object_watch::begin_era(std::uint64_t era)
+{
+    era_ = era;
+    list_now(read_freshness::newest);
+}
+
 void object_watch::start_list(read_freshness freshness)
 {
     list_freshness_ = freshness;
@@ -167,18 +173,19 @@
     if (!handlers_.on_copy_changed)
         return;
     handlers_.on_copy_changed(
-        {.before = before.digest,
+        {.era = position_.era,
+         .before = before.digest,
          .after = digest_,
-         .from = before.revision,
-         .revision = revision_,
+         .from = before.position.revision,
+         .revision = position_.revision,
          .objects = std::move(changed)});
 }
 
 bool object_watch::apply(state_change&& change)
 {
-    if (!is_listed_ || !is_applicable(change, digest_, revision_))
+    if (!is_listed_ || !is_applicable(change, digest_, position_))
         return false;
-    revision_ = change.revision;
+    position_.revision = change.revision;
     for (relayed_object& it : change.objects)
     {
         platform_object o = object_of(std::move(it));
@@ -192,14 +199,20 @@
 {
     // After a failure, a short wait detects early that the store responds
     // again.
+    if (!is_listing_ && position_.era != era_)
+    {
+        start_list(read_freshness::newest); // the list before has failed
+        return;
+    }
     bool const is_short = has_failed_ || polls_now_ || is_parked_;
     polls_now_ = false;
     has_watched_ = has_watched_ || !is_listing_;
     duration const wait =
         is_short ? duration(std::chrono::milliseconds(1)) : timing_.wait;
     http_call call =
-        is_listing_ ? protocol_.list(address_, kind_, after_, list_freshness_)
-                    : protocol_.watch(address_, kind_, revision_, wait);
+        is_listing_
+            ? protocol_.list(address_, kind_, after_, list_freshness_)
+            : protocol_.watch(address_, kind_, position_.revision, wait);
     call.timeout =
         timing_.response_timeout + (is_listing_ ? duration{0} : wait);
     steady_time const sent = boot_now();
@@ -217,10 +230,16 @@
         retry(reply.error());
         return;
     }
+    std::uint64_t const era = protocol_.era(*reply);
+    std::uint64_t const era_before = era_;
+    if (!handlers_.accepts_era(era))
+    {
+        if (era_ == era_before)
+            start_list(read_freshness::newest); // an earlier era's response
+        return;
+    }
+    era_ = std::max(era_, era);
     result<platform_objects> objects = protocol_.decode(*reply);
-    if (handlers_.on_era)
-        handlers_.on_era(
-            protocol_.era(*reply), objects ? objects->revision : 0);
     if (!objects && objects.error().kind == error_kind::frame_stale)
     {
         // A parked copy may be older than the retained history.
@@ -265,13 +284,13 @@
 
 void object_watch::on_objects(platform_objects&& objects)
 {
-    copy_state const before{digest_, revision_};
+    copy_state const before{digest_, position_};
     if (!is_listing_)
     {
         // A relayed change is newer than the response.
-        if (objects.revision != 0 && objects.revision < revision_)
+        if (objects.revision != 0 && objects.revision < position_.revision)
             return;
-        revision_ = std::max(revision_, objects.revision);
+        position_.revision = std::max(position_.revision, objects.revision);
         // Only the last state of each object is relayed.
         std::map<std::string, relayed_object> changed;
         for (platform_object& it : objects.objects)
@@ -296,14 +315,15 @@
     is_listed_ = true;
     is_listing_ = false;
     after_.clear();
-    bool const is_overtaken = first_page_revision_ < revision_;
+    store_position const listed{era_, first_page_revision_};
+    bool const is_overtaken = listed < position_;
     if (is_overtaken && list_freshness_ == read_freshness::may_be_stale)
     {
         listed_.clear(); // the copy is newer
         return;
     }
     // Changes made while later pages were read are seen again by the watch.
-    revision_ = first_page_revision_;
+    position_ = listed;
     replace_copy(before);
 }
 
--- a/src/gateway/object_watch.hpp
+++ b/src/gateway/object_watch.hpp
@@ -118,8 +118,9 @@
     // known.
     std::function<void(std::optional<steady_time> as_of)> on_contact;
     std::function<void(error const&)> on_failure;
-    // The era of the store that a response names, and its revision.
-    std::function<void(std::uint64_t era, std::uint64_t revision)> on_era;
+    // Whether a response that names this era of the store may be used. The
+    // first response of a later era makes the handler call begin_era().
+    std::function<bool(std::uint64_t era)> accepts_era;
     // The history that the watch needs was compacted; it lists again.
     std::function<void()> on_history_dropped;
     // A response of the store has changed the copy; `sender`, `incarnation_id`,
@@ -167,6 +168,9 @@
     // Lists all objects immediately; cheaper than poll_now() when the store may
     // have dropped the history since the last change. Precondition: started.
     void list_now(read_freshness freshness);
+    // The store has come back from an older copy: lists all objects, and uses
+    // no response of an earlier era. Precondition: started.
+    void begin_era(std::uint64_t era);
     // Stops sending calls until resume(). A pending list is completed.
     // Precondition: started.
     void park();
@@ -186,10 +190,15 @@
     {
         return digest_;
     }
-    // Revision of the store as of which the copy is complete.
-    std::uint64_t revision() const
+    // Position of the store as of which the copy is complete.
+    store_position position() const
     {
-        return revision_;
+        return position_;
+    }
+    // Whether the copy has an object of this name.
+    bool contains(std::string_view name) const
+    {
+        return signatures_.contains(name);
     }
     // Applies a relayed change if it starts from this copy's state and is
     // newer. Returns whether it was applied. Precondition: `is_parked()`.
@@ -214,11 +223,11 @@
     void send();
     void on_reply(steady_time sent, duration wait, result<http_reply> reply);
     void on_objects(platform_objects&& objects);
-    // A copy as of a revision of the store.
+    // A copy as of a position of the store.
     struct copy_state
     {
         std::uint64_t digest = 0;
-        std::uint64_t revision = 0;
+        store_position position;
     };
 
     void start_list(read_freshness freshness);
@@ -249,7 +258,8 @@
     bool is_parked_ = false;
     bool has_failed_ = false; // the last call
     bool polls_now_ = false;  // the next call
-    std::uint64_t revision_ = 0;
+    store_position position_;
+    std::uint64_t era_ = 0; // of the responses that are used
     std::uint64_t first_page_revision_ = 0;
     steady_time sent_at_{}; // of the current call
     duration delay_{0};
--- a/src/gateway/part_quarantine.cpp
+++ b/src/gateway/part_quarantine.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cmath>
 #include <iterator>
+#include <utility>
 
 namespace marjorambeam
 {
@@ -133,7 +134,13 @@
     // After a trial, another one takes a further version or the time.
     if (s.trials != e.document.trials)
         e.version.clear();
-    e.document = s;
+    // An older copy of the store has forgotten trials that were made.
+    stored_quarantine const known = std::exchange(e.document, s);
+    if (!is_new && known.trials > s.trials)
+    {
+        e.document.trials = known.trials;
+        e.document.next_trial_unix_ms = known.next_trial_unix_ms;
+    }
     e.is_stored = true;
     e.revision = revision;
     return is_new;
--- a/src/gateway/peer_report.cpp
+++ b/src/gateway/peer_report.cpp
@@ -79,13 +79,14 @@
     p.is_reader = r.is_reader && r.copies.size() == state_kind_count;
     p.has_store = r.store_available_ms >= 0;
     p.is_stopping = r.is_stopping;
+    p.config_version = r.config_version;
     if (is_prompt && r.store_response_age_ms >= 0)
         p.last_store_response_at =
             now - std::chrono::milliseconds(r.store_response_age_ms);
     for (std::size_t i = 0; p.is_reader && i < state_kind_count; ++i)
     {
         p.copies[i].digest = r.copies[i].digest;
-        p.copies[i].revision = r.copies[i].revision;
+        p.copies[i].position = {r.copies[i].era, r.copies[i].revision};
     }
 }
 
@@ -112,7 +113,8 @@
     if (r.is_reader)
     {
         for (local_copy const& it : s.kinds)
-            r.copies.push_back({it.digest, it.revision});
+            r.copies.push_back(
+                {it.digest, it.position.era, it.position.revision});
     }
     if (s.config && s.config_confirmed)
     {
--- a/src/gateway/peer_report.hpp
+++ b/src/gateway/peer_report.hpp
@@ -22,7 +22,7 @@
 {
 
 // Name of the peer_call that carries a report.
-constexpr std::string_view gateway_report_call = "gateway_report_4";
+constexpr std::string_view gateway_report_call = "gateway_report_5";
 
 struct reported_load
 {
@@ -59,12 +59,13 @@
 struct reported_copy
 {
     std::uint64_t digest = 0;
-    std::uint64_t revision = 0; // of the store, as of which it is complete
+    std::uint64_t era = 0;      // of the store, as of which it is complete
+    std::uint64_t revision = 0; // and of that era
 
     template <class Archive>
     void serialize(Archive& ar)
     {
-        ar(digest, revision);
+        ar(digest, era, revision);
     }
 };
 
--- a/src/gateway/reader_election.cpp
+++ b/src/gateway/reader_election.cpp
@@ -232,15 +232,20 @@
 {
     auto const i = static_cast<std::size_t>(kind);
     local_copy& v = s.kinds[i];
-    bool const differs = std::any_of(
-        s.peers.begin(), s.peers.end(),
-        [&](auto const& it)
-        {
-            gateway_peer const& p = it.second;
-            peer_copy const& c = p.copies[i];
-            return is_live_reader(s, p, now) && c.revision > v.revision &&
-                   c.digest != v.digest && c.digest != c.fetched_digest;
-        });
+    bool has_new_era = false;
+    bool differs = false;
+    for (auto const& [name, p] : s.peers)
+    {
+        peer_copy const& c = p.copies[i];
+        if (c.position <= v.position || !is_live_reader(s, p, now))
+            continue;
+        // Digests of two eras tell nothing.
+        has_new_era = has_new_era || c.position.era > v.position.era;
+        differs =
+            differs || (c.digest != v.digest && c.digest != c.fetched_digest);
+    }
+    if (has_new_era)
+        return true; // its changes are not relayed to this copy
     if (!differs)
         v.differs_since.reset();
     else if (!v.differs_since)
--- a/src/gateway/reader_election_test.cpp
+++ b/src/gateway/reader_election_test.cpp
@@ -364,10 +364,10 @@
     gateway_state& a = f.all["g0"];
     gateway_state& b = f.all["g1"];
     a.is_reader = false;
-    b.kinds[0] = {.is_listed = true, .digest = 5, .revision = 40};
+    b.kinds[0] = {.is_listed = true, .digest = 5, .position = {1, 40}};
     b.config_confirmed = f.now;
     b.last_store_response_at = f.now;
-    a.kinds[0] = {.is_listed = true, .digest = 4, .revision = 30};
+    a.kinds[0] = {.is_listed = true, .digest = 4, .position = {1, 30}};
     auto const receive_report = [&](steady_time at)
     {
         b.last_store_response_at = at;
@@ -383,10 +383,30 @@
     receive_report(f.now + milliseconds(1000));
     CHECK_FALSE(
         is_behind(a, state_kind::upstreams, f.now + milliseconds(1500)));
-    a.kinds[0].revision = 50; // a reader's older state causes no fetch
+    a.kinds[0].position.revision = 50; // a reader's older state causes no fetch
     b.kinds[0].digest = 6;
     receive_report(f.now + milliseconds(1600));
     receive_report(f.now + milliseconds(2100));
     CHECK_FALSE(
         is_behind(a, state_kind::upstreams, f.now + milliseconds(2200)));
 }
+
+// Guards against a gateway that follows the changes of an era of the store that
+// is over, because its revisions are higher, or whose copy happens to be equal.
+TEST_CASE("A copy of an earlier era of the store is fetched at once")
+{
+    simulated_fleet f(2);
+    gateway_state& a = f.all["g0"];
+    gateway_state& b = f.all["g1"];
+    a.is_reader = false;
+    a.kinds[0] = {.is_listed = true, .digest = 5, .position = {1, 900}};
+    b.kinds[0] = {.is_listed = true, .digest = 5, .position = {2, 40}};
+    b.config_confirmed = f.now;
+    b.last_store_response_at = f.now;
+    apply_report(a, make_report(b, f.now), true, f.now);
+    CHECK(is_behind(a, state_kind::upstreams, f.now));
+    record_fetch(a, state_kind::upstreams);
+    CHECK(is_behind(a, state_kind::upstreams, f.now));
+    a.kinds[0].position = {2, 40};
+    CHECK_FALSE(is_behind(a, state_kind::upstreams, f.now));
+}
--- a/src/gateway/state_relay.cpp
+++ b/src/gateway/state_relay.cpp
@@ -26,9 +26,9 @@
 
 bool is_same_change(state_change const& a, state_change const& b)
 {
-    return a.incarnation_id == b.incarnation_id && a.before == b.before &&
-           a.after == b.after && a.from == b.from && a.revision == b.revision &&
-           a.parts == b.parts;
+    return a.incarnation_id == b.incarnation_id && a.era == b.era &&
+           a.before == b.before && a.after == b.after && a.from == b.from &&
+           a.revision == b.revision && a.parts == b.parts;
 }
 
 } // namespace
@@ -39,10 +39,10 @@
 }
 
 bool is_applicable(
-    state_change const& change, std::uint64_t digest, std::uint64_t revision)
+    state_change const& change, std::uint64_t digest, store_position position)
 {
-    return revision < change.revision &&
-           (change.before == digest || change.from <= revision);
+    return position.era == change.era && position.revision < change.revision &&
+           (change.before == digest || change.from <= position.revision);
 }
 
 std::vector<state_change> split_change(state_change const& change)
--- a/src/gateway/state_relay.hpp
+++ b/src/gateway/state_relay.hpp
@@ -33,7 +33,7 @@
 {
 
 // Name of the peer_call that carries a part of a change.
-constexpr std::string_view state_change_call = "state_change_1";
+constexpr std::string_view state_change_call = "state_change_2";
 
 // Kinds of objects that are relayed. The configuration is not: it may be
 // larger than datagrams can carry, and its version shows which gateways lack
@@ -63,6 +63,16 @@
     }
 };
 
+// A moment in the history of the store. Revisions are given out again when it
+// comes back from an older copy, in another era; positions never go back.
+struct store_position
+{
+    std::uint64_t era = 0; // 0: the store names none
+    std::uint64_t revision = 0;
+
+    auto operator<=>(store_position const&) const = default;
+};
+
 // Returns the digest of one object; that of a state is the XOR over its
 // objects. Thread-safe.
 std::uint64_t object_digest(std::string_view name, std::uint64_t revision);
@@ -72,6 +82,7 @@
     std::string sender;
     incarnation incarnation_id = 0; // of the sender
     std::uint8_t kind = 0;
+    std::uint64_t era = 0;      // of both revisions
     std::uint64_t before = 0;   // digest of the state that it starts from
     std::uint64_t after = 0;    // digest of the state that it leads to
     std::uint64_t from = 0;     // revision of the store of `before`
@@ -85,15 +96,15 @@
     template <class Archive>
     void serialize(Archive& ar)
     {
-        ar(sender, incarnation_id, kind, before, after, from, revision,
+        ar(sender, incarnation_id, kind, era, before, after, from, revision,
            uncertain_ms, part, parts, objects);
     }
 };
 
 // Returns whether the change makes a copy with this digest, complete as of
-// `revision`, complete as of the change's revision. Thread-safe.
+// `position`, complete as of the change's revision. Thread-safe.
 bool is_applicable(
-    state_change const& change, std::uint64_t digest, std::uint64_t revision);
+    state_change const& change, std::uint64_t digest, store_position position);
 
 // Splits the change into parts that fit into datagrams. Returns none if an
 // object is too large for one, or there are too many parts. Thread-safe.
--- a/src/gateway/state_relay_test.cpp
+++ b/src/gateway/state_relay_test.cpp
@@ -16,6 +16,7 @@
     return {
         .sender = "a",
         .incarnation_id = 7,
+        .era = 1,
         .before = hash64("", from),
         .after = hash64("", to),
         .from = from,
@@ -37,13 +38,26 @@
 TEST_CASE("A change applies only to copies that it makes complete")
 {
     state_change const c = change_between(10, 20);
-    CHECK(is_applicable(c, c.before, 10));
-    CHECK(is_applicable(c, 1, 10));
-    CHECK(is_applicable(c, 1, 15)); // later than its start
-    CHECK_FALSE(is_applicable(c, 1, 9));
-    CHECK(is_applicable(c, c.before, 9)); // no change of the kind since
-    CHECK_FALSE(is_applicable(c, c.before, 20));
-    CHECK_FALSE(is_applicable(c, c.before, 25));
+    CHECK(is_applicable(c, c.before, {1, 10}));
+    CHECK(is_applicable(c, 1, {1, 10}));
+    CHECK(is_applicable(c, 1, {1, 15})); // later than its start
+    CHECK_FALSE(is_applicable(c, 1, {1, 9}));
+    CHECK(is_applicable(c, c.before, {1, 9})); // no change of the kind since
+    CHECK_FALSE(is_applicable(c, c.before, {1, 20}));
+    CHECK_FALSE(is_applicable(c, c.before, {1, 25}));
+}
+
+// Guards against copies of two eras of the store that are taken for equal,
+// because revisions, and digests too, come again.
+TEST_CASE("A change does not apply to a copy of another era")
+{
+    state_change const c = change_between(10, 20);
+    for (std::uint64_t const era : {0, 2})
+    {
+        CHECK_FALSE(is_applicable(c, c.before, {era, 10}));
+        CHECK_FALSE(is_applicable(c, 1, {era, 15}));
+    }
+    CHECK(store_position{2, 1} > store_position{1, 900});
 }
 
 // Guards against a change that does not fit into one datagram, as in the
--- a/src/gateway/store_controller.cpp
+++ b/src/gateway/store_controller.cpp
@@ -2,6 +2,7 @@
 
 #include "gateway/peer_report.hpp"
 #include "gateway/reader_election.hpp"
+#include "gateway/store_era.hpp"
 
 #include <algorithm>
 
@@ -92,7 +93,9 @@
     , config_query_(
           client, protocol, state.settings.store_address,
           std::string(documents.config_kind), query_timeout,
-          {.on_objects = [this](std::vector<platform_object>&& all)
+          {.accepts_era = [this](std::uint64_t era)
+           { return accepts_era(era); },
+           .on_objects = [this](std::vector<platform_object>&& all)
            { apply_configs(std::move(all)); },
            .on_contact = [this](steady_time as_of) { on_contact(as_of, true); },
            // Only the watch decides whether the store is lost.
@@ -160,8 +163,7 @@
                 *state_.last_store_response_at > config_.response_due();
             on_failure(why, is_config && !has_responded);
         },
-        .on_era = [this](std::uint64_t era, std::uint64_t revision)
-        { record_era(era, revision); },
+        .accepts_era = [this](std::uint64_t era) { return accepts_era(era); },
         .on_history_dropped = [this]
         { record_history_dropped(state_, boot_now()); },
         .on_copy_changed =
@@ -206,7 +208,7 @@
     state_.last_store_response_at = now;
     if (!is_config)
         return;
-    if (as_of)
+    if (as_of && is_confirmation(state_, *as_of, now))
         confirm_config(state_, *as_of);
     config_.set_wait(config_wait(state_));
     if (!state_.is_store_lost)
@@ -242,25 +244,74 @@
     park_or_resume();
 }
 
-void store_controller::record_era(std::uint64_t era, std::uint64_t revision)
+bool store_controller::accepts_era(std::uint64_t era)
+{
+    std::uint64_t const before = state_.era.number;
+    era_check const c = check_era(state_, era, boot_now());
+    if (c == era_check::outdated)
+        state_.counters.count("store_answers_outdated_total");
+    if (c == era_check::begun)
+        begin_era(before);
+    return c == era_check::current;
+}
+
+void store_controller::begin_era(std::uint64_t before)
 {
-    if (era == 0 || era == state_.store_era)
-        return;
     std::string copies;
     for (std::size_t i = 0; i < state_kind_count; ++i)
         copies.append(i == 0 ? "" : ",")
-            .append(std::to_string(state_.kinds[i].revision));
+            .append(std::to_string(state_.kinds[i].position.revision));
+    std::int64_t const config = state_.config ? state_.config->version : 0;
     log_.write(
         log_event::store_era_changed,
-        {{"era", std::to_string(era)},
-         {"before", std::to_string(state_.store_era)},
-         {"revision", std::to_string(revision)},
+        {{"era", std::to_string(state_.era.number)},
+         {"before", std::to_string(before)},
          {"copies", copies},
-         {"config",
-          std::to_string(state_.config ? state_.config->version : 0)}});
+         {"config", std::to_string(config)}});
     state_.counters.count("store_eras_total");
-    state_.store_era = era;
-    state_.counters.set("store_era", static_cast<double>(era));
+    config_.begin_era(state_.era.number);
+    for (std::size_t i = 0; i < state_kind_count; ++i)
+    {
+        object_watch& w = watch_of(static_cast<state_kind>(i));
+        if (is_started(w))
+            w.begin_era(state_.era.number);
+    }
+    // The entry of this gateway may be among what was lost.
+    register_self();
+}
+
+// Removes what the store lost and nobody has written again.
+void store_controller::settle_era(steady_time now)
+{
+    if (state_.era.is_settled || is_rewriting(state_, now))
+        return;
+    bool const is_current = std::all_of(
+        state_.kinds.begin(), state_.kinds.end(),
+        [&](local_copy const& it)
+        { return it.position.era == state_.era.number; });
+    if (!is_current)
+        return; // it is still being read
+    state_.era.is_settled = true;
+    std::erase_if(
+        state_.rollouts,
+        [&](auto const& it) { return !rollouts_.contains(it.first); });
+    std::erase_if(
+        state_.peers,
+        [&](auto const& it) { return !gateways_.contains(it.first); });
+    std::vector<std::string> returned;
+    for (std::string const& it : state_.upstreams.evacuated_zones)
+    {
+        if (!zones_.contains(it))
+            returned.push_back(it);
+    }
+    for (std::string const& it : returned)
+        apply_zone({.name = it, .is_deleted = true});
+    update_gateways();
+    log_.write(
+        log_event::store_era_settled,
+        {{"era", std::to_string(state_.era.number)},
+         {"gateways", std::to_string(state_.gateways.size())},
+         {"upstreams", std::to_string(state_.upstreams.by_id.size())}});
 }
 
 void store_controller::apply_configs(std::vector<platform_object>&& all)
@@ -280,6 +331,7 @@
         state_.counters.count("bad_documents_total", "config");
         return;
     }
+    record_listed_config(state_, c->version);
     if (state_.config && c->version <= state_.config->version)
         return;
     index_routes(*c);
@@ -326,6 +378,7 @@
     log_.write(log_event::upstream_gone, {{"upstream", std::string(id)}});
     if (!it->second->info.is_draining)
         quarantine_.record_crash_of(id, now);
+    record_gone_upstream(state_, it->second->info, now);
     erase_upstream(state_.upstreams, it);
 }
 
@@ -344,12 +397,21 @@
         remove_upstream(o.name, now);
         return;
     }
+    if (is_outdated_entry(state_, *info, now))
+    {
+        state_.counters.count("outdated_entries_total");
+        return;
+    }
     auto const known = state_.upstreams.by_id.find(info->id);
     std::shared_ptr<upstream_state> u =
         known == state_.upstreams.by_id.end() ? nullptr : known->second;
     bool const is_new = !u ||
                         u->info.started_unix_ms != info->started_unix_ms ||
                         u->info.address != info->address;
+    // An upstream that leaves does so for the rest of its incarnation, whatever
+    // an older copy of the store says.
+    if (!is_new && u->info.is_draining && state_.era.begun)
+        info->is_draining = true;
     if (is_new && u)
         quarantine_.record_crash_of(info->id, now);
     if (is_new)
@@ -400,14 +462,15 @@
 
 void store_controller::replace_rollouts(std::vector<platform_object>&& all)
 {
+    bool const keeps_all = is_rewriting(state_, boot_now());
     std::erase_if(
         state_.rollouts,
         [&](auto const& known)
         {
-            return std::none_of(
-                all.begin(), all.end(),
-                [&](platform_object const& o)
-                { return o.name == known.first; });
+            return !keeps_all && std::none_of(
+                                     all.begin(), all.end(),
+                                     [&](platform_object const& o)
+                                     { return o.name == known.first; });
         });
     for (platform_object& it : all)
         apply_rollout(std::move(it));
@@ -448,7 +511,7 @@
          {"state", std::to_string(static_cast<int>(order->state))},
          {"takes_all", order->takes_all ? "yes" : "no"},
          {"revision", std::to_string(order->revision)}});
-    t.order = std::move(*order);
+    take_order(state_, t, std::move(*order));
     bool const has_all =
         t.order.takes_all && t.order.state_target == t.order.target;
     if (!has_all)
@@ -459,7 +522,8 @@
 
 void store_controller::replace_zones(std::vector<platform_object>&& all)
 {
-    state_.upstreams.evacuated_zones.clear();
+    if (!is_rewriting(state_, boot_now()))
+        state_.upstreams.evacuated_zones.clear();
     for (platform_object& it : all)
         apply_zone(std::move(it));
 }
@@ -488,14 +552,15 @@
 
 void store_controller::replace_gateways(std::vector<platform_object>&& all)
 {
+    bool const keeps_all = is_rewriting(state_, boot_now());
     std::erase_if(
         state_.peers,
         [&](auto const& known)
         {
-            return std::none_of(
-                all.begin(), all.end(),
-                [&](platform_object const& o)
-                { return o.name == known.first; });
+            return !keeps_all && std::none_of(
+                                     all.begin(), all.end(),
+                                     [&](platform_object const& o)
+                                     { return o.name == known.first; });
         });
     for (platform_object& it : all)
         apply_gateway(std::move(it));
@@ -566,8 +631,8 @@
                 register_timer_.start(write_retry_delay);
                 return;
             }
-            is_registered_ = true;
-            gateways_.start(read_freshness::newest);
+            if (!std::exchange(is_registered_, true))
+                gateways_.start(read_freshness::newest);
         });
 }
 
@@ -602,10 +667,11 @@
     version_rollout_decision const d = decide_version_rollout(
         t.order, e, elapsed_of(t, now),
         t.full_since ? now - *t.full_since : duration{0});
-    bool const is_written = t.order.state_target == t.order.target &&
-                            t.order.state == d.state &&
-                            t.order.takes_all == d.takes_all;
-    if (is_written || is_writing_ || now < next_write_ ||
+    bool const is_written = t.stored.target == t.order.target &&
+                            t.stored.state == d.state &&
+                            t.stored.takes_all == d.takes_all;
+    bool const is_known = t.order.revision != 0; // in this era of the store
+    if (is_written || !is_known || is_writing_ || now < next_write_ ||
         !is_rollout_writer(now))
         return;
     is_writing_ = true;
@@ -650,6 +716,7 @@
     renew_after_history_drop();
     fetch_config(now);
     fetch_if_behind(now);
+    settle_era(now);
     for (auto& [service, t] : state_.rollouts)
         advance_rollout(t, now);
     for (auto it = state_.upstreams.by_id.begin();
--- a/src/gateway/store_controller.hpp
+++ b/src/gateway/store_controller.hpp
@@ -66,7 +66,9 @@
         std::optional<state_kind> kind);
     void on_contact(std::optional<steady_time> as_of, bool is_config);
     void on_failure(error const& why, bool is_config);
-    void record_era(std::uint64_t era, std::uint64_t revision);
+    bool accepts_era(std::uint64_t era);
+    void begin_era(std::uint64_t before);
+    void settle_era(steady_time now);
     void apply_configs(std::vector<platform_object>&& all);
     void apply_config(platform_object&& o);
     void replace_upstreams(std::vector<platform_object>&& all);
--- a/src/gateway/store_controller_role.cpp
+++ b/src/gateway/store_controller_role.cpp
@@ -38,10 +38,12 @@
     steady_time const now = boot_now();
     local_copy& v = state_.kinds[static_cast<std::size_t>(kind)];
     v.digest = change.after;
-    v.revision = change.revision;
+    bool const is_same_era = v.position.era == change.era;
+    v.position = {change.era, change.revision};
     v.is_listed = true;
     bool const has_changed = change.before != change.after;
-    if (!state_.is_reader || !has_changed)
+    // The difference between copies of two eras is no change.
+    if (!state_.is_reader || !has_changed || !is_same_era)
         return;
     change.sender = state_.settings.instance;
     change.incarnation_id = state_.self;
@@ -104,7 +106,7 @@
         is_applied ? "relays_applied_total" : "relays_unfit_total");
     local_copy& v = state_.kinds[static_cast<std::size_t>(kind)];
     v.digest = w.digest();
-    v.revision = w.revision();
+    v.position = w.position();
 }
 
 bool store_controller::is_started(object_watch const& w) const
--- a/src/log/log_events.cpp
+++ b/src/log/log_events.cpp
@@ -67,10 +67,14 @@
     log_event_row{
         store_era_changed, "store_era_changed", log_level::warning,
         "The store answers from another era.",
-        "It came back from an older copy: `era` in place of `before` (0: this "
-        "gateway has just started), now at `revision`. `copies` are the "
-        "revisions of this gateway's copies (upstreams, rollouts, zones, "
-        "gateways, quarantines), `config` is the version in force."},
+        "It came back from an older copy: `era` in place of `before`. `copies` "
+        "are the revisions of this gateway's copies (upstreams, rollouts, "
+        "zones, gateways, quarantines), `config` is the version in force. All "
+        "is read again; what the store lacks stays in force for 2 s."},
+    log_event_row{
+        store_era_settled, "store_era_settled", log_level::info,
+        "What was lost by the store and not written again is removed.",
+        "`gateways` and `upstreams` are left."},
     log_event_row{
         reading_began, "reading_began", log_level::info,
         "Reads the store by itself.",
--- a/src/log/log_events.hpp
+++ b/src/log/log_events.hpp
@@ -41,6 +41,7 @@
     store_lost,
     store_regained,
     store_era_changed,
+    store_era_settled,
     reading_began,
     reading_ended,
     peer_heard,
