Relay the difference between a copy and a list to equal copies only

What callers saw: nothing yet. A search over the orders in which a reader and a gateway that hears it follow a store found it: the follower reads at revision 1, the object changes back at 2, the reader, still at 0, lists at 2 or later; the difference between its copy and the list does not name the object, but the follower, which is later than the start of the change, takes it for complete. Its copy then holds a zone out, or an upstream, that is gone, at the reader's own revision, so that it does not count as behind until the next change.

Cause: a change claims to tell of all that happened since a revision. That is true of the events of a watch, not of the difference to a list.

Change: such a difference names its own revision as its start, so that it applies to copies that equal the reader's only; others are fetched.

Evidence: "No order of events mixes the eras of the store in a copy" failed before (path of six steps) and passes over all its states; the search fails when eras are not read, and when differences to lists apply as before.

--- a/src/gateway/object_watch.cpp
+++ b/src/gateway/object_watch.cpp
@@ -168,7 +168,8 @@
 }
 
 void object_watch::report_copy_change(
-    copy_state before, std::vector<relayed_object>&& changed) const
+    copy_state before, std::uint64_t from,
+    std::vector<relayed_object>&& changed) const
 {
     if (!handlers_.on_copy_changed)
         return;
@@ -176,7 +177,7 @@
         {.era = position_.era,
          .before = before.digest,
          .after = digest_,
-         .from = before.position.revision,
+         .from = from,
          .revision = position_.revision,
          .objects = std::move(changed)});
 }
@@ -299,7 +300,8 @@
                 changed[it.name] = std::move(*relayed);
             handlers_.on_change(std::move(it));
         }
-        report_copy_change(before, values_of(std::move(changed)));
+        report_copy_change(
+            before, before.position.revision, values_of(std::move(changed)));
         return;
     }
     if (after_.empty())
@@ -344,7 +346,10 @@
             changed[it.name] = std::move(*relayed);
     }
     handlers_.on_all(std::exchange(listed_, {}));
-    report_copy_change(before, values_of(std::move(changed)));
+    // Objects that changed and changed back are not among them, so that the
+    // difference applies to equal copies only.
+    report_copy_change(
+        before, position_.revision, values_of(std::move(changed)));
 }
 
 void object_watch::retry(error const& why)
--- a/src/gateway/object_watch.hpp
+++ b/src/gateway/object_watch.hpp
@@ -238,7 +238,8 @@
     std::vector<std::string>
     names_not_in(std::vector<platform_object> const& all) const;
     void report_copy_change(
-        copy_state before, std::vector<relayed_object>&& changed) const;
+        copy_state before, std::uint64_t from,
+        std::vector<relayed_object>&& changed) const;
 
     http_client& client_;
     platform_store_protocol const& protocol_;
--- a/src/gateway/state_relay.hpp
+++ b/src/gateway/state_relay.hpp
@@ -82,11 +82,12 @@
     std::string sender;
     incarnation incarnation_id = 0; // of the sender
     std::uint8_t kind = 0;
-    std::uint64_t era = 0;      // of both revisions
-    std::uint64_t before = 0;   // digest of the state that it starts from
-    std::uint64_t after = 0;    // digest of the state that it leads to
-    std::uint64_t from = 0;     // revision of the store of `before`
-    std::uint64_t revision = 0; // and of `after`
+    std::uint64_t era = 0;    // of both revisions
+    std::uint64_t before = 0; // digest of the state that it starts from
+    std::uint64_t after = 0;  // digest of the state that it leads to
+    // Revision of the store from which on it tells of all changes.
+    std::uint64_t from = 0;
+    std::uint64_t revision = 0; // of the store of `after`
     // For how much longer missing entries may have expired due to an outage.
     std::int64_t uncertain_ms = 0;
     std::uint16_t part = 0;
