Let gateways that start on an older copy of the store wait for what it lost

A gateway that starts just after the store came back has no era to compare with; it took the older copy for the newest, was ready after a quarter of a second and served a key that had been withdrawn before the store went away ("a gateway that starts on an older copy waits for what was lost" failed).

Cause: that an era has just begun is known only to gateways that knew the one before.

Change: once what was lost has been written again, the first gateway by name writes a record of the era, an object named by its number. A restored copy can hold no record of its own era. A gateway that starts looks for it once; without it it is not ready for 2 s, holds requests as during any start, and confirms no key from what it read. With the record nothing changes; the first start of a system waits once.

One more call of the store for each start.

--- a/src/gateway/gateway_state.cpp
+++ b/src/gateway/gateway_state.cpp
@@ -91,16 +91,22 @@
     return std::max({own, s.uncertain_until - now, duration{0}});
 }
 
+bool waits_for_lost_objects(gateway_state const& s, steady_time now)
+{
+    return s.era.waits_until && now < *s.era.waits_until;
+}
+
 bool is_starting(gateway_state const& s, steady_time now)
 {
-    bool const has_all = s.config && s.has_upstreams;
+    bool const has_all =
+        s.config && s.has_upstreams && !waits_for_lost_objects(s, now);
     return !has_all && !s.drain_started && now - s.started < max_startup_time;
 }
 
 bool is_ready(gateway_state const& s, steady_time now)
 {
     return s.config && s.has_upstreams && !s.drain_started &&
-           are_keys_fresh(s, now);
+           !waits_for_lost_objects(s, now) && are_keys_fresh(s, now);
 }
 
 std::size_t cold_share_of(gateway_state const& s, upstream_state const& u)
--- a/src/gateway/gateway_state.hpp
+++ b/src/gateway/gateway_state.hpp
@@ -129,6 +129,11 @@
     std::int64_t config_version = 0;        // in force at that moment
     std::int64_t listed_config_version = 0; // in the store since
     bool is_settled = true; // what was not written again has been removed
+    // A gateway that starts in an era of which the store holds no record does
+    // not serve until then, because the store may lack the newest.
+    std::optional<steady_time> waits_until;
+    // The record of this era: not known yet, to be written, or there.
+    std::optional<bool> is_recorded;
     std::map<std::string, gone_upstream, std::less<>> gone; // by id
 };
 
@@ -256,6 +261,10 @@
 // again within two seconds of its return.
 constexpr duration reregistration_grace = std::chrono::milliseconds(2000);
 
+// Returns whether this gateway has just started and the store may lack objects
+// that were lost when it came back from an older copy. Not thread-safe.
+bool waits_for_lost_objects(gateway_state const& s, steady_time now);
+
 // Returns whether this gateway has just started and still lacks its first
 // reads. Not thread-safe.
 bool is_starting(gateway_state const& s, steady_time now);
--- a/src/gateway/store_controller.cpp
+++ b/src/gateway/store_controller.cpp
@@ -100,6 +100,21 @@
            .on_contact = [this](steady_time as_of) { on_contact(as_of, true); },
            // Only the watch decides whether the store is lost.
            .on_failure = [this](error const& why) { on_failure(why, false); }})
+    , era_query_(
+          client, protocol, state.settings.store_address,
+          std::string(documents.era_kind), query_timeout,
+          {.accepts_era = [this](std::uint64_t era)
+           { return accepts_era(era); },
+           .on_objects = [this](std::vector<platform_object>&& all)
+           { apply_era_records(all); },
+           .on_contact = [](steady_time) {},
+           .on_failure =
+               [this](error const& why)
+           {
+               on_failure(why, false);
+               era_timer_.start(initial_probe_delay);
+           }})
+    , era_timer_(loop, [this] { look_up_era(); })
     , upstreams_(
           loop, client, protocol, state.settings.store_address,
           std::string(documents.upstream_kind),
@@ -198,9 +213,60 @@
     rollouts_.start(read_freshness::may_be_stale);
     zones_.start(read_freshness::may_be_stale);
     quarantines_.start(read_freshness::may_be_stale);
+    look_up_era();
     register_self();
 }
 
+void store_controller::look_up_era()
+{
+    if (!state_.era.is_recorded)
+        era_query_.ask();
+}
+
+void store_controller::apply_era_records(
+    std::vector<platform_object> const& all)
+{
+    // A store that names no eras needs no record.
+    std::string const era = std::to_string(state_.era.number);
+    bool const is_recorded =
+        state_.era.number == 0 ||
+        std::any_of(
+            all.begin(), all.end(),
+            [&](platform_object const& it) { return it.name == era; });
+    record_era_lookup(state_, is_recorded, boot_now());
+}
+
+void store_controller::write_era_record(steady_time now)
+{
+    if (now < next_era_record_ || !is_record_due(state_, now))
+        return;
+    next_era_record_ = now + write_timeout;
+    std::uint64_t const era = state_.era.number;
+    http_call call = protocol_.create(
+        state_.settings.store_address, documents_.era_kind, std::to_string(era),
+        nlohmann::json::object());
+    call.timeout = write_timeout;
+    client_.send(
+        std::move(call),
+        [this, era](result<http_reply> reply)
+        {
+            result<platform_objects> const o =
+                reply ? protocol_.decode(*reply)
+                      : result<platform_objects>(
+                            tl::unexpected<error>(reply.error()));
+            if (!o && o.error().kind != error_kind::conflict)
+            {
+                state_.counters.count(
+                    "store_failures_total", to_string(o.error().kind));
+                return;
+            }
+            bool const is_current =
+                accepts_era(protocol_.era(*reply)) && era == state_.era.number;
+            if (is_current)
+                state_.era.is_recorded = true;
+        });
+}
+
 void store_controller::on_contact(
     std::optional<steady_time> as_of, bool is_config)
 {
@@ -717,6 +783,7 @@
     fetch_config(now);
     fetch_if_behind(now);
     settle_era(now);
+    write_era_record(now);
     for (auto& [service, t] : state_.rollouts)
         advance_rollout(t, now);
     for (auto it = state_.upstreams.by_id.begin();
--- a/src/gateway/store_controller.hpp
+++ b/src/gateway/store_controller.hpp
@@ -69,6 +69,9 @@
     bool accepts_era(std::uint64_t era);
     void begin_era(std::uint64_t before);
     void settle_era(steady_time now);
+    void look_up_era();
+    void apply_era_records(std::vector<platform_object> const& all);
+    void write_era_record(steady_time now);
     void apply_configs(std::vector<platform_object>&& all);
     void apply_config(platform_object&& o);
     void replace_upstreams(std::vector<platform_object>&& all);
@@ -108,6 +111,9 @@
     logger log_{"store"};
     object_watch config_;
     object_query config_query_; // used while this gateway is a reader
+    object_query era_query_;    // used once, at the start
+    loop_timer era_timer_;      // after a failed query
+    steady_time next_era_record_{};
     object_watch upstreams_;
     object_watch rollouts_;
     object_watch zones_;
--- a/src/gateway/store_documents.hpp
+++ b/src/gateway/store_documents.hpp
@@ -34,6 +34,7 @@
     std::string_view zone_out_kind; // one object per disabled zone
     std::string_view gateway_kind;
     std::string_view quarantine_kind;
+    std::string_view era_kind; // one object per recorded era, by its number
     // The decoders fail with bad_document.
     result<gateway_config> (*decode_config)(platform_object const& o);
     result<upstream_info> (*decode_upstream)(platform_object const& o);
--- a/src/gateway/store_era.cpp
+++ b/src/gateway/store_era.cpp
@@ -33,6 +33,8 @@
     s.era.config_version = s.config ? s.config->version : 0;
     s.era.listed_config_version = 0;
     s.era.is_settled = false;
+    s.era.is_recorded = false;
+    s.era.waits_until.reset(); // it has heard of the era before
     // An outage may have been too short to be noticed.
     s.uncertain_until = std::max(s.uncertain_until, now + rewrite_grace);
     for (auto& [service, t] : s.rollouts)
@@ -59,6 +61,30 @@
     return era_check::begun;
 }
 
+void record_era_lookup(gateway_state& s, bool is_recorded, steady_time now)
+{
+    if (s.era.is_recorded)
+        return; // a later era has begun meanwhile
+    s.era.is_recorded = is_recorded;
+    if (is_recorded)
+        return;
+    s.era.begun = now;
+    s.era.is_settled = false;
+    s.era.waits_until = now + rewrite_grace;
+}
+
+bool is_record_due(gateway_state const& s, steady_time now)
+{
+    bool const is_over = s.era.begun && !is_rewriting(s, now);
+    return is_over && s.era.is_recorded == false && !s.is_store_lost &&
+           std::none_of(
+               s.peers.begin(), s.peers.end(),
+               [&](auto const& it) {
+                   return it.first < s.settings.instance &&
+                          is_live(s, it.second, now);
+               });
+}
+
 bool is_rewriting(gateway_state const& s, steady_time now)
 {
     return s.era.begun && now < *s.era.begun + rewrite_grace;
--- a/src/gateway/store_era.hpp
+++ b/src/gateway/store_era.hpp
@@ -10,9 +10,11 @@
 //
 // Such a store has lost what was written since the copy was made, and names
 // another era in its responses. The operator and the upstreams write theirs
-// again within a moment; the gateways theirs. Until then what is known stays in
-// force, and nothing that the store lacks counts as removed. No I/O. Functions
-// that take a gateway_state are not thread-safe.
+// again within a moment; the gateways theirs, and
+// a record of the era once the moment is over, for those that start later.
+// Until then what is known stays in force, and nothing that the store lacks
+// counts as removed. No I/O. Functions that take a gateway_state are not
+// thread-safe.
 #pragma once
 
 #include "gateway/gateway_state.hpp"
@@ -41,6 +43,14 @@
 // later one. Not thread-safe.
 era_check check_era(gateway_state& s, std::uint64_t era, steady_time now);
 
+// Takes the answer to whether the store holds a record of its era. A gateway
+// that has just started and finds none waits. Not thread-safe.
+void record_era_lookup(gateway_state& s, bool is_recorded, steady_time now);
+
+// Whether this gateway, the first one by name, is to write the record of the
+// era, as what was lost has been written again. Not thread-safe.
+bool is_record_due(gateway_state const& s, steady_time now);
+
 // Whether objects that the store lacks may be written again. Not thread-safe.
 bool is_rewriting(gateway_state const& s, steady_time now);
 
--- a/src/gateway/store_era_test.cpp
+++ b/src/gateway/store_era_test.cpp
@@ -185,3 +185,27 @@
     CHECK(s.quarantine.entries.at(key).document.trials == 2);
     CHECK(s.quarantine.entries.at(key).revision == 12);
 }
+
+// Guards against a gateway that starts while the store lacks the newest and
+// serves what it holds, and against one that waits without need.
+TEST_CASE("A gateway that starts waits unless the era is recorded")
+{
+    bool const is_recorded = GENERATE(false, true);
+    CAPTURE(is_recorded);
+    gateway_state s;
+    s.settings.instance = "b";
+    check_era(s, 2, now);
+    record_era_lookup(s, is_recorded, now);
+    CHECK(waits_for_lost_objects(s, now) != is_recorded);
+    steady_time const later = now + rewrite_grace;
+    CHECK_FALSE(waits_for_lost_objects(s, later));
+    CHECK_FALSE(is_record_due(s, now));
+    CHECK(is_record_due(s, later) != is_recorded);
+    // One of them writes the record.
+    s.peers["a"].last_received_at = later;
+    CHECK_FALSE(is_record_due(s, later));
+    // A gateway that serves goes on when another era begins.
+    check_era(s, 3, later);
+    CHECK_FALSE(waits_for_lost_objects(s, later));
+    CHECK(is_record_due(s, later + seconds(60)));
+}
