--- a/src/gateway/store_era.hpp
+++ b/src/gateway/store_era.hpp
@@ -10,11 +10,10 @@
 //
 // Such a store has lost what was written since the copy was made, and names
 // another era in its responses. The operator and the upstreams write theirs
-// again within a moment; the gateways theirs, and
-// a record of the era once the moment is over, for those that start later.
-// Until then what is known stays in force, and nothing that the store lacks
-// counts as removed. No I/O. Functions that take a gateway_state are not
-// thread-safe.
+// again within a moment; so do the gateways, which also write a record of the
+// era when the moment is over, for those that start later. Until then what is
+// known stays in force, and nothing that the store lacks counts as removed.
+// No I/O. Functions that take a gateway_state are not thread-safe.
 #pragma once
 
 #include "gateway/gateway_state.hpp"
