--- a/src/gateway/store_era.hpp
+++ b/src/gateway/store_era.hpp
@@ -72,7 +72,7 @@
 bool is_outdated_entry(
     gateway_state const& s, upstream_info const& u, steady_time now);
 
-// Takes a rollout's order and status from the store, at `now`. Once the store
+// Takes a rollout's order and status from the store. Once the store
 // has come back from an older copy, progress towards the same target is kept,
 // and is to be written again. Not thread-safe.
 void take_order(
