--- a/src/gateway/crash_evidence_test.cpp
+++ b/src/gateway/crash_evidence_test.cpp
@@ -111,7 +111,7 @@
 }
 
 // Guards against refusing harmless requests because upstreams reset connections
-// without a crash (nakhla-keyword-grown, scale-1: 173 refused).
+// without a crash.
 TEST_CASE("A broken connection without a crash is not attributed")
 {
     crash_evidence e;
