Log and count the turns that hold up the loop, and how long requests wait

The logs could not tell a turn of the loop that is held up from a full link or from bytes that are delivered after a close: a gap between two lines is all that they show. New: the event loop_held_up with the length of the turn and the longest part of it that is timed (a kind of objects of the store, a message, the tick), the metrics loop_turn_seconds and loop_hold_ups_total, unread_ms on the last line of each request (the longest time that its bytes can have waited in the kernel), and callers_left_total, which tells those who had left before their request was sent on.

--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -16,6 +16,8 @@
 constexpr duration expiry_period = std::chrono::seconds(1);
 // A tick that is later than this means that the process was paused.
 constexpr duration max_tick_delay = milliseconds(300);
+// A turn of the loop that is longer holds up callers noticeably.
+constexpr duration max_turn = milliseconds(100);
 // Requests still active this long before the process is killed are aborted, so
 // that their callers receive an error.
 constexpr duration abort_margin = milliseconds(600);
@@ -38,6 +40,7 @@
     , protocols_(protocols)
     , state_{.settings = settings, .self = random_incarnation(),
              .gateways = {settings.instance}, .started = boot_now()}
+    , monitor_(loop, [this](loop_turn const& t) { on_turn(t); })
     , client_(loop)
     , pool_(loop, state_.counters)
     , peers_(
@@ -52,10 +55,10 @@
           state_, peers_, client_, pool_, protocols.store, protocols.documents,
           [this](steady_time now) { requests_.abort_quarantined(now); })
     , requests_(
-          loop, state_, protocols.calls, pool_, limits_, quarantine_)
+          loop, state_, protocols.calls, pool_, limits_, quarantine_, monitor_)
     , store_(
           loop, state_, client_, peers_, quarantine_, protocols.store,
-          protocols.documents)
+          protocols.documents, monitor_)
     , readiness_(
           loop, admin_settings(settings.readiness_address),
           [this](std::shared_ptr<http_exchange> const& ex) { on_admin(ex); })
@@ -142,6 +145,21 @@
                         : "-"}});
 }
 
+void gateway_daemon::on_turn(loop_turn const& t)
+{
+    if (turns_ == nullptr)
+        turns_ = &state_.counters.histogram("loop_turn_seconds", {});
+    turns_->add(to_seconds(t.took));
+    if (t.took <= max_turn)
+        return;
+    std::string const longest(t.longest.empty() ? "-" : t.longest);
+    state_.counters.count("loop_hold_ups_total", longest);
+    log_.write(
+        log_event::loop_held_up, {{"turn_ms", in_ms(t.took)},
+                                  {"longest", longest},
+                                  {"longest_ms", in_ms(t.longest_took)}});
+}
+
 void gateway_daemon::send_reports(steady_time now)
 {
     bool const is_due = now >= next_report_ || state_.is_report_due;
@@ -159,6 +177,7 @@
 
 void gateway_daemon::on_message(message&& m)
 {
+    timed_part const part(monitor_, "message");
     auto const* const call = std::get_if<peer_call>(&m);
     steady_time const now = boot_now();
     if (call != nullptr && call->name == gateway_report_call)
@@ -191,6 +210,7 @@
 
 void gateway_daemon::tick()
 {
+    timed_part const part(monitor_, "tick");
     steady_time const now = boot_now();
     last_tick_ = now;
     store_.tick(now);
--- a/src/gateway/gateway_daemon.hpp
+++ b/src/gateway/gateway_daemon.hpp
@@ -10,6 +10,7 @@
 #pragma once
 
 #include "event_loop/event_loop.hpp"
+#include "event_loop/loop_monitor.hpp"
 #include "gateway/gateway_state.hpp"
 #include "gateway/limit_controller.hpp"
 #include "gateway/peer_report.hpp"
@@ -73,12 +74,14 @@
     void on_admin(std::shared_ptr<http_exchange> const& exchange);
     void continue_shutdown(steady_time now);
     void log_changes(steady_time now);
+    void on_turn(loop_turn const& t);
     std::string metrics_page();
 
     ev::dynamic_loop& loop_;
     gateway_protocols const& protocols_;
     gateway_state state_;
     logger log_{"gateway"};
+    loop_monitor monitor_;
     http_client client_;
     upstream_pool pool_;
     datagram_socket peers_;
@@ -95,6 +98,7 @@
     steady_time next_flush_{};
     std::set<std::string, std::less<>> reachable_peers_;
     bool is_isolated_ = false;
+    latency_histogram* turns_ = nullptr; // of the loop, once one is over
     int exit_code_ = 0;
 };
 
--- a/src/gateway/object_query.cpp
+++ b/src/gateway/object_query.cpp
@@ -6,10 +6,11 @@
 {
 
 object_query::object_query(
-    http_client& client, platform_store_protocol const& protocol,
-    std::string address, std::string kind, duration timeout,
-    query_handlers handlers)
-    : client_(client)
+    loop_monitor& monitor, http_client& client,
+    platform_store_protocol const& protocol, std::string address,
+    std::string kind, duration timeout, query_handlers handlers)
+    : monitor_(monitor)
+    , client_(client)
     , protocol_(protocol)
     , address_(std::move(address))
     , kind_(std::move(kind))
@@ -40,6 +41,7 @@
 
 void object_query::on_reply(steady_time sent, result<http_reply> reply)
 {
+    timed_part const part(monitor_, kind_);
     is_pending_ = false;
     if (reply && !handlers_.accepts_era(protocol_.era(*reply)))
         return;
--- a/src/gateway/object_query.hpp
+++ b/src/gateway/object_query.hpp
@@ -11,6 +11,7 @@
 // Everything here runs on the loop's thread; nothing is thread-safe.
 #pragma once
 
+#include "event_loop/loop_monitor.hpp"
 #include "gateway/object_watch.hpp"
 #include "http_client/http_client.hpp"
 
@@ -34,12 +35,12 @@
 class object_query
 {
 public:
-    // `client` and `protocol` outlive the query. A call without a
+    // `client`, `protocol` and `monitor` outlive the query. A call without a
     // response after `timeout` fails.
     object_query(
-        http_client& client, platform_store_protocol const& protocol,
-        std::string address, std::string kind, duration timeout,
-        query_handlers handlers);
+        loop_monitor& monitor, http_client& client,
+        platform_store_protocol const& protocol, std::string address,
+        std::string kind, duration timeout, query_handlers handlers);
     ~object_query();
     object_query(object_query const&) = delete;
     object_query& operator=(object_query const&) = delete;
@@ -50,6 +51,7 @@
 private:
     void on_reply(steady_time sent, result<http_reply> reply);
 
+    loop_monitor& monitor_;
     http_client& client_;
     platform_store_protocol const& protocol_;
     std::string address_;
--- a/src/gateway/object_watch.cpp
+++ b/src/gateway/object_watch.cpp
@@ -42,10 +42,11 @@
 } // namespace
 
 object_watch::object_watch(
-    ev::loop_ref loop, http_client& client,
+    ev::loop_ref loop, loop_monitor& monitor, http_client& client,
     platform_store_protocol const& protocol, std::string address,
     std::string kind, watch_timing timing, watch_handlers handlers)
-    : client_(client)
+    : monitor_(monitor)
+    , client_(client)
     , protocol_(protocol)
     , address_(std::move(address))
     , kind_(std::move(kind))
@@ -226,6 +227,7 @@
 void object_watch::on_reply(
     steady_time sent, duration wait, result<http_reply> reply)
 {
+    timed_part const part(monitor_, kind_);
     if (!reply)
     {
         retry(reply.error());
--- a/src/gateway/object_watch.hpp
+++ b/src/gateway/object_watch.hpp
@@ -9,6 +9,7 @@
 #pragma once
 
 #include "event_loop/event_loop.hpp"
+#include "event_loop/loop_monitor.hpp"
 #include "gateway/state_relay.hpp"
 #include "http_client/http_client.hpp"
 
@@ -132,10 +133,10 @@
 class object_watch
 {
 public:
-    // Precondition: `client` and `protocol` outlive the watch. Loop thread
-    // only, like all members.
+    // Precondition: `monitor`, `client` and `protocol` outlive the watch. Loop
+    // thread only, like all members.
     object_watch(
-        ev::loop_ref loop, http_client& client,
+        ev::loop_ref loop, loop_monitor& monitor, http_client& client,
         platform_store_protocol const& protocol, std::string address,
         std::string kind, watch_timing timing, watch_handlers handlers);
     ~object_watch();
@@ -241,6 +242,7 @@
         copy_state before, std::uint64_t from,
         std::vector<relayed_object>&& changed) const;
 
+    loop_monitor& monitor_;
     http_client& client_;
     platform_store_protocol const& protocol_;
     std::string address_;
--- a/src/gateway/proxied_request.cpp
+++ b/src/gateway/proxied_request.cpp
@@ -79,7 +79,8 @@
 proxied_request::proxied_request(
     proxied_request_context& context, std::shared_ptr<client_connection> client,
     std::shared_ptr<gateway_config const> config, gateway_route const& route,
-    organisation const* owner, gateway_request&& request, steady_time now)
+    organisation const* owner, gateway_request&& request, duration unread,
+    steady_time now)
     : context_(context)
     , client_(std::move(client))
     , config_(std::move(config))
@@ -90,6 +91,7 @@
     , priority_(
           owner != nullptr && owner->priority >= 0 ? owner->priority
                                                    : route.priority)
+    , unread_(unread)
     , started_(now)
     , deadline_(now + route.timeout)
     , hash_(hash64(
--- a/src/gateway/proxied_request.hpp
+++ b/src/gateway/proxied_request.hpp
@@ -75,14 +75,15 @@
 class proxied_request : public std::enable_shared_from_this<proxied_request>
 {
 public:
-    // Preconditions: `route` belongs to `config`; `context` outlives the
+    // `unread` bounds how long the request waited in the kernel before it was
+    // read. Preconditions: `route` belongs to `config`; `context` outlives the
     // request. Loop thread only, like all members.
     proxied_request(
         proxied_request_context& context,
         std::shared_ptr<client_connection> client,
         std::shared_ptr<gateway_config const> config,
         gateway_route const& route, organisation const* owner,
-        gateway_request&& request, steady_time now);
+        gateway_request&& request, duration unread, steady_time now);
     ~proxied_request() = default;
     proxied_request(proxied_request const&) = delete;
     proxied_request& operator=(proxied_request const&) = delete;
@@ -205,6 +206,7 @@
     std::string organisation_class_;
     gateway_request request_;
     int priority_ = 0;
+    duration unread_;
     steady_time started_;
     steady_time deadline_;
     std::uint64_t hash_ = 0;
--- a/src/gateway/proxied_request_failure.cpp
+++ b/src/gateway/proxied_request_failure.cpp
@@ -208,6 +208,9 @@
 void proxied_request::on_disconnect()
 {
     steady_time const now = boot_now();
+    context_.state.counters.count(
+        "callers_left_total", attempts_.sends == 0 ? "not_sent" : "sent",
+        scope());
     release();
     finish(log_event::request_left, "caller_left", 0, now);
 }
@@ -333,6 +336,7 @@
          {"model", std::to_string(model_)},
          {"first_ms", has_first ? in_ms(first_event_ - started_) : "-"},
          {"ms", in_ms(now - started_)},
+         {"unread_ms", in_ms(unread_)},
          {"load", to_integer_text(inputs_.load)},
          {"load_age_ms", in_ms(inputs_.load_age)},
          {"expected_ms", in_ms(inputs_.expected)},
--- a/src/gateway/request_controller.cpp
+++ b/src/gateway/request_controller.cpp
@@ -31,11 +31,12 @@
 request_controller::request_controller(
     ev::loop_ref loop, gateway_state& state, request_protocol const& protocol,
     upstream_pool& pool, limit_controller& limits,
-    quarantine_controller& quarantine)
+    quarantine_controller& quarantine, loop_monitor const& monitor)
     : loop_(loop)
     , state_(state)
     , protocol_(protocol)
     , pool_(pool)
+    , monitor_(monitor)
     , context_{loop,     state,  protocol,   pool,          log_,
                waiting_, limits, quarantine, limit_waiters_}
     , listener_(
@@ -108,6 +109,7 @@
         return;
     }
     steady_time const now = boot_now();
+    duration const unread = monitor_.input_wait(now);
     result<gateway_request> request =
         protocol_.decode_request(std::move(*message));
     if (!request)
@@ -116,20 +118,21 @@
         return;
     }
     if (is_starting(state_, now))
-        hold(client, std::move(*request), now);
+        hold(client, std::move(*request), unread, now);
     else
-        serve(client, std::move(*request), now);
+        serve(client, std::move(*request), unread, now);
 }
 
 void request_controller::hold(
     std::shared_ptr<client_connection> const& client, gateway_request&& request,
-    steady_time now)
+    duration unread, steady_time now)
 {
     state_.counters.count("requests_held_total");
     duration const max_hold =
         request.remaining ? *request.remaining / 4 : max_hold_time;
     held_.push_back(
-        {client, std::move(request), now + std::min(max_hold, max_hold_time)});
+        {client, std::move(request), now + std::min(max_hold, max_hold_time),
+         unread});
     auto const it = std::prev(held_.end());
     client->on_disconnect(
         [this, it]
@@ -156,13 +159,13 @@
         held_request r = std::move(*it);
         it = held_.erase(it);
         r.client->on_disconnect({});
-        serve(r.client, std::move(r.request), now);
+        serve(r.client, std::move(r.request), r.unread, now);
     }
 }
 
 void request_controller::serve(
     std::shared_ptr<client_connection> const& client, gateway_request&& request,
-    steady_time now)
+    duration unread, steady_time now)
 {
     std::string const id = request.attempt_id;
     if (!state_.config || !state_.has_upstreams)
@@ -202,7 +205,8 @@
         return;
     }
     auto const run = std::make_shared<proxied_request>(
-        context_, client, config, *route, owner, std::move(request), now);
+        context_, client, config, *route, owner, std::move(request), unread,
+        now);
     active_requests_.push_back(run);
     run->start(now);
 }
--- a/src/gateway/request_controller.hpp
+++ b/src/gateway/request_controller.hpp
@@ -9,6 +9,7 @@
 #pragma once
 
 #include "event_loop/event_loop.hpp"
+#include "event_loop/loop_monitor.hpp"
 #include "gateway/client_connection.hpp"
 #include "gateway/gateway_state.hpp"
 #include "gateway/proxied_request.hpp"
@@ -32,7 +33,8 @@
     request_controller(
         ev::loop_ref loop, gateway_state& state,
         request_protocol const& protocol, upstream_pool& pool,
-        limit_controller& limits, quarantine_controller& quarantine);
+        limit_controller& limits, quarantine_controller& quarantine,
+        loop_monitor const& monitor);
 
     // Announces to callers that their connections will close, and closes idle
     // ones later. Precondition: `drain_started` of the state is set.
@@ -69,14 +71,15 @@
         std::shared_ptr<client_connection> client;
         gateway_request request;
         steady_time until{};
+        duration unread{0};
     };
 
     void serve(
         std::shared_ptr<client_connection> const& client,
-        gateway_request&& request, steady_time now);
+        gateway_request&& request, duration unread, steady_time now);
     void hold(
         std::shared_ptr<client_connection> const& client,
-        gateway_request&& request, steady_time now);
+        gateway_request&& request, duration unread, steady_time now);
     void serve_held(steady_time now);
     void refuse(
         std::shared_ptr<client_connection> const& client,
@@ -89,6 +92,7 @@
     gateway_state& state_;
     request_protocol const& protocol_;
     upstream_pool& pool_;
+    loop_monitor const& monitor_;
     logger log_{"request"};
     std::map<std::string, std::size_t> limit_waiters_;
     std::list<std::shared_ptr<proxied_request>> waiting_;
--- a/src/gateway/store_controller.cpp
+++ b/src/gateway/store_controller.cpp
@@ -77,7 +77,8 @@
 store_controller::store_controller(
     ev::loop_ref loop, gateway_state& state, http_client& client,
     datagram_socket& peers, quarantine_controller& quarantine,
-    platform_store_protocol const& protocol, store_documents const& documents)
+    platform_store_protocol const& protocol, store_documents const& documents,
+    loop_monitor& monitor)
     : state_(state)
     , client_(client)
     , peers_(peers)
@@ -85,13 +86,13 @@
     , protocol_(protocol)
     , documents_(documents)
     , config_(
-          loop, client, protocol, state.settings.store_address,
+          loop, monitor, client, protocol, state.settings.store_address,
           std::string(documents.config_kind), config_timing,
           make_handlers(
               &store_controller::apply_configs, &store_controller::apply_config,
               std::nullopt))
     , config_query_(
-          client, protocol, state.settings.store_address,
+          monitor, client, protocol, state.settings.store_address,
           std::string(documents.config_kind), query_timeout,
           {.accepts_era = [this](std::uint64_t era)
            { return accepts_era(era); },
@@ -101,7 +102,7 @@
            // Only the watch decides whether the store is lost.
            .on_failure = [this](error const& why) { on_failure(why, false); }})
     , era_query_(
-          client, protocol, state.settings.store_address,
+          monitor, client, protocol, state.settings.store_address,
           std::string(documents.era_kind), query_timeout,
           {.accepts_era = [this](std::uint64_t era)
            { return accepts_era(era); },
@@ -116,34 +117,34 @@
            }})
     , era_timer_(loop, [this] { look_up_era(); })
     , upstreams_(
-          loop, client, protocol, state.settings.store_address,
+          loop, monitor, client, protocol, state.settings.store_address,
           std::string(documents.upstream_kind),
           long_watch_timing(upstream_debounce),
           make_handlers(
               &store_controller::replace_upstreams,
               &store_controller::apply_upstream, state_kind::upstreams))
     , rollouts_(
-          loop, client, protocol, state.settings.store_address,
+          loop, monitor, client, protocol, state.settings.store_address,
           std::string(documents.rollout_kind),
           long_watch_timing(short_debounce),
           make_handlers(
               &store_controller::replace_rollouts,
               &store_controller::apply_rollout, state_kind::rollouts))
     , zones_(
-          loop, client, protocol, state.settings.store_address,
+          loop, monitor, client, protocol, state.settings.store_address,
           std::string(documents.zone_out_kind),
           long_watch_timing(short_debounce),
           make_handlers(
               &store_controller::replace_zones, &store_controller::apply_zone,
               state_kind::zones))
     , gateways_(
-          loop, client, protocol, state.settings.store_address,
+          loop, monitor, client, protocol, state.settings.store_address,
           std::string(documents.gateway_kind), gateway_timing(),
           make_handlers(
               &store_controller::replace_gateways,
               &store_controller::apply_gateway, state_kind::gateways))
     , quarantines_(
-          loop, client, protocol, state.settings.store_address,
+          loop, monitor, client, protocol, state.settings.store_address,
           std::string(documents.quarantine_kind),
           long_watch_timing(short_debounce),
           make_handlers(
--- a/src/gateway/store_controller.hpp
+++ b/src/gateway/store_controller.hpp
@@ -45,7 +45,7 @@
         ev::loop_ref loop, gateway_state& state, http_client& client,
         datagram_socket& peers, quarantine_controller& quarantine,
         platform_store_protocol const& protocol,
-        store_documents const& documents);
+        store_documents const& documents, loop_monitor& monitor);
 
     // Starts the watches and registers this gateway. Precondition: not started.
     // Loop thread only.
--- a/src/log/log_events.cpp
+++ b/src/log/log_events.cpp
@@ -38,6 +38,12 @@
         settings_bad, "settings_bad", log_level::warning,
         "The new settings are bad; the old ones stay.",
         "`why` names the field and what is allowed."},
+    log_event_row{
+        loop_held_up, "loop_held_up", log_level::warning,
+        "The loop was held up.",
+        "One turn took `turn_ms`, of which `longest` took `longest_ms` (`-`: "
+        "no part of it is timed). What arrived meanwhile was read `turn_ms` "
+        "late at most."},
     log_event_row{
         config_in_force, "config_in_force", log_level::info,
         "Configuration in force.",
@@ -101,6 +107,10 @@
     log_event_row{
         upstream_gone, "upstream_gone", log_level::info, "Upstream gone.",
         "It is not in the store any more."},
+    log_event_row{
+        upstream_entry_bad, "upstream_entry_bad", log_level::warning,
+        "The entry of an upstream can't be used.",
+        "`upstream` gets no work until its entry is written anew. `why`."},
     log_event_row{
         upstream_unreachable, "upstream_unreachable", log_level::warning,
         "The upstream is not reached.",
@@ -240,7 +250,9 @@
         "The caller has its whole answer."},
     log_event_row{
         request_left, "request_left", log_level::info,
-        "The caller left its request.", "Its upstream was told to stop."},
+        "The caller left its request.",
+        "Its upstream was told to stop; with `sends` 0 it was never sent. "
+        "`unread_ms` bounds how long it had waited before it was read."},
     log_event_row{
         request_failed, "request_failed", log_level::warning, "Request failed.",
         "`kind` and `run` say why and whether it may have run; `status` 0 is a "
