Discard what the kernel still holds of a request whose caller has left

A caller who left while its request was on its way to an upstream that read slowly had its work done all the same: a plain close delivers what the kernel holds, however late.

Change: when the gateway ends a request that is under way and the kernel holds output that the upstream has not acknowledged, it resets the connection. If all is acknowledged it closes as before, since a lost reset is not sent again.

--- a/src/gateway/upstream_pool.cpp
+++ b/src/gateway/upstream_pool.cpp
@@ -93,9 +93,11 @@
 void upstream_connection::abort()
 {
     handlers_ = {};
-    is_busy_ = false;
     keep_alive_ = false;
-    stream_->close();
+    if (std::exchange(is_busy_, false))
+        stream_->discard();
+    else
+        stream_->close();
 }
 
 void upstream_connection::await_connection(
--- a/src/http_stream/tcp_stream.cpp
+++ b/src/http_stream/tcp_stream.cpp
@@ -5,10 +5,12 @@
 #include <cerrno>
 #include <charconv>
 #include <cstring>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <stdexcept>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -128,6 +130,20 @@
     return ::poll(&ask, 1, 0) > 0 && (ask.revents & ends) != 0;
 }
 
+void tcp_stream::discard()
+{
+    int undelivered = 0;
+    // A plain close delivers them, however late. Without any, it spares the
+    // peer a reset.
+    if (fd_ >= 0 && ::ioctl(fd_, SIOCOUTQ, &undelivered) == 0 &&
+        undelivered > 0)
+    {
+        linger const none{.l_onoff = 1, .l_linger = 0};
+        (void)setsockopt(fd_, SOL_SOCKET, SO_LINGER, &none, sizeof none);
+    }
+    close();
+}
+
 void tcp_stream::close_after_output()
 {
     is_closing_ = true;
--- a/src/http_stream/tcp_stream.hpp
+++ b/src/http_stream/tcp_stream.hpp
@@ -111,6 +111,8 @@
     bool has_peer_ended() const;
 
     void close();
+    // Closes at once and discards output that the kernel has not delivered.
+    void discard();
     // Closes after the peer has had the chance to read all output: sends
     // what is left, then ends the sending side, then closes.
     void close_after_output();
