Judge what is late only after what has arrived, and start timers from now

Cause: libev calls the timers of a turn before its sockets when both have the same priority, and a timer that is started late in a turn counts from the turn's start, so that it is due early by as much as the turn has taken.

Change: timers have a lower priority than sockets, and start() brings the loop's time up to date. Tests: a turn of 0.6 s made an upstream unreachable and failed its request, now the request is served; a timer of 50 ms started after 100 ms of a turn was due at once, now after its time.

--- a/src/event_loop/event_loop.hpp
+++ b/src/event_loop/event_loop.hpp
@@ -18,6 +18,10 @@
 namespace marjorambeam
 {
 
+// Timers of one turn are called after its sockets, so that a turn that was held
+// up sees what has arrived before it judges what is late.
+constexpr int timer_priority = -1;
+
 // Calls a closure after a delay, once or repeatedly. The closure may start or
 // stop the timer; it must not destroy it.
 class loop_timer
@@ -28,6 +32,7 @@
         , callback_(std::move(callback))
     {
         timer_.set<loop_timer, &loop_timer::on_timer>(this);
+        timer_.priority = timer_priority;
     }
     loop_timer(loop_timer const&) = delete;
     loop_timer& operator=(loop_timer const&) = delete;
@@ -37,6 +42,8 @@
     void start(duration delay)
     {
         timer_.stop();
+        // The loop's time is that of the start of the turn.
+        ev_now_update(timer_.loop);
         timer_.start(to_seconds(delay));
     }
     // Calls the closure every `period`, first after one period.
@@ -44,6 +51,7 @@
     void start_every(duration period)
     {
         timer_.stop();
+        ev_now_update(timer_.loop);
         timer_.start(to_seconds(period), to_seconds(period));
     }
     // Prevents further calls. Harmless when not started.
