Read large configurations and lists in slices

One turn of the loop parsed the store's answer, copied the document, copied and dumped it twice more for a signature and a relay that configurations do not have, decoded all routes, indexed them, and freed what was there before: 19 us for each route. Lists of upstreams were read the same way, and looked for each known upstream among all listed ones.

Change: an answer is parsed in slices of 16 KiB, one in each turn, by yajl; routes and objects are decoded, indexed and summarized as soon as they are whole, so that no document is copied. The configuration that is replaced is freed in slices once no request uses it, and listed upstreams are applied fifty at a time. A watch that is renewed while an answer is read goes on reading it. What is in force changes in one step, as before.

--- a/src/gateway/gateway_benchmark.cpp
+++ b/src/gateway/gateway_benchmark.cpp
@@ -20,10 +20,9 @@
     for (int i = 0; i < many_routes; ++i)
     {
         std::string const prefix = "/service-" + std::to_string(i) + "/v1/";
-        c.routes.push_back({.name = "r", .host = "api", .prefix = prefix});
+        add_route(c, {.name = "r", .host = "api", .prefix = prefix});
         paths.push_back(prefix + "items/7");
     }
-    index_routes(c);
     std::size_t i = 0;
     for (auto _ : state)
     {
--- a/src/gateway/gateway_config.cpp
+++ b/src/gateway/gateway_config.cpp
@@ -29,12 +29,23 @@
            std::to_string(std::min(owner->priority, max_separate_priority));
 }
 
-void index_routes(gateway_config& c)
+void add_route(gateway_config& c, gateway_route&& r)
 {
-    c.route_by_host_and_prefix.clear();
-    for (std::size_t i = 0; i < c.routes.size(); ++i)
-        c.route_by_host_and_prefix.emplace(
-            route_key(c.routes[i].host, c.routes[i].prefix), i);
+    c.route_by_host_and_prefix.emplace(
+        route_key(r.host, r.prefix), c.routes.size());
+    c.routes.push_back(std::move(r));
+}
+
+bool remove_routes(gateway_config& c, std::size_t n)
+{
+    for (; n > 0 && !c.routes.empty(); --n)
+    {
+        c.routes.pop_back();
+        auto const it = c.route_by_host_and_prefix.begin();
+        if (it != c.route_by_host_and_prefix.end())
+            c.route_by_host_and_prefix.erase(it);
+    }
+    return c.routes.empty();
 }
 
 gateway_route const* find_route(
--- a/src/gateway/gateway_config.hpp
+++ b/src/gateway/gateway_config.hpp
@@ -12,6 +12,7 @@
 #include "http_stream/http_reader.hpp"
 
 #include <cstdint>
+#include <deque>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -80,21 +81,26 @@
 struct gateway_config
 {
     std::int64_t version = 0;
-    std::vector<gateway_route> routes;
+    std::deque<gateway_route> routes; // grows without moving them
     std::vector<gateway_service> services;
     std::vector<organisation> organisations;
     std::unordered_map<std::string, std::size_t> organisation_by_key;
     client_limits limits;
-    // Filled by index_routes(): position in `routes` by host and prefix.
+    // Filled by add_route(): position in `routes` by host and prefix.
     std::unordered_map<std::string, std::size_t> route_by_host_and_prefix;
 };
 
-// Fills the index of `c`. Of two routes with the same host and prefix, the
-// first takes precedence.
-void index_routes(gateway_config& c);
+// Adds a route to `c` and its index. Of two routes with the same host and
+// prefix, the first takes precedence. Not thread-safe.
+void add_route(gateway_config& c, gateway_route&& r);
+
+// Removes routes of a configuration that is not in use any more, `n` at most.
+// Returns whether it has none left. Not thread-safe.
+bool remove_routes(gateway_config& c, std::size_t n);
 
 // Returns the route of `host` with the longest prefix that begins `path`, or
-// null. A port in `host` is ignored. Precondition: index_routes(c) was called.
+// null. A port in `host` is ignored. Precondition: all routes came by
+// add_route().
 gateway_route const* find_route(
     gateway_config const& c, std::string_view host, std::string_view path);
 
--- a/src/gateway/gateway_config_test.cpp
+++ b/src/gateway/gateway_config_test.cpp
@@ -10,12 +10,11 @@
 gateway_config two_routes()
 {
     gateway_config c;
-    c.routes.push_back({.name = "short", .host = "h", .prefix = "/a/"});
-    c.routes.push_back({.name = "long", .host = "h", .prefix = "/a/b/"});
-    c.routes.push_back({.name = "other", .host = "i", .prefix = "/"});
+    add_route(c, {.name = "short", .host = "h", .prefix = "/a/"});
+    add_route(c, {.name = "long", .host = "h", .prefix = "/a/b/"});
+    add_route(c, {.name = "other", .host = "i", .prefix = "/"});
     c.organisations.push_back({.name = "o"});
     c.organisation_by_key["k"] = 0;
-    index_routes(c);
     return c;
 }
 
--- a/src/gateway/object_query.cpp
+++ b/src/gateway/object_query.cpp
@@ -6,16 +6,16 @@
 {
 
 object_query::object_query(
-    loop_monitor& monitor, http_client& client,
+    ev::loop_ref loop, loop_monitor& monitor, http_client& client,
     platform_store_protocol const& protocol, std::string address,
     std::string kind, duration timeout, query_handlers handlers)
-    : monitor_(monitor)
-    , client_(client)
+    : client_(client)
     , protocol_(protocol)
     , address_(std::move(address))
     , kind_(std::move(kind))
     , timeout_(timeout)
     , handlers_(std::move(handlers))
+    , loader_(loop, monitor, protocol, kind_)
 {
 }
 
@@ -41,13 +41,25 @@
 
 void object_query::on_reply(steady_time sent, result<http_reply> reply)
 {
-    timed_part const part(monitor_, kind_);
-    is_pending_ = false;
-    if (reply && !handlers_.accepts_era(protocol_.era(*reply)))
+    if (!reply)
+    {
+        is_pending_ = false;
+        handlers_.on_failure(reply.error());
+        return;
+    }
+    if (!handlers_.accepts_era(protocol_.era(*reply)))
+    {
+        is_pending_ = false;
         return;
-    result<platform_objects> objects =
-        reply ? protocol_.decode(*reply)
-              : result<platform_objects>(tl::unexpected<error>(reply.error()));
+    }
+    loader_.start(
+        std::move(*reply), [this, sent](result<platform_objects> objects)
+        { on_page(sent, std::move(objects)); });
+}
+
+void object_query::on_page(steady_time sent, result<platform_objects> objects)
+{
+    is_pending_ = false;
     if (!objects)
     {
         handlers_.on_failure(objects.error());
--- a/src/gateway/object_query.hpp
+++ b/src/gateway/object_query.hpp
@@ -12,7 +12,7 @@
 #pragma once
 
 #include "event_loop/loop_monitor.hpp"
-#include "gateway/object_watch.hpp"
+#include "gateway/object_page.hpp"
 #include "http_client/http_client.hpp"
 
 #include <functional>
@@ -38,7 +38,7 @@
     // `client`, `protocol` and `monitor` outlive the query. A call without a
     // response after `timeout` fails.
     object_query(
-        loop_monitor& monitor, http_client& client,
+        ev::loop_ref loop, loop_monitor& monitor, http_client& client,
         platform_store_protocol const& protocol, std::string address,
         std::string kind, duration timeout, query_handlers handlers);
     ~object_query();
@@ -50,15 +50,16 @@
 
 private:
     void on_reply(steady_time sent, result<http_reply> reply);
+    void on_page(steady_time sent, result<platform_objects> objects);
 
-    loop_monitor& monitor_;
     http_client& client_;
     platform_store_protocol const& protocol_;
     std::string address_;
     std::string kind_;
     duration timeout_;
     query_handlers handlers_;
-    bool is_pending_ = false;
+    page_loader loader_;
+    bool is_pending_ = false; // a call, or its response is being read
     http_client::call_id call_ = 0;
 };
 
--- a/src/gateway/object_watch.cpp
+++ b/src/gateway/object_watch.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <iterator>
-#include <set>
 #include <string_view>
 #include <utility>
 
@@ -11,12 +10,6 @@
 namespace
 {
 
-// Other writers may store strings that are not UTF-8; dump() would throw.
-std::string dump_json(nlohmann::json const& j)
-{
-    return j.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
-}
-
 // A document that can't be parsed becomes a discarded value, which describes no
 // valid object of any kind.
 platform_object object_of(relayed_object&& r)
@@ -25,8 +18,8 @@
         .name = std::move(r.name),
         .revision = r.revision,
         .is_deleted = r.is_deleted,
-        .specification = nlohmann::json::parse(r.specification, nullptr, false),
-        .status = nlohmann::json::parse(r.status, nullptr, false)};
+        .specification = parse_json(r.specification),
+        .status = parse_json(r.status)};
 }
 
 std::vector<relayed_object>
@@ -45,14 +38,14 @@
     ev::loop_ref loop, loop_monitor& monitor, http_client& client,
     platform_store_protocol const& protocol, std::string address,
     std::string kind, watch_timing timing, watch_handlers handlers)
-    : monitor_(monitor)
-    , client_(client)
+    : client_(client)
     , protocol_(protocol)
     , address_(std::move(address))
     , kind_(std::move(kind))
     , timing_(timing)
     , handlers_(std::move(handlers))
     , retry_timer_(loop, [this] { send(); })
+    , loader_(loop, monitor, protocol, kind_)
 {
 }
 
@@ -68,6 +61,8 @@
 
 void object_watch::renew()
 {
+    if (loader_.is_active())
+        return; // the next call follows
     client_.cancel(call_);
     retry_timer_.stop();
     send();
@@ -82,7 +77,6 @@
 void object_watch::list_now(read_freshness freshness)
 {
     client_.cancel(call_);
-    retry_timer_.stop();
     start_list(freshness);
 }
 
@@ -98,6 +92,8 @@
     is_listing_ = true;
     after_.clear();
     listed_.clear();
+    loader_.cancel();
+    retry_timer_.stop();
     send();
 }
 
@@ -122,8 +118,7 @@
 
 // Updates the digest with the object. Returns the change to relay, or nothing
 // if the object is unchanged.
-std::optional<relayed_object>
-object_watch::update_copy(platform_object const& o)
+std::optional<relayed_object> object_watch::update_copy(platform_object& o)
 {
     auto const it = signatures_.find(o.name);
     relayed_object r{
@@ -131,11 +126,11 @@
     object_summary e;
     if (!o.is_deleted)
     {
-        e = protocol_.essence(o);
+        e = o.summary ? std::move(*o.summary) : protocol_.summarize(o);
         if (it != signatures_.end() && it->second == e.signature)
             return std::nullopt;
-        r.specification = dump_json(e.specification);
-        r.status = dump_json(o.status);
+        r.specification = std::move(e.specification);
+        r.status = std::move(e.status);
     }
     if (it != signatures_.end())
     {
@@ -153,16 +148,19 @@
 std::vector<std::string>
 object_watch::names_not_in(std::vector<platform_object> const& all) const
 {
-    std::set<std::string_view> listed;
+    if (signatures_.empty())
+        return {};
+    std::vector<std::string_view> listed;
     for (platform_object const& it : all)
     {
         if (!it.is_deleted)
-            listed.insert(it.name);
+            listed.push_back(it.name);
     }
+    std::sort(listed.begin(), listed.end());
     std::vector<std::string> names;
     for (auto const& [name, revision] : signatures_)
     {
-        if (!listed.contains(name))
+        if (!std::binary_search(listed.begin(), listed.end(), name))
             names.push_back(name);
     }
     return names;
@@ -227,7 +225,6 @@
 void object_watch::on_reply(
     steady_time sent, duration wait, result<http_reply> reply)
 {
-    timed_part const part(monitor_, kind_);
     if (!reply)
     {
         retry(reply.error());
@@ -242,7 +239,14 @@
         return;
     }
     era_ = std::max(era_, era);
-    result<platform_objects> objects = protocol_.decode(*reply);
+    loader_.start(
+        std::move(*reply), [this, sent, wait](result<platform_objects> objects)
+        { on_page(sent, wait, std::move(objects)); });
+}
+
+void object_watch::on_page(
+    steady_time sent, duration wait, result<platform_objects> objects)
+{
     if (!objects && objects.error().kind == error_kind::frame_stale)
     {
         // A parked copy may be older than the retained history.
@@ -268,7 +272,7 @@
     bool const has_more = !after_.empty();
     handlers_.on_contact(
         may_be_stale ? std::nullopt : std::optional(sent + confirmed));
-    if (has_more)
+    if (has_more || polls_now_)
         send();
     else if (!is_parked_)
         send_after(
@@ -308,9 +312,12 @@
     }
     if (after_.empty())
         first_page_revision_ = objects.revision;
-    std::move(
-        objects.objects.begin(), objects.objects.end(),
-        std::back_inserter(listed_));
+    if (listed_.empty())
+        listed_ = std::move(objects.objects);
+    else
+        std::move(
+            objects.objects.begin(), objects.objects.end(),
+            std::back_inserter(listed_));
     if (objects.has_more && !listed_.empty())
     {
         after_ = listed_.back().name;
@@ -334,24 +341,25 @@
 // Replaces the copy by the listed objects and reports the difference.
 void object_watch::replace_copy(copy_state before)
 {
-    std::map<std::string, relayed_object> changed;
+    std::vector<relayed_object> changed;
+    changed.reserve(listed_.size());
     for (std::string const& name : names_not_in(listed_))
     {
-        if (auto relayed = update_copy({.name = name, .is_deleted = true}))
-            changed[name] = std::move(*relayed);
+        platform_object gone{.name = name, .is_deleted = true};
+        if (auto relayed = update_copy(gone))
+            changed.push_back(std::move(*relayed));
     }
-    for (platform_object const& it : listed_)
+    for (platform_object& it : listed_)
     {
         if (it.is_deleted)
             continue;
         if (auto relayed = update_copy(it))
-            changed[it.name] = std::move(*relayed);
+            changed.push_back(std::move(*relayed));
     }
     handlers_.on_all(std::exchange(listed_, {}));
     // Objects that changed and changed back are not among them, so that the
     // difference applies to equal copies only.
-    report_copy_change(
-        before, position_.revision, values_of(std::move(changed)));
+    report_copy_change(before, position_.revision, std::move(changed));
 }
 
 void object_watch::retry(error const& why)
--- a/src/gateway/object_watch.hpp
+++ b/src/gateway/object_watch.hpp
@@ -10,13 +10,13 @@
 
 #include "event_loop/event_loop.hpp"
 #include "event_loop/loop_monitor.hpp"
+#include "gateway/object_page.hpp"
 #include "gateway/state_relay.hpp"
 #include "http_client/http_client.hpp"
 
 #include <cstdint>
 #include <functional>
 #include <map>
-#include <nlohmann/json.hpp>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -25,73 +25,6 @@
 namespace marjorambeam
 {
 
-// An object as the store holds it.
-struct platform_object
-{
-    std::string name;
-    std::uint64_t revision = 0;
-    bool is_deleted = false;
-    nlohmann::json specification;
-    nlohmann::json status;
-};
-
-// One response of the store: a page of a list, or the changes of a watch.
-struct platform_objects
-{
-    std::vector<platform_object> objects;
-    std::uint64_t revision = 0; // the next watch continues after it
-    bool has_more = false;
-};
-
-// The part of an object that is relayed to other gateways.
-struct object_summary
-{
-    nlohmann::json specification;
-    // Changes whenever a relevant part of the object changes.
-    std::uint64_t signature = 0;
-};
-
-// Required freshness of a read. A stale read may be seconds old; it is cheap
-// and does not count toward the store's rate limits.
-enum class read_freshness : std::uint8_t
-{
-    newest,
-    may_be_stale
-};
-
-// Encodes and decodes the calls of a deployment's store.
-struct platform_store_protocol
-{
-    http_call (*list)(
-        std::string_view address, std::string_view kind, std::string_view after,
-        read_freshness freshness);
-    http_call (*watch)(
-        std::string_view address, std::string_view kind, std::uint64_t revision,
-        duration wait);
-    http_call (*create)(
-        std::string_view address, std::string_view kind, std::string_view name,
-        nlohmann::json const& specification);
-    // Replaces the status of an object that has `revision`.
-    http_call (*put_status)(
-        std::string_view address, std::string_view kind, std::string_view name,
-        std::uint64_t revision, nlohmann::json const& status);
-    // Replaces the specification of an object that has `revision`, or removes
-    // such an object.
-    http_call (*replace)(
-        std::string_view address, std::string_view kind, std::string_view name,
-        std::uint64_t revision, nlohmann::json const& specification);
-    http_call (*remove)(
-        std::string_view address, std::string_view kind, std::string_view name,
-        std::uint64_t revision);
-    // Errors: frame_stale when the history of the watch was dropped; conflict;
-    // store_rate_limited; store_unavailable.
-    result<platform_objects> (*decode)(http_reply const& reply);
-    object_summary (*essence)(platform_object const& o);
-    // Returns the era of the store that the reply names; 0 if it names none.
-    // The store that comes back from an older copy begins another one.
-    std::uint64_t (*era)(http_reply const& reply);
-};
-
 struct watch_timing
 {
     duration wait = std::chrono::seconds(20); // of one watch call
@@ -210,7 +143,8 @@
         return sent_at_ + timing_.wait;
     }
     // Repeats the pending call on another connection, because the current one
-    // may be dead. Precondition: started.
+    // may be dead. Does nothing while a response is being read. Precondition:
+    // started.
     void renew();
     // Calls renew() if the pending call was sent before `t`. Precondition:
     // started.
@@ -223,6 +157,8 @@
 private:
     void send();
     void on_reply(steady_time sent, duration wait, result<http_reply> reply);
+    void
+    on_page(steady_time sent, duration wait, result<platform_objects> objects);
     void on_objects(platform_objects&& objects);
     // A copy as of a position of the store.
     struct copy_state
@@ -235,14 +171,13 @@
     void replace_copy(copy_state before);
     void retry(error const& why);
     void send_after(duration pause);
-    std::optional<relayed_object> update_copy(platform_object const& o);
+    std::optional<relayed_object> update_copy(platform_object& o);
     std::vector<std::string>
     names_not_in(std::vector<platform_object> const& all) const;
     void report_copy_change(
         copy_state before, std::uint64_t from,
         std::vector<relayed_object>&& changed) const;
 
-    loop_monitor& monitor_;
     http_client& client_;
     platform_store_protocol const& protocol_;
     std::string address_;
@@ -250,6 +185,7 @@
     watch_timing timing_;
     watch_handlers handlers_;
     loop_timer retry_timer_;
+    page_loader loader_;                  // of the response that is being read
     std::vector<platform_object> listed_; // pages read so far
     std::string after_;
     std::map<std::string, std::uint64_t, std::less<>> signatures_; // by name
--- a/src/gateway/quarantine_controller.cpp
+++ b/src/gateway/quarantine_controller.cpp
@@ -219,9 +219,7 @@
 result<platform_objects>
 quarantine_controller::decode(result<http_reply> const& reply) const
 {
-    if (!reply)
-        return tl::unexpected<error>(reply.error());
-    return protocol_.decode(*reply);
+    return read_page(protocol_, reply);
 }
 
 // The watch tells what the store holds; a conflict means that another gateway
--- a/src/gateway/store_controller.cpp
+++ b/src/gateway/store_controller.cpp
@@ -5,6 +5,8 @@
 #include "gateway/store_era.hpp"
 
 #include <algorithm>
+#include <iterator>
+#include <set>
 
 namespace marjorambeam
 {
@@ -64,6 +66,10 @@
     return t;
 }
 
+// Work of one turn of the loop.
+constexpr std::size_t routes_freed_per_turn = 500;
+constexpr std::size_t upstreams_applied_per_turn = 50;
+
 constexpr duration write_retry_delay = milliseconds(500);
 constexpr duration write_timeout = seconds(2);
 
@@ -80,6 +86,7 @@
     platform_store_protocol const& protocol, store_documents const& documents,
     loop_monitor& monitor)
     : state_(state)
+    , monitor_(monitor)
     , client_(client)
     , peers_(peers)
     , quarantine_(quarantine)
@@ -92,7 +99,7 @@
               &store_controller::apply_configs, &store_controller::apply_config,
               std::nullopt))
     , config_query_(
-          monitor, client, protocol, state.settings.store_address,
+          loop, monitor, client, protocol, state.settings.store_address,
           std::string(documents.config_kind), query_timeout,
           {.accepts_era = [this](std::uint64_t era)
            { return accepts_era(era); },
@@ -102,7 +109,7 @@
            // Only the watch decides whether the store is lost.
            .on_failure = [this](error const& why) { on_failure(why, false); }})
     , era_query_(
-          monitor, client, protocol, state.settings.store_address,
+          loop, monitor, client, protocol, state.settings.store_address,
           std::string(documents.era_kind), query_timeout,
           {.accepts_era = [this](std::uint64_t era)
            { return accepts_era(era); },
@@ -122,7 +129,7 @@
           long_watch_timing(upstream_debounce),
           make_handlers(
               &store_controller::replace_upstreams,
-              &store_controller::apply_upstream, state_kind::upstreams))
+              &store_controller::queue_upstream, state_kind::upstreams))
     , rollouts_(
           loop, monitor, client, protocol, state.settings.store_address,
           std::string(documents.rollout_kind),
@@ -150,6 +157,8 @@
           make_handlers(
               &store_controller::replace_quarantines,
               &store_controller::apply_quarantine, state_kind::quarantines))
+    , free_timer_(loop, [this] { free_retired_routes(); })
+    , apply_timer_(loop, [this] { apply_queued_upstreams(); })
     , register_timer_(loop, [this] { register_self(); })
     , relay_timer_(loop, [this] { send_relays(); })
 {
@@ -271,7 +280,7 @@
 {
     if (o.is_deleted || o.name != documents_.config_name)
         return;
-    result<gateway_config> c = documents_.decode_config(o);
+    result<gateway_config> c = documents_.decode_config(std::move(o));
     if (!c)
     {
         log_.write(log_event::config_bad, {{"why", c.error().message}});
@@ -280,36 +289,100 @@
     }
     record_listed_config(state_, c->version);
     if (state_.config && c->version <= state_.config->version)
+    {
+        retired_->push_back(std::make_unique<gateway_config>(std::move(*c)));
+        free_timer_.start(duration{0});
         return;
-    index_routes(*c);
+    }
     log_.write(
         log_event::config_in_force,
         {{"config", std::to_string(c->version)},
          {"routes", std::to_string(c->routes.size())},
          {"organisations", std::to_string(c->organisations.size())}});
-    state_.config = std::make_shared<gateway_config const>(std::move(*c));
+    put_config(std::move(*c));
     state_.config_behind_since.reset();
     has_fetched_stale_ = false;
     state_.is_report_due = state_.is_reader;
 }
 
+// Puts the configuration in force. Requests keep the one before as long as they
+// need it; it is freed in slices after that.
+void store_controller::put_config(gateway_config&& c)
+{
+    auto const retire = [retired = retired_](gateway_config* unused)
+    { retired->emplace_back(unused); };
+    state_.config = std::shared_ptr<gateway_config>(
+        new gateway_config(std::move(c)), retire);
+    free_timer_.start(duration{0});
+}
+
+void store_controller::free_retired_routes()
+{
+    timed_part const part(monitor_, "retired configuration");
+    if (!retired_->empty() &&
+        remove_routes(*retired_->back(), routes_freed_per_turn))
+        retired_->pop_back();
+    if (!retired_->empty())
+        free_timer_.start(duration{0});
+}
+
 void store_controller::replace_upstreams(std::vector<platform_object>&& all)
 {
     steady_time const now = boot_now();
+    std::vector<std::string_view> listed;
     std::vector<std::string> unlisted_ids;
+    if (!state_.upstreams.by_id.empty())
+    {
+        for (platform_object const& it : all)
+            listed.push_back(it.name);
+        std::sort(listed.begin(), listed.end());
+    }
     for (auto const& it : state_.upstreams.by_id)
     {
-        bool const is_listed = std::any_of(
-            all.begin(), all.end(),
-            [&](platform_object const& o) { return o.name == it.first; });
-        if (!is_listed)
+        if (!std::binary_search(listed.begin(), listed.end(), it.first))
             unlisted_ids.push_back(it.first);
     }
     for (std::string const& id : unlisted_ids)
         remove_upstream(id, now);
-    for (platform_object& it : all)
-        apply_upstream(std::move(it));
+    // The list is newer than what waits.
+    queued_upstreams_.clear();
+    std::move(all.begin(), all.end(), std::back_inserter(queued_upstreams_));
+    is_list_queued_ = true;
+    if (queued_upstreams_.size() <= upstreams_applied_per_turn)
+        apply_queued_upstreams();
+    else
+        apply_timer_.start(duration{0});
+}
+
+void store_controller::queue_upstream(platform_object&& o)
+{
+    queued_upstreams_.push_back(std::move(o));
+    if (!apply_timer_.is_active())
+        apply_queued_upstreams();
+}
+
+void store_controller::apply_queued_upstreams()
+{
+    timed_part const part(monitor_, documents_.upstream_kind);
+    for (std::size_t i = 0;
+         i < upstreams_applied_per_turn && !queued_upstreams_.empty(); ++i)
+    {
+        apply_upstream(std::move(queued_upstreams_.front()));
+        queued_upstreams_.pop_front();
+    }
+    if (!queued_upstreams_.empty())
+    {
+        apply_timer_.start(duration{0});
+        return;
+    }
+    if (!std::exchange(is_list_queued_, false) || state_.has_upstreams)
+        return;
     state_.has_upstreams = true;
+    std::set<std::string> services;
+    for (auto const& [id, u] : state_.upstreams.by_id)
+        services.insert(u->info.service);
+    for (std::string const& it : services)
+        set_default_version(it);
 }
 
 void store_controller::remove_upstream(std::string_view id, steady_time now)
@@ -385,15 +458,15 @@
     u->info = std::move(*info);
     if (is_new)
         put_upstream(state_.upstreams, u);
-    set_default_version(u->info.service);
+    bool const has_default = state_.default_versions.contains(u->info.service);
+    if (state_.has_upstreams && !has_default)
+        set_default_version(u->info.service);
 }
 
 // Without a rollout, the version of most upstreams is the default; upstreams of
 // a new version may register before its rollout is seen.
 void store_controller::set_default_version(std::string const& service)
 {
-    if (state_.default_versions.contains(service) && state_.has_upstreams)
-        return;
     std::map<std::string, int> n;
     for (auto const& [id, u] : state_.upstreams.by_id)
     {
@@ -566,9 +639,7 @@
         [this](result<http_reply> reply)
         {
             result<platform_objects> const o =
-                reply ? protocol_.decode(*reply)
-                      : result<platform_objects>(
-                            tl::unexpected<error>(reply.error()));
+                read_page(protocol_, std::move(reply));
             // A conflict means that an earlier process of this instance has
             // registered; an instance keeps its address.
             if (!o && o.error().kind != error_kind::conflict)
@@ -646,9 +717,7 @@
         {
             is_writing_ = false;
             result<platform_objects> const o =
-                reply ? protocol_.decode(*reply)
-                      : result<platform_objects>(
-                            tl::unexpected<error>(reply.error()));
+                read_page(protocol_, std::move(reply));
             // The watch reports the stored state; after a lost response or a
             // conflict the decision is made again from it.
             if (!o)
--- a/src/gateway/store_controller.hpp
+++ b/src/gateway/store_controller.hpp
@@ -74,7 +74,11 @@
     void write_era_record(steady_time now);
     void apply_configs(std::vector<platform_object>&& all);
     void apply_config(platform_object&& o);
+    void put_config(gateway_config&& c);
+    void free_retired_routes();
     void replace_upstreams(std::vector<platform_object>&& all);
+    void queue_upstream(platform_object&& o);
+    void apply_queued_upstreams();
     void apply_upstream(platform_object&& o);
     void remove_upstream(std::string_view id, steady_time now);
     void replace_rollouts(std::vector<platform_object>&& all);
@@ -103,6 +107,7 @@
     bool is_rollout_writer(steady_time now) const;
 
     gateway_state& state_;
+    loop_monitor& monitor_;
     http_client& client_;
     datagram_socket& peers_;
     quarantine_controller& quarantine_;
@@ -119,6 +124,15 @@
     object_watch zones_;
     object_watch gateways_;
     object_watch quarantines_;
+    // Configurations that are not in use any more, freed in slices.
+    using retired_configs = std::vector<std::unique_ptr<gateway_config>>;
+    std::shared_ptr<retired_configs> retired_ =
+        std::make_shared<retired_configs>();
+    loop_timer free_timer_;
+    // Upstreams of a list, applied in slices, and what changed after it.
+    std::deque<platform_object> queued_upstreams_;
+    bool is_list_queued_ = false;
+    loop_timer apply_timer_;
     loop_timer register_timer_;
     loop_timer relay_timer_;
     bool is_registered_ = false;
--- a/src/gateway/store_controller_era.cpp
+++ b/src/gateway/store_controller_era.cpp
@@ -117,10 +117,9 @@
         std::move(call),
         [this, era](result<http_reply> reply)
         {
+            std::uint64_t const named = reply ? protocol_.era(*reply) : 0;
             result<platform_objects> const o =
-                reply ? protocol_.decode(*reply)
-                      : result<platform_objects>(
-                            tl::unexpected<error>(reply.error()));
+                read_page(protocol_, std::move(reply));
             if (!o && o.error().kind != error_kind::conflict)
             {
                 state_.counters.count(
@@ -128,7 +127,7 @@
                 return;
             }
             bool const is_current =
-                accepts_era(protocol_.era(*reply)) && era == state_.era.number;
+                accepts_era(named) && era == state_.era.number;
             if (is_current)
                 state_.era.is_recorded = true;
         });
--- a/src/gateway/store_documents.hpp
+++ b/src/gateway/store_documents.hpp
@@ -5,7 +5,7 @@
 
 #include "error/error.hpp"
 #include "gateway/gateway_config.hpp"
-#include "gateway/object_watch.hpp"
+#include "gateway/object_page.hpp"
 #include "gateway/part_quarantine.hpp"
 #include "gateway/upstream_table.hpp"
 #include "gateway/version_rollout.hpp"
@@ -36,7 +36,7 @@
     std::string_view quarantine_kind;
     std::string_view era_kind; // one object per recorded era, by its number
     // The decoders fail with bad_document.
-    result<gateway_config> (*decode_config)(platform_object const& o);
+    result<gateway_config> (*decode_config)(platform_object&& o);
     result<upstream_info> (*decode_upstream)(platform_object const& o);
     result<version_rollout> (*decode_rollout)(platform_object const& o);
     nlohmann::json (*encode_rollout_status)(
