Keep odd entries of upstreams away from requests and from the rest of the list

Cause: a connection that can't even be begun counted as no upstream for the one that was selected, which was neither avoided nor followed by another. Lack of descriptors looked the same.

Change: an entry whose address can't be connected to, or without slots, is bad: it is logged as upstream_entry_bad, counted, and not used. A connection that can't be begun makes the upstream unreachable and another one is selected, unless it is this process that lacks a descriptor. Both are counted in connections_not_begun_total.

--- a/src/gateway/proxied_request.cpp
+++ b/src/gateway/proxied_request.cpp
@@ -19,6 +19,10 @@
 // their detection.
 constexpr duration check_period = milliseconds(200);
 
+// Upstreams that are selected for one send, if connections to those before
+// can't be begun.
+constexpr std::size_t max_selections = 4;
+
 // Upstreams that start, or whose entries expired, are listed within a second
 // or two.
 constexpr duration retry_when_listed = std::chrono::seconds(1);
@@ -287,21 +291,37 @@
         return send_outcome::finished;
     if (remaining(now) < min_attempt_time)
         return send_outcome::none;
-    upstream_selection const c = select_next_upstream(now);
-    if (!c.chosen)
+    for (std::size_t i = 0; i < max_selections; ++i)
     {
-        attempts_.last_failure = to_error_kind(c.failure);
-        last_selection_ = c;
-        return send_outcome::none;
+        upstream_selection const c = select_next_upstream(now);
+        if (!c.chosen)
+        {
+            attempts_.last_failure = to_error_kind(c.failure);
+            last_selection_ = c;
+            return send_outcome::none;
+        }
+        // One that can't be reached is avoided by the next selection.
+        if (dispatch(c, now))
+            return send_outcome::sent;
     }
-    return dispatch(c, now) ? send_outcome::sent : send_outcome::none;
+    return send_outcome::none;
 }
 
 bool proxied_request::dispatch(upstream_selection const& c, steady_time now)
 {
-    connection_ = context_.pool.take(c.chosen, is_repeatable(route_), now);
-    if (!connection_)
+    result<std::shared_ptr<upstream_connection>> taken =
+        context_.pool.take(c.chosen, is_repeatable(route_), now);
+    if (!taken)
+    {
+        context_.state.counters.count(
+            "connections_not_begun_total", to_string(taken.error().kind),
+            scope());
+        // Lack of a descriptor says nothing about the upstream.
+        if (taken.error().kind != error_kind::queue_full)
+            record_unreachable_upstream(*c.chosen, now);
         return false;
+    }
+    connection_ = std::move(*taken);
     upstream_ = c.chosen;
     inputs_ = {
         .load = estimated_requests(*upstream_, now),
--- a/src/gateway/proxied_request.hpp
+++ b/src/gateway/proxied_request.hpp
@@ -192,7 +192,7 @@
     finish(log_event event, std::string_view kind, int status, steady_time now);
     void log_end(
         log_event event, std::string_view kind, int status, steady_time now);
-    void record_unreachable_upstream(steady_time now);
+    void record_unreachable_upstream(upstream_state& u, steady_time now);
     void record_pass_through_time();
     metric_scope scope() const;
     duration remaining(steady_time now) const;
--- a/src/gateway/proxied_request_failure.cpp
+++ b/src/gateway/proxied_request_failure.cpp
@@ -42,7 +42,7 @@
     steady_time const now = boot_now();
     if (why.is_unsent)
     {
-        record_unreachable_upstream(now);
+        record_unreachable_upstream(*upstream_, now);
         auto const self = shared_from_this();
         context_.quarantine.record_crash_of(upstream_->info.id, now);
         if (is_done_)
@@ -51,19 +51,19 @@
     fail_attempt(why.kind, !why.is_unsent, why.why, now);
 }
 
-void proxied_request::record_unreachable_upstream(steady_time now)
+void proxied_request::record_unreachable_upstream(
+    upstream_state& u, steady_time now)
 {
     gateway_service const* const s = service();
-    record_unreachable(
-        *upstream_, s != nullptr ? s->cold_start : duration{0}, now);
-    if (upstream_->consecutive_failures > 1)
+    record_unreachable(u, s != nullptr ? s->cold_start : duration{0}, now);
+    if (u.consecutive_failures > 1)
         return;
     context_.log.write(
         log_event::upstream_unreachable,
-        {{"upstream", upstream_->info.id},
+        {{"upstream", u.info.id},
          {"service", service_},
-         {"started_ms", std::to_string(upstream_->info.started_unix_ms)},
-         {"avoid_ms", in_ms(upstream_->ejected_until - now)}});
+         {"started_ms", std::to_string(u.info.started_unix_ms)},
+         {"avoid_ms", in_ms(u.ejected_until - now)}});
 }
 
 bool proxied_request::may_retry(bool may_have_run, steady_time now)
@@ -267,7 +267,7 @@
     }
     if (!connection_->is_connected() && now - sent_ > connect_timeout)
     {
-        record_unreachable_upstream(now);
+        record_unreachable_upstream(*upstream_, now);
         fail_attempt(error_kind::connection_lost, false, "no connection", now);
         return;
     }
--- a/src/gateway/store_controller.cpp
+++ b/src/gateway/store_controller.cpp
@@ -414,6 +414,9 @@
     if (!info)
     {
         state_.counters.count("bad_documents_total", "upstream");
+        log_.write(
+            log_event::upstream_entry_bad,
+            {{"upstream", o.name}, {"why", info.error().message}});
         remove_upstream(o.name, now);
         return;
     }
--- a/src/gateway/upstream_pool.cpp
+++ b/src/gateway/upstream_pool.cpp
@@ -1,7 +1,6 @@
 #include "gateway/upstream_pool.hpp"
 
 #include <algorithm>
-#include <cerrno>
 #include <utility>
 
 namespace marjorambeam
@@ -245,7 +244,7 @@
 {
 }
 
-std::shared_ptr<upstream_connection> upstream_pool::take(
+result<std::shared_ptr<upstream_connection>> upstream_pool::take(
     std::shared_ptr<upstream_state> const& upstream, bool is_repeatable,
     steady_time now)
 {
@@ -264,11 +263,11 @@
         c->abort();
     }
     counters_.count("upstream_connections_total");
-    std::shared_ptr<tcp_stream> stream = tcp_stream::connect(
+    result<std::shared_ptr<tcp_stream>> stream = tcp_stream::connect(
         loop_, upstream->info.address, upstream_stream_limits);
     if (!stream)
-        return nullptr;
-    return std::make_shared<upstream_connection>(std::move(stream), upstream);
+        return tl::unexpected<error>(stream.error());
+    return std::make_shared<upstream_connection>(std::move(*stream), upstream);
 }
 
 void upstream_pool::put_back(
@@ -291,17 +290,17 @@
     if (probes_.contains(id))
         return;
     counters_.count("upstream_connections_total");
-    std::shared_ptr<tcp_stream> stream = tcp_stream::connect(
+    result<std::shared_ptr<tcp_stream>> stream = tcp_stream::connect(
         loop_, upstream->info.address, upstream_stream_limits);
     if (!stream)
     {
         // Lack of a descriptor says nothing about the upstream.
-        if (errno == ECONNREFUSED)
+        if (stream.error().kind != error_kind::queue_full)
             done(false);
         return;
     }
     auto const c =
-        std::make_shared<upstream_connection>(std::move(stream), upstream);
+        std::make_shared<upstream_connection>(std::move(*stream), upstream);
     probes_[id] = c;
     c->await_connection(
         [this, id, done = std::move(done)](bool is_connected)
--- a/src/gateway/upstream_pool.hpp
+++ b/src/gateway/upstream_pool.hpp
@@ -127,11 +127,11 @@
     // members.
     upstream_pool(ev::loop_ref loop, metrics& counters);
 
-    // Returns an idle connection or opens a new one; null when no socket can be
-    // created. A request that is not repeatable gets an idle connection only
-    // if it was in use recently, because the upstream may close an idle one at
-    // any time.
-    std::shared_ptr<upstream_connection> take(
+    // Returns an idle connection or opens a new one. Errors: those of
+    // tcp_stream::connect(). A request that is not repeatable gets an idle
+    // connection only if it was in use recently, because the upstream may close
+    // an idle one at any time.
+    result<std::shared_ptr<upstream_connection>> take(
         std::shared_ptr<upstream_state> const& upstream, bool is_repeatable,
         steady_time now);
 
--- a/src/http_stream/tcp_stream.cpp
+++ b/src/http_stream/tcp_stream.cpp
@@ -76,22 +76,33 @@
 
 } // namespace
 
-std::shared_ptr<tcp_stream> tcp_stream::connect(
+bool is_ipv4_endpoint(std::string_view text)
+{
+    result<sockaddr_in> const at = parse_address(text);
+    return at && at->sin_port != 0;
+}
+
+result<std::shared_ptr<tcp_stream>> tcp_stream::connect(
     ev::loop_ref loop, std::string_view address, stream_limits limits)
 {
     result<sockaddr_in> const to = parse_address(address);
     if (!to)
-        return nullptr;
+        return tl::unexpected<error>(to.error());
     int const fd =
         ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
     if (fd < 0)
-        return nullptr;
+        return fail(error_kind::queue_full, std::strerror(errno));
     int const code =
         ::connect(fd, reinterpret_cast<sockaddr const*>(&*to), sizeof *to);
     if (code != 0 && errno != EINPROGRESS)
     {
+        int const code = errno;
         ::close(fd);
-        return nullptr;
+        // All local ports in use is no fault of the address.
+        return fail(
+            code == EADDRNOTAVAIL ? error_kind::queue_full
+                                  : error_kind::connection_lost,
+            std::strerror(code));
     }
     return std::make_shared<tcp_stream>(loop, fd, true, limits);
 }
--- a/src/http_stream/tcp_stream.hpp
+++ b/src/http_stream/tcp_stream.hpp
@@ -43,13 +43,18 @@
     int probes = 2;
 };
 
+// Whether `text` is an IPv4 address and a port that can be connected to.
+// Thread-safe.
+bool is_ipv4_endpoint(std::string_view text);
+
 // A connection. Kept alive by its holders; close() or destruction ends it.
 class tcp_stream : public std::enable_shared_from_this<tcp_stream>
 {
 public:
-    // Starts to connect. Returns nothing when no socket can be had.
-    // Precondition: `address` is an IPv4 address and port.
-    static std::shared_ptr<tcp_stream>
+    // Starts to connect. Errors: bad_setting if `address` is no IPv4 address
+    // and port; queue_full if this process can have no further socket;
+    // connection_lost if the address can't be reached.
+    static result<std::shared_ptr<tcp_stream>>
     connect(ev::loop_ref loop, std::string_view address, stream_limits limits);
 
     // Takes over a socket that does not block.
