Take no work in a planned stop that would be cut at its end

In a stop in calm a gateway took requests for a fixed 3 s, whatever its grace, and passed them on. At the end it gave up what was active and ended in the same turn. With a grace of 2 or 3 s, upstreams that need 0.45 s and a caller every 0.1 s, requests that had been passed on were given up, POST among them (with 0.6 s of work: 28 answers were neither the upstream's nor a refusal, and the process ended with code 1 in four of four runs); and of an answer of 7 MiB that was being sent 4 MiB arrived. A connection whose answer is not sent yet also counted as idle, and was closed with what was left of it.

Change (planned_stop): requests are taken for 3 s, but at most for the first half of the time until what is left is ended. A request is taken only if it can end before that: work that may not be repeated by its deadline, the rest by twice its target. All others are refused at once as not run, with a time to come back. What is left is given up 0.6 s before the end of the grace, or a quarter of a short one, and the process goes on to send until 0.15 s before it.

--- a/src/gateway/client_connection.hpp
+++ b/src/gateway/client_connection.hpp
@@ -73,11 +73,11 @@
     {
         is_last_ = true;
     }
-    // Whether no request is pending or partly received.
+    // Whether no request is pending or partly received, and all output is sent.
     bool is_idle() const
     {
         return !is_busy_ && !reader_->is_head_done() &&
-               stream_->input().empty() && !has_bytes_;
+               stream_->input().empty() && !has_bytes_ && unsent() == 0;
     }
     bool is_open() const
     {
--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -18,9 +18,6 @@
 constexpr duration max_tick_delay = milliseconds(300);
 // A turn of the loop that is longer holds up callers noticeably.
 constexpr duration max_turn = milliseconds(100);
-// Requests still active this long before the process is killed are aborted, so
-// that their callers receive an error.
-constexpr duration abort_margin = milliseconds(600);
 
 http_server_settings admin_settings(std::string const& address)
 {
@@ -247,11 +244,12 @@
 
 void gateway_daemon::continue_shutdown(steady_time now)
 {
-    bool const is_late =
-        now - *state_.drain_started > state_.settings.drain_time - abort_margin;
+    stop_plan const plan =
+        make_stop_plan(*state_.drain_started, state_.settings.drain_time);
+    bool const is_late = now > plan.abort_at;
     if (!is_late && !requests_.is_drained(now))
         return;
-    if (is_late)
+    if (is_late && requests_.active() > 0)
     {
         log_.write(
             log_event::shutdown_late,
@@ -259,6 +257,8 @@
         requests_.abort_all(now);
         exit_code_ = 1;
     }
+    if (requests_.has_unsent() && now < plan.exit_at)
+        return;
     log_.write(log_event::stopped);
     loop_.break_loop(ev::ALL);
 }
--- a/src/gateway/request_controller.cpp
+++ b/src/gateway/request_controller.cpp
@@ -17,9 +17,6 @@
 constexpr duration waiting_period = milliseconds(20);
 constexpr stream_limits caller_stream_limits{
     .unacknowledged = milliseconds(3000), .probe_after_s = 1, .probes = 3};
-// The load balancer probes once per second and needs two failures; new requests
-// are served until it has stopped sending them, then refused.
-constexpr duration serve_while_draining = milliseconds(3000);
 constexpr duration retry_elsewhere = milliseconds(100);
 constexpr duration retry_when_ready = milliseconds(400);
 // A gateway that has just started is ready within 250 ms if the store responds;
@@ -173,8 +170,8 @@
         refuse(client, id, error_kind::not_ready, retry_when_ready, now);
         return;
     }
-    if (state_.drain_started &&
-        now - *state_.drain_started > serve_while_draining)
+    std::optional<stop_plan> const stop = plan();
+    if (stop && now > stop->serve_until)
     {
         refuse(client, id, error_kind::shutting_down, retry_elsewhere, now);
         return;
@@ -197,6 +194,18 @@
         refuse(client, id, error_kind::not_found, duration{0}, now);
         return;
     }
+    duration const time_left =
+        std::min(route->timeout, request.remaining.value_or(route->timeout));
+    if (stop && !can_end_in_time(
+                    *stop,
+                    {.remaining = time_left,
+                     .target = route->target,
+                     .may_repeat = route->kind != route_kind::non_idempotent},
+                    now))
+    {
+        refuse(client, id, error_kind::shutting_down, retry_elsewhere, now);
+        return;
+    }
     if (requires_key)
         owner = find_organisation(*config, request.key);
     if (requires_key && owner == nullptr)
@@ -217,8 +226,8 @@
     client_limits const l = limits();
     std::erase_if(
         active_requests_, [](auto const& it) { return it->is_done(); });
-    bool const closes_idle = state_.drain_started &&
-                             now - *state_.drain_started > serve_while_draining;
+    std::optional<stop_plan> const stop = plan();
+    bool const closes_idle = stop && now > stop->serve_until;
     std::vector<std::shared_ptr<client_connection>> const all(
         clients_.begin(), clients_.end());
     for (auto const& it : all)
@@ -261,11 +270,23 @@
     bool const is_busy = std::any_of(
         active_requests_.begin(), active_requests_.end(),
         [](auto const& it) { return !it->is_done(); });
-    bool const has_unsent = std::any_of(
+    std::optional<stop_plan> const stop = plan();
+    return !is_busy && !has_unsent() && stop &&
+           now > stop->serve_until + sweep_period;
+}
+
+bool request_controller::has_unsent() const
+{
+    return std::any_of(
         clients_.begin(), clients_.end(),
         [](auto const& it) { return it->is_open() && it->unsent() > 0; });
-    return !is_busy && !has_unsent && state_.drain_started &&
-           now - *state_.drain_started > serve_while_draining + sweep_period;
+}
+
+std::optional<stop_plan> request_controller::plan() const
+{
+    if (!state_.drain_started)
+        return std::nullopt;
+    return make_stop_plan(*state_.drain_started, state_.settings.drain_time);
 }
 
 void request_controller::abort_quarantined(steady_time now)
--- a/src/gateway/request_controller.hpp
+++ b/src/gateway/request_controller.hpp
@@ -12,11 +12,13 @@
 #include "event_loop/loop_monitor.hpp"
 #include "gateway/client_connection.hpp"
 #include "gateway/gateway_state.hpp"
+#include "gateway/planned_stop.hpp"
 #include "gateway/proxied_request.hpp"
 #include "log/log.hpp"
 
 #include <list>
 #include <memory>
+#include <optional>
 #include <string_view>
 #include <vector>
 
@@ -42,6 +44,8 @@
     // Whether all requests have completed, all output is sent and the time to
     // serve new requests after begin_drain() is over.
     bool is_drained(steady_time now) const;
+    // Whether callers have not received all output yet.
+    bool has_unsent() const;
     // Aborts the remaining requests.
     void abort_all(steady_time now);
     // Retries the selection of an upstream for the requests that wait.
@@ -87,6 +91,7 @@
         steady_time now);
     void tick();
     client_limits limits() const;
+    std::optional<stop_plan> plan() const; // of a stop that has begun
 
     ev::loop_ref loop_;
     gateway_state& state_;
