Count the time of a request from its arrival, not from when it was read

After a hold-up or a freeze upstreams were handed the whole time that a caller had given, although a part of it had passed while the request lay in the kernel, and the gateway's own deadline came as late. Cause: both counted from the moment of reading.

Change: when the turn before was busy for over 10 ms, the kernel is asked how long ago the connection's last input arrived (TCP_INFO), bounded by how long the loop can have been busy; the request starts then. Where the kernel does not tell, the time counts from the reading as before.

--- a/src/gateway/client_connection.hpp
+++ b/src/gateway/client_connection.hpp
@@ -89,6 +89,11 @@
     {
         return stream_->has_peer_ended();
     }
+    // How long ago the latest input arrived in the kernel; zero if unknown.
+    duration input_age() const
+    {
+        return stream_->input_age();
+    }
     // Bytes of output that are still buffered.
     std::size_t unsent() const
     {
--- a/src/gateway/proxied_request.cpp
+++ b/src/gateway/proxied_request.cpp
@@ -96,15 +96,15 @@
           owner != nullptr && owner->priority >= 0 ? owner->priority
                                                    : route.priority)
     , unread_(unread)
-    , started_(now)
-    , deadline_(now + route.timeout)
+    , started_(now - unread)
+    , deadline_(started_ + route.timeout)
     , hash_(hash64(
           request_.session.empty() ? request_.attempt_id : request_.session))
     , deadline_timer_(context.loop, [this] { on_deadline(); })
     , attempt_timer_(context.loop, [this] { on_attempt_timeout(); })
 {
     if (request_.remaining)
-        deadline_ = std::min(deadline_, now + *request_.remaining);
+        deadline_ = std::min(deadline_, started_ + *request_.remaining);
     service_ = pick_service(route_, hash_ >> 20U);
     affinity_ = affinity_key(request_);
     traits_ = traits_of(request_, organisation_);
--- a/src/gateway/proxied_request.hpp
+++ b/src/gateway/proxied_request.hpp
@@ -75,9 +75,10 @@
 class proxied_request : public std::enable_shared_from_this<proxied_request>
 {
 public:
-    // `unread` bounds how long the request waited in the kernel before it was
-    // read. Preconditions: `route` belongs to `config`; `context` outlives the
-    // request. Loop thread only, like all members.
+    // `unread` is how long the request waited in the kernel before it was read;
+    // its time counts from its arrival. Preconditions: `route` belongs to
+    // `config`; `context` outlives the request. Loop thread only, like all
+    // members.
     proxied_request(
         proxied_request_context& context,
         std::shared_ptr<client_connection> client,
--- a/src/gateway/request_controller.cpp
+++ b/src/gateway/request_controller.cpp
@@ -17,6 +17,8 @@
 constexpr duration waiting_period = milliseconds(20);
 constexpr stream_limits caller_stream_limits{
     .unacknowledged = milliseconds(3000), .probe_after_s = 1, .probes = 3};
+// A request that waited longer before it was read has less time left.
+constexpr duration max_prompt_read = milliseconds(10);
 constexpr duration retry_elsewhere = milliseconds(100);
 constexpr duration retry_when_ready = milliseconds(400);
 // A gateway that has just started is ready within 250 ms if the store responds;
@@ -106,7 +108,9 @@
         return;
     }
     steady_time const now = boot_now();
-    duration const unread = monitor_.input_wait(now);
+    duration unread = monitor_.input_wait(now);
+    unread = unread > max_prompt_read ? std::min(unread, client->input_age())
+                                      : duration{0};
     result<gateway_request> request =
         protocol_.decode_request(std::move(*message));
     if (!request)
@@ -128,8 +132,8 @@
     duration const max_hold =
         request.remaining ? *request.remaining / 4 : max_hold_time;
     held_.push_back(
-        {client, std::move(request), now + std::min(max_hold, max_hold_time),
-         unread});
+        {client, std::move(request),
+         now - unread + std::min(max_hold, max_hold_time), unread});
     auto const it = std::prev(held_.end());
     client->on_disconnect(
         [this, it]
--- a/src/http_stream/tcp_stream.cpp
+++ b/src/http_stream/tcp_stream.cpp
@@ -141,6 +141,15 @@
     return ::poll(&ask, 1, 0) > 0 && (ask.revents & ends) != 0;
 }
 
+duration tcp_stream::input_age() const
+{
+    tcp_info info{};
+    socklen_t n = sizeof info;
+    if (fd_ < 0 || getsockopt(fd_, IPPROTO_TCP, TCP_INFO, &info, &n) != 0)
+        return duration{0};
+    return std::chrono::milliseconds(info.tcpi_last_data_recv);
+}
+
 void tcp_stream::discard()
 {
     int undelivered = 0;
--- a/src/http_stream/tcp_stream.hpp
+++ b/src/http_stream/tcp_stream.hpp
@@ -92,6 +92,9 @@
     {
         return std::string_view(input_).substr(input_start_);
     }
+    // How long ago the latest input arrived in the kernel; zero if it doesn't
+    // tell.
+    duration input_age() const;
     // Drops the first `n` bytes of input(). Precondition: there are so many.
     void consume(std::size_t n);
 
--- a/src/log/log_events.cpp
+++ b/src/log/log_events.cpp
@@ -252,7 +252,7 @@
         request_left, "request_left", log_level::info,
         "The caller left its request.",
         "Its upstream was told to stop; with `sends` 0 it was never sent. "
-        "`unread_ms` bounds how long it had waited before it was read."},
+        "`unread_ms` is how long it had waited before it was read."},
     log_event_row{
         request_failed, "request_failed", log_level::warning, "Request failed.",
         "`kind` and `run` say why and whether it may have run; `status` 0 is a "
