Free a configuration also when its last request ends late

A configuration that was replaced while requests used it stayed in memory until the next change: its last request handed it over to be freed, and nothing started that. The tick looks for such ones now.

--- a/src/gateway/store_controller.cpp
+++ b/src/gateway/store_controller.cpp
@@ -731,6 +731,9 @@
 
 void store_controller::tick(steady_time now)
 {
+    // The last request that used a configuration may have ended since.
+    if (!retired_->empty() && !free_timer_.is_active())
+        free_timer_.start(duration{0});
     set_role(now);
     renew_after_history_drop();
     fetch_config(now);
