--- a/review/standins/standins.h
+++ b/review/standins/standins.h
@@ -266,6 +266,11 @@
     trial& operator=(trial const&) = delete;
 
     gateway& add_gateway(std::string const& zone, int store_port);
+    // Settings and logs of the gateways.
+    std::string const& directory() const
+    {
+        return directory_;
+    }
     // Waits until all gateways are ready.
     bool wait_ready();
     // Ends all processes that were started, and this one: 1 if the rule was
