--- a/review/1/case.cc
+++ b/review/1/case.cc
@@ -104,6 +104,7 @@
                 return;
             std::string const id =
                 "c" + std::to_string(n) + "-" + std::to_string(i);
+            t.log.line("client sends " + id + "-note");
             c->send(request_text(
                 "POST", "/note/1", id + "-note", 20000, "key-1", "assess"));
             auto const note = read_message(*c, 20, true);
@@ -120,6 +121,8 @@
                 continue;
             }
             std::string const adjust = id + "-adjust";
+            t.log.line("client got 200, whole, for " + id + "-note");
+            t.log.line("client sends " + adjust + " on the kept channel");
             bool const is_sent = c->send(request_text(
                 "POST", "/adjust/1", adjust, 1500, "key-1", "pressure=3"));
             auto const answer = read_message(*c, 2.5, true);
--- a/review/4/case.cc
+++ b/review/4/case.cc
@@ -114,5 +114,6 @@
     t.log.line(
         "answers whole: " + std::to_string(whole.size()) +
         ", cut: " + std::to_string(cut.size()));
-    t.end(cut.empty() ? 0 : 1);
+    bool const is_void = whole.size() + cut.size() != services;
+    t.end(is_void ? 2 : cut.empty() ? 0 : 1);
 }
--- a/review/build.sh
+++ b/review/build.sh
@@ -7,7 +7,7 @@
 compiler="${CXX:-c++}"
 # shellcheck disable=SC2086
 "$compiler" $flags -c standins/standins.cc -o bin/standins.o
-for it in [1-5]/case.cc; do
+for it in [1-4]/case.cc; do
     n="${it%%/*}"
     # shellcheck disable=SC2086
     "$compiler" $flags "$it" bin/standins.o -o "bin/case-$n"
