Read no request behind the last response of a connection

Cause: only the sending side of a connection knew that a response was the last one. client_connection::read() went on to take requests behind it, and the stop marked responses as the last ones whose heads had already promised to keep the connection. The same path served what followed a 400, 413 or 431, requests sent behind a running response, and idle connections at the moment of their close.

Change: a response announces the close of its connection only when no request has arrived behind it, and the connection is kept until one has. After it, or after an error, no request is read. The connection lingers until its caller has ended it, or for a second from the moment at which its kernel has acknowledged the response, because a close with unread input resets the connection. The rest of a request that was refused half-way is read and dropped; anything else stays in the kernel, unread. The process ends when its callers have ended their connections, or with its grace. Connections beyond the limit linger as well.

Ruled out: to end each connection with the stream that was under way. Nothing would run unanswered, but a caller that was promised another request would lose it and need a new connection.

Conclusion: what may follow a response is decided where requests are read, so that neither the order of bytes nor the moment of the stop matters.

--- a/src/gateway/client_connection.cpp
+++ b/src/gateway/client_connection.cpp
@@ -15,6 +15,8 @@
 constexpr duration idle_grace = std::chrono::seconds(2);
 // Time limit for a request body, as a multiple of the header timeout.
 constexpr int body_timeout_factor = 4;
+// Time for a caller to read the last response and to end its connection.
+constexpr duration linger_time = std::chrono::seconds(1);
 
 std::string chunk_header(std::size_t n)
 {
@@ -69,10 +71,17 @@
 {
     if (is_reading_)
         return;
+    if (is_last_ && !is_busy_)
+    {
+        // The rest of a request that has been answered.
+        stream_->consume(stream_->input().size());
+        return;
+    }
     is_reading_ = true;
     auto const self = shared_from_this();
     last_active_ = boot_now();
-    while (!is_busy_ && stream_->is_open() && !stream_->input().empty())
+    while (!is_busy_ && !is_last_ && stream_->is_open() &&
+           !stream_->input().empty())
     {
         if (!has_bytes_)
             first_byte_ = last_active_;
@@ -80,20 +89,14 @@
         result<std::size_t> const n = reader_->put(stream_->input());
         if (!n)
         {
-            is_busy_ = true;
-            is_last_ = true;
-            on_request_(self, tl::unexpected<error>(n.error()));
+            refuse_input(n.error());
             break;
         }
         stream_->consume(*n);
         if (!reader_->is_done() && stream_->input().size() > max_unparsed_bytes)
         {
-            is_busy_ = true;
-            is_last_ = true;
-            on_request_(
-                self, fail(
-                          error_kind::bad_request,
-                          "a line exceeds the length limit"));
+            refuse_input(make_error(
+                error_kind::bad_request, "a line exceeds the length limit"));
             break;
         }
         if (!reader_->is_done())
@@ -115,14 +118,25 @@
         on_request_(self, std::move(message));
     }
     is_reading_ = false;
-    if (stream_->is_open())
+    if (stream_->is_open() && !lingers_since_)
         stream_->pause(
             is_busy_ && stream_->input().size() > max_pipelined_bytes);
 }
 
+// Ends the connection with the error, whose response is the last one.
+void client_connection::refuse_input(error const& why)
+{
+    is_busy_ = true;
+    is_last_ = true;
+    has_failed_input_ = true;
+    on_request_(shared_from_this(), tl::unexpected<error>(why));
+}
+
 std::string client_connection::head_text(
     response_head const& head, std::string_view framing)
 {
+    // A caller that has sent a request may still expect its response.
+    is_last_ = is_last_ || (announces_close_ && stream_->input().empty());
     std::string out = "HTTP/1.1 ";
     out.append(std::to_string(head.status)).append(" ");
     out.append(status_text(head.status)).append("\r\n");
@@ -192,7 +206,7 @@
     stream_->on_drained({});
     if (is_last_)
     {
-        stream_->close_after_output();
+        linger(last_active_);
         return;
     }
     if (stream_->is_paused())
@@ -201,6 +215,30 @@
         read();
 }
 
+// Ends the sending side after the last response. What a caller sends behind
+// it is left in the kernel; only the rest of a request that was answered before
+// it was complete is read, as its caller may send all of it before it reads.
+void client_connection::linger(steady_time now)
+{
+    lingers_since_ = now;
+    stream_->consume(stream_->input().size());
+    stream_->pause(!has_failed_input_);
+    stream_->close_after_output();
+}
+
+void client_connection::close_idle(steady_time now)
+{
+    if (stream_->has_unread())
+        return;
+    is_last_ = true;
+    linger(now);
+}
+
+void client_connection::reject(error_kind kind)
+{
+    refuse_input(make_error(kind, "the request was not read"));
+}
+
 bool client_connection::check(client_limits const& limits, steady_time now)
 {
     if (!stream_->is_open())
@@ -210,6 +248,14 @@
         limits_ = limits;
     if (is_busy_)
         return true;
+    if (lingers_since_)
+    {
+        if (!stream_->has_delivered_output())
+            lingers_since_ = now; // the caller has not received all of it
+        if (has_ended() || now - *lingers_since_ > linger_time)
+            stream_->close();
+        return stream_->is_open();
+    }
     bool const is_slow =
         has_bytes_ &&
         now - first_byte_ >
@@ -217,19 +263,12 @@
                 (reader_->is_head_done() ? body_timeout_factor : 1);
     if (is_slow)
     {
-        is_last_ = true;
-        is_busy_ = true;
-        on_request_(
-            shared_from_this(), fail(
-                                    error_kind::sender_too_slow,
-                                    "the request was not sent in time"));
+        refuse_input(make_error(
+            error_kind::sender_too_slow, "the request was not sent in time"));
         return stream_->is_open();
     }
     if (now - last_active_ > limits_.idle_timeout + idle_grace)
-    {
-        stream_->close();
-        return false;
-    }
+        close_idle(now);
     return true;
 }
 
--- a/src/gateway/client_connection.hpp
+++ b/src/gateway/client_connection.hpp
@@ -1,5 +1,7 @@
 // Connection of a caller: reads requests sequentially and writes their
-// responses.
+// responses. After the response that announces the close of the connection, or
+// an error, no request is read any more; the connection then lingers until the
+// caller has ended it or has had the time to read the response.
 //
 // Example:
 //   auto c = std::make_shared<client_connection>(stream, limits, now,
@@ -64,21 +66,37 @@
         stream_->on_drained(std::move(callback));
     }
 
-    // Ends the connection if it has been idle, or slow to send a head, for
-    // longer than the limits allow. Returns false when it has ended.
-    // Precondition: held by a shared_ptr.
+    // Ends the connection if it has been idle, or slow to send a head, or has
+    // lingered, for longer than the limits allow. Returns false when it has
+    // ended. Precondition: held by a shared_ptr.
     bool check(client_limits const& limits, steady_time now);
-    // Closes the connection after the next response.
+    // Announces the close in the head of the next response that has no request
+    // behind it. A response whose head promised to keep the connection is
+    // followed by another one.
     void close_after_response()
     {
-        is_last_ = true;
+        announces_close_ = true;
     }
-    // Whether no request is pending or partly received, and all output is sent.
+    // Ends an idle connection without a response. A request that has arrived
+    // but was not read is read instead. Precondition: no request is pending.
+    void close_idle(steady_time now);
+    // Passes an error of this kind to the request handler and reads no request.
+    // Preconditions: started; no request is pending.
+    void reject(error_kind kind);
+    // Whether no request is pending or partly received, all output is sent and
+    // requests are still read.
     bool is_idle() const
     {
-        return !is_busy_ && !reader_->is_head_done() &&
+        return !is_busy_ && !is_last_ && !reader_->is_head_done() &&
                stream_->input().empty() && !has_bytes_ && unsent() == 0;
     }
+    // Whether the connection has ended, or no request can be read from it and
+    // its caller has ended it.
+    bool has_ended() const
+    {
+        return !is_open() ||
+               (is_last_ && !is_busy_ && stream_->has_peer_ended());
+    }
     bool is_open() const
     {
         return stream_->is_open();
@@ -107,7 +125,9 @@
 
 private:
     void read();
+    void refuse_input(error const& why);
     void finish_response();
+    void linger(steady_time now);
     void on_end();
     std::string head_text(response_head const& head, std::string_view framing);
 
@@ -120,7 +140,11 @@
     steady_time first_byte_{};
     bool has_bytes_ = false; // of an incomplete request
     bool is_busy_ = false;
+    bool announces_close_ = false; // in the next head
+    // The pending or latest response is the last one.
     bool is_last_ = false;
+    bool has_failed_input_ = false; // the rest of a request may still arrive
+    std::optional<steady_time> lingers_since_;
     bool is_reading_ = false;
     bool has_continued_ = false;
 };
--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -257,7 +257,7 @@
         requests_.abort_all(now);
         exit_code_ = 1;
     }
-    if (requests_.has_unsent() && now < plan.exit_at)
+    if (requests_.has_callers() && now < plan.exit_at)
         return;
     log_.write(log_event::stopped);
     loop_.break_loop(ev::ALL);
--- a/src/gateway/request_controller.cpp
+++ b/src/gateway/request_controller.cpp
@@ -21,6 +21,9 @@
 constexpr duration max_prompt_read = milliseconds(10);
 constexpr duration retry_elsewhere = milliseconds(100);
 constexpr duration retry_when_ready = milliseconds(400);
+// Connections beyond the limit that are refused with a response, as a part of
+// the limit. Any more are closed unread.
+constexpr std::size_t surplus_connections_divisor = 16;
 // A gateway that has just started is ready within 250 ms if the store responds;
 // callers whose requests are held until then need no retry.
 constexpr duration max_hold_time = milliseconds(1000);
@@ -56,13 +59,13 @@
 
 void request_controller::on_connection(std::shared_ptr<tcp_stream> stream)
 {
-    if (clients_.size() >= state_.settings.max_connections)
+    std::size_t const most = state_.settings.max_connections;
+    if (clients_.size() >= most + most / surplus_connections_divisor)
     {
-        state_.counters.count("refusals_total", "too_many_connections");
-        stream->send("HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\n"
-                     "Content-Length: 0\r\nConnection: close\r\n\r\n");
+        state_.counters.count("connections_dropped_total");
         return;
     }
+    bool const is_surplus = clients_.size() >= most;
     auto const c = std::make_shared<client_connection>(
         std::move(stream), limits(), boot_now(),
         [this](
@@ -73,6 +76,8 @@
         c->close_after_response();
     clients_.push_back(c);
     c->start();
+    if (is_surplus)
+        c->reject(error_kind::too_many_connections);
 }
 
 void request_controller::refuse(
@@ -238,7 +243,7 @@
     {
         it->check(l, now);
         if (closes_idle && it->is_idle())
-            it->abort();
+            it->close_idle(now);
     }
     std::erase_if(clients_, [](auto const& it) { return !it->is_open(); });
     pool_.sweep(state_.upstreams, now);
@@ -275,15 +280,15 @@
         active_requests_.begin(), active_requests_.end(),
         [](auto const& it) { return !it->is_done(); });
     std::optional<stop_plan> const stop = plan();
-    return !is_busy && !has_unsent() && stop &&
+    return !is_busy && !has_callers() && stop &&
            now > stop->serve_until + sweep_period;
 }
 
-bool request_controller::has_unsent() const
+bool request_controller::has_callers() const
 {
     return std::any_of(
         clients_.begin(), clients_.end(),
-        [](auto const& it) { return it->is_open() && it->unsent() > 0; });
+        [](auto const& it) { return !it->has_ended(); });
 }
 
 std::optional<stop_plan> request_controller::plan() const
--- a/src/gateway/request_controller.hpp
+++ b/src/gateway/request_controller.hpp
@@ -39,13 +39,15 @@
         loop_monitor const& monitor);
 
     // Announces to callers that their connections will close, and closes idle
-    // ones later. Precondition: `drain_started` of the state is set.
+    // ones when the time to serve new requests is over. Precondition:
+    // `drain_started` of the state is set.
     void begin_drain(steady_time now);
-    // Whether all requests have completed, all output is sent and the time to
-    // serve new requests after begin_drain() is over.
+    // Whether all requests have completed, all connections of callers have
+    // ended and the time to serve new requests after begin_drain() is over.
     bool is_drained(steady_time now) const;
-    // Whether callers have not received all output yet.
-    bool has_unsent() const;
+    // Whether a caller may not have read its response yet, or may send a
+    // request.
+    bool has_callers() const;
     // Aborts the remaining requests.
     void abort_all(steady_time now);
     // Retries the selection of an upstream for the requests that wait.
--- a/src/http_stream/tcp_stream.cpp
+++ b/src/http_stream/tcp_stream.cpp
@@ -64,6 +64,13 @@
     set_option(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(ms.count()));
 }
 
+// Output that the peer's kernel has not acknowledged; 0 if it can't be told.
+int undelivered_bytes(int fd)
+{
+    int n = 0;
+    return ::ioctl(fd, SIOCOUTQ, &n) == 0 ? n : 0;
+}
+
 void release_if_empty(std::string& buf, std::size_t& start)
 {
     if (start < buf.size())
@@ -141,6 +148,12 @@
     return ::poll(&ask, 1, 0) > 0 && (ask.revents & ends) != 0;
 }
 
+bool tcp_stream::has_unread() const
+{
+    pollfd ask{.fd = fd_, .events = POLLIN, .revents = 0};
+    return fd_ >= 0 && ::poll(&ask, 1, 0) > 0;
+}
+
 duration tcp_stream::input_age() const
 {
     tcp_info info{};
@@ -150,13 +163,16 @@
     return std::chrono::milliseconds(info.tcpi_last_data_recv);
 }
 
+bool tcp_stream::has_delivered_output() const
+{
+    return is_shut_ && undelivered_bytes(fd_) == 0;
+}
+
 void tcp_stream::discard()
 {
-    int undelivered = 0;
     // A plain close delivers them, however late. Without any, it spares the
     // peer a reset.
-    if (fd_ >= 0 && ::ioctl(fd_, SIOCOUTQ, &undelivered) == 0 &&
-        undelivered > 0)
+    if (fd_ >= 0 && undelivered_bytes(fd_) > 0)
     {
         linger const none{.l_onoff = 1, .l_linger = 0};
         (void)setsockopt(fd_, SOL_SOCKET, SO_LINGER, &none, sizeof none);
@@ -232,8 +248,6 @@
     release_if_empty(output_, output_start_);
     if (is_closing_ && !is_shut_)
     {
-        // The peer's close follows; closing now could reset the connection
-        // before the peer has read the end of the output.
         is_shut_ = true;
         ::shutdown(fd_, SHUT_WR);
     }
--- a/src/http_stream/tcp_stream.hpp
+++ b/src/http_stream/tcp_stream.hpp
@@ -118,12 +118,18 @@
     // on_end() is called in a later turn of the loop.
     bool has_peer_ended() const;
 
+    // Whether input, or its end, waits in the kernel.
+    bool has_unread() const;
+
     void close();
     // Closes at once and discards output that the kernel has not delivered.
     void discard();
-    // Closes after the peer has had the chance to read all output: sends
-    // what is left, then ends the sending side, then closes.
+    // Sends what is left and then ends the sending side. The holder closes,
+    // once the peer has had the time to read: a close with unread input resets
+    // the connection, which can destroy output that the peer has not read yet.
     void close_after_output();
+    // Whether the sending side was ended and the peer's kernel has all output.
+    bool has_delivered_output() const;
 
     bool is_open() const
     {
