Count what peers report from the question that a report answers

Cause: a report told ages, and its receiver subtracted them from its own present time. The time that a report spends in the sender, on the way, in the socket and behind 64 others counted for nothing, so that a late report made a confirmation look young, and the bound began anew. is_prompt guessed from the rhythm of the loop whether a report was late. Passed on in a circle, each delay was gained.

Change: peer_clock bounds a peer's clock by two observations. A report carries a reading, which is not later than its receipt; and it echoes the latest report of its addressee with the reading at which that was received, which is not earlier than its sending by the addressee's own clock. Confirmations and the store's responses to peers count as of the lower bound, outages that peers noticed and dropped histories as of the upper one. is_prompt is gone. The elapsed time of a roll-out stays an age: a delay makes it too short, and the next report corrects that. Tests of the old parameter use exchanges of reports now; the one that guarded against late reports after a pause asks for more than before.

Weighed: an echo alone loses a period of the asker's reports, 2.8 s of 4.5 s in a fleet of 350; words with an origin and a number need the clocks as well.

Cost: the shortest way of a report to the peer, and 2 ms for each second since; 41 bytes for each report and peer; no confirmation before the first exchange.

Conclusion: the bound of a revoked key holds for any delay, also of the process itself, as no step of the reckoning uses the time of receipt.

--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -14,8 +14,6 @@
 // with a fraction of a processor, each write delays active requests.
 constexpr duration log_flush_period = std::chrono::seconds(1);
 constexpr duration expiry_period = std::chrono::seconds(1);
-// A tick that is later than this means that the process was paused.
-constexpr duration max_tick_delay = milliseconds(300);
 // A turn of the loop that is longer holds up callers noticeably.
 constexpr duration max_turn = milliseconds(100);
 
@@ -164,11 +162,11 @@
         return;
     state_.is_report_due = false;
     next_report_ = now + report_period(state_.peers.size(), state_.is_reader);
-    message const m = to_call(make_report(state_, now));
-    ++state_.reports_sent;
+    std::string const report = encode_report(make_report(state_, now));
+    record_sent(state_.reports, now);
     state_.upstreams.pending_samples.clear();
     for (auto const& [name, p] : state_.peers)
-        peers_.send(p.address, m);
+        peers_.send(p.address, to_call(report, echo_for(p, now)));
     limits_.send_reports(now);
 }
 
@@ -185,8 +183,7 @@
             state_.counters.count("bad_datagrams_total", "report");
             return;
         }
-        bool const is_prompt = now - last_tick_ < max_tick_delay;
-        if (apply_report(state_, *r, is_prompt, now) != report_outcome::applied)
+        if (apply_report(state_, *r, now) != report_outcome::applied)
             state_.counters.count("bad_datagrams_total", "unfit report");
     }
     else if (call != nullptr && call->name == state_change_call)
@@ -209,7 +206,6 @@
 {
     timed_part const part(monitor_, "tick");
     steady_time const now = boot_now();
-    last_tick_ = now;
     store_.tick(now);
     limits_.tick(now);
     send_reports(now);
--- a/src/gateway/gateway_daemon.hpp
+++ b/src/gateway/gateway_daemon.hpp
@@ -93,7 +93,6 @@
     std::unique_ptr<http_server> metrics_;
     loop_timer timer_;
     steady_time next_report_{};
-    steady_time last_tick_{};
     steady_time next_expiry_{};
     steady_time next_flush_{};
     std::set<std::string, std::less<>> reachable_peers_;
--- a/src/gateway/gateway_state.cpp
+++ b/src/gateway/gateway_state.cpp
@@ -50,12 +50,11 @@
     return now - std::max(s.started, s.outage_ended_at);
 }
 
-void record_peer_store(
-    gateway_state& s, peer_store_status const& p, steady_time now)
+void record_peer_store(gateway_state& s, peer_store_status const& p)
 {
     // A peer without a response since may not have noticed the outage.
-    if (now - p.available < s.outage_started_at &&
-        now - p.last_response > s.outage_started_at)
+    if (p.available_since < s.outage_started_at &&
+        p.last_response_at > s.outage_started_at)
         s.has_peer_store_access = true;
 }
 
--- a/src/gateway/gateway_state.hpp
+++ b/src/gateway/gateway_state.hpp
@@ -15,6 +15,7 @@
 #include "gateway/crash_evidence.hpp"
 #include "gateway/gateway_config.hpp"
 #include "gateway/part_quarantine.hpp"
+#include "gateway/peer_clock.hpp"
 #include "gateway/session_pins.hpp"
 #include "gateway/shared_limits.hpp"
 #include "gateway/state_relay.hpp"
@@ -91,6 +92,8 @@
     incarnation incarnation_id = 0;
     incarnation previous_incarnation_id = 0; // the one before
     std::uint64_t sequence = 0;              // of its latest report
+    steady_time sequence_received_at{};      // when that report was read
+    peer_clock clock;                        // of the process that sent it
     bool is_reader = false;                  // reads the store for others
     bool has_store = true;                   // can reach the store
     bool is_stopping = false;
@@ -170,7 +173,7 @@
     std::optional<steady_time> last_reader_report_at; // last report of a reader
     std::optional<steady_time> elected_since;         // without interruption
     std::array<local_copy, state_kind_count> kinds{};
-    std::uint64_t reports_sent = 0;
+    sent_messages reports;
     bool is_report_due = false; // a report is to be sent immediately
     // The configuration was confirmed by the store as of this time.
     std::optional<steady_time> config_confirmed;
@@ -226,15 +229,14 @@
 // What another gateway reports about its access to the store.
 struct peer_store_status
 {
-    duration available{0};     // time without an outage that it noticed
-    duration last_response{0}; // time since the last response
+    steady_time available_since{};  // without an outage that it noticed, or
+                                    // earlier
+    steady_time last_response_at{}; // of the store to it, or later
 };
 
-// Records what another gateway reports about its access to the store.
-// Precondition: the report was read when it arrived, since it contains ages.
-// Not thread-safe.
-void record_peer_store(
-    gateway_state& s, peer_store_status const& p, steady_time now);
+// Records what another gateway reports about its access to the store. Not
+// thread-safe.
+void record_peer_store(gateway_state& s, peer_store_status const& p);
 
 // Records that a watch of this gateway or of a peer found its history dropped
 // at `at`. One drop that several watches see counts once. Not thread-safe.
@@ -245,8 +247,8 @@
 // thread-safe.
 duration config_wait(gateway_state const& s);
 
-// Part of the key bound that is used. The rest covers the delay of another
-// gateway's confirmation.
+// Part of the key bound that is used. The rest is for the way of a request from
+// this check to its upstream.
 constexpr double key_bound_safety_factor = 0.9;
 
 // Returns whether entries missing from a list may have expired because the
--- a/src/gateway/gateway_state_test.cpp
+++ b/src/gateway/gateway_state_test.cpp
@@ -26,6 +26,14 @@
     return s;
 }
 
+// Sends a report of `s` to a peer, through its encoding.
+gateway_report report_to(gateway_state& s, gateway_peer const& p, steady_time t)
+{
+    std::string const report = encode_report(make_report(s, t));
+    record_sent(s.reports, t);
+    return decode_report(to_call(report, echo_for(p, t))).value();
+}
+
 } // namespace
 
 // Guards against a key that works longer than its bound after the last response
@@ -44,34 +52,60 @@
 
 // Guards against gateways that refuse keys although another one has just had
 // them confirmed, and against confirmations of another configuration, from an
-// unknown sender, or read too late after a pause.
+// unknown sender, or of a time that nothing bounds.
 TEST_CASE("A peer confirms the configuration that it shares")
 {
     gateway_state a = state_of("a", "b");
     gateway_state b = state_of("b", "a");
+    a.self = 1;
+    b.self = 2;
     confirm_config(b, now);
-    result<gateway_report> const r =
-        decode_report(to_call(make_report(b, now + seconds(1))));
-    REQUIRE(r);
-    apply_report(a, *r, false, now + seconds(9));
+    // A report that echoes nothing may be late by any time.
+    gateway_report const unasked =
+        report_to(b, b.peers["a"], now + milliseconds(900));
+    apply_report(a, unasked, now + milliseconds(900));
     CHECK_FALSE(a.config_confirmed);
-    ++b.reports_sent;
-    apply_report(a, make_report(b, now + seconds(1)), true, now + seconds(1));
+    // The other one's age counts from the question that it answers.
+    apply_report(
+        b, report_to(a, a.peers["b"], now + milliseconds(950)),
+        now + milliseconds(960));
+    gateway_report const r = report_to(b, b.peers["a"], now + seconds(1));
+    apply_report(a, r, now + seconds(9));
     REQUIRE(a.config_confirmed);
     CHECK(*a.config_confirmed <= now);
-    CHECK(*a.config_confirmed > now - milliseconds(5));
+    CHECK(*a.config_confirmed > now - milliseconds(20));
 
     gateway_state c = state_of("c", "x");
-    apply_report(c, *r, true, now);
+    apply_report(c, r, now);
     CHECK_FALSE(c.config_confirmed);
     gateway_state d = state_of("d", "b");
+    d.self = a.self;
+    d.reports = a.reports;
     auto other = std::make_shared<gateway_config>();
     other->version = 2;
     d.config = other;
-    apply_report(d, *r, true, now);
+    apply_report(d, r, now + seconds(1));
     CHECK_FALSE(d.config_confirmed);
 }
 
+// Guards against an echo for the process before, whose numbers began anew.
+TEST_CASE("An echo counts for the process that sent the report only")
+{
+    gateway_state a = state_of("a", "b");
+    gateway_state b = state_of("b", "a");
+    a.self = 1;
+    b.self = 2;
+    confirm_config(b, now);
+    apply_report(b, report_to(a, a.peers["b"], now), now);
+    gateway_state again = state_of("a", "b");
+    again.self = 3;
+    record_sent(again.reports, now + seconds(2));
+    apply_report(
+        again, report_to(b, b.peers["a"], now + milliseconds(10)),
+        now + seconds(2));
+    CHECK_FALSE(again.config_confirmed);
+}
+
 // Guards against using an upstream for two more seconds after its entry was
 // removed while only this gateway was partitioned from the store
 // (nakhla-keyword, mix seed 1036747576027, violated DRAIN this way).
@@ -85,18 +119,19 @@
     s.outage_ended_at = now + seconds(4);
     CHECK(is_list_uncertain(s, now + seconds(5)));
     CHECK_FALSE(is_list_uncertain(s, now + seconds(7)));
+    steady_time const responded = now + seconds(5) - milliseconds(10);
     record_peer_store(
-        s, {.available = seconds(2), .last_response = milliseconds(10)},
-        now + seconds(5)); // the peer had an outage as well
+        s, {.available_since = now + seconds(3),
+            .last_response_at = responded}); // the peer had an outage as well
     CHECK(is_list_uncertain(s, now + seconds(5)));
     record_peer_store(
-        s, {.available = seconds(30), .last_response = seconds(6)},
-        now + seconds(5));
+        s, {.available_since = now - seconds(25),
+            .last_response_at = now - seconds(1)});
     CHECK(
         is_list_uncertain(s, now + seconds(5))); // no response since the outage
     record_peer_store(
-        s, {.available = seconds(30), .last_response = milliseconds(10)},
-        now + seconds(5));
+        s,
+        {.available_since = now - seconds(25), .last_response_at = responded});
     CHECK_FALSE(is_list_uncertain(s, now + seconds(5)));
 }
 
@@ -113,7 +148,7 @@
     }
     b.upstreams.by_id["u"]->requests = 3;
     b.upstreams.by_id["u"]->work = 500;
-    apply_report(a, make_report(b, now), true, now);
+    apply_report(a, make_report(b, now), now);
     CHECK(a.upstreams.by_id["u"]->peers.requests == 3);
     CHECK(a.upstreams.by_id["u"]->peers.work == Approx(500));
     expire_reports(a, now + seconds(1));
@@ -138,8 +173,8 @@
     b.rollouts["pool"].first_seen = now - seconds(9);
     b.rollouts["pool"].own.target = {10, 4};
     a.rollouts["pool"].own.target = {5, 2};
-    apply_report(a, make_report(b, now), true, now);
-    apply_report(a, make_report(b, now), true, now);
+    apply_report(a, make_report(b, now), now);
+    apply_report(a, make_report(b, now), now);
     version_evidence const e = pooled_evidence(a.rollouts["pool"]);
     CHECK(e.target.answers == 15);
     CHECK(e.target.bad == 6);
@@ -149,9 +184,14 @@
 // Guards against corrupt or foreign datagrams.
 TEST_CASE("A report that can't be read is an error")
 {
-    peer_call call = to_call(gateway_report{.sender = "a"});
-    call.body.resize(call.body.size() / 2);
-    CHECK_FALSE(decode_report(call));
+    peer_call const call = to_call(encode_report({.sender = "a"}), {});
+    REQUIRE(decode_report(call));
+    for (std::size_t n = 0; n < call.body.size(); ++n)
+    {
+        peer_call cut = call;
+        cut.body.resize(n);
+        CHECK_FALSE(decode_report(cut));
+    }
 }
 
 // Guards against sessions that change version, and against unbounded growth of
@@ -230,14 +270,14 @@
     gateway_state a = state_of("a", "b");
     gateway_state b = state_of("b", "a");
     record_history_dropped(a, now);
-    auto const report =
-        decode_report(to_call(make_report(a, now + seconds(1))));
-    REQUIRE(report);
-    apply_report(b, *report, true, now + seconds(1));
+    apply_report(
+        b, report_to(a, a.peers["b"], now + seconds(1)), now + seconds(1));
     REQUIRE(b.history_dropped);
-    CHECK(*b.history_dropped == now);
+    steady_time const heard = *b.history_dropped;
+    CHECK(heard >= now);
+    CHECK(heard < now + milliseconds(5));
     record_history_dropped(b, now + seconds(2)); // the same drop, seen later
-    CHECK(*b.history_dropped == now);
+    CHECK(*b.history_dropped == heard);
     record_history_dropped(b, now + seconds(4));
     CHECK(*b.history_dropped == now + seconds(4));
 }
--- a/src/gateway/peer_report.cpp
+++ b/src/gateway/peer_report.cpp
@@ -56,33 +56,78 @@
 
 // Records which incarnation of the instance sent the report. Returns whether it
 // is the latest known report.
-bool record_incarnation(gateway_peer& p, gateway_report const& r)
+bool record_incarnation(
+    gateway_peer& p, gateway_report const& r, steady_time now)
 {
     if (r.incarnation_id == p.incarnation_id)
     {
         if (r.sequence <= p.sequence)
             return false;
-        p.sequence = r.sequence;
-        return true;
     }
-    if (r.incarnation_id == p.previous_incarnation_id)
-        return false;
-    p.previous_incarnation_id =
-        std::exchange(p.incarnation_id, r.incarnation_id);
+    else
+    {
+        if (r.incarnation_id == p.previous_incarnation_id)
+            return false;
+        p.previous_incarnation_id =
+            std::exchange(p.incarnation_id, r.incarnation_id);
+        // The instance may be another machine by now.
+        p.clock = {};
+        p.last_store_response_at = {};
+    }
     p.sequence = r.sequence;
+    p.sequence_received_at = now;
     return true;
 }
 
-void record_reader_state(
-    gateway_peer& p, gateway_report const& r, bool is_prompt, steady_time now)
+// The encoded report is the same for all addressees.
+struct addressed_report
+{
+    report_echo echo;
+    std::string report;
+
+    template <class Archive>
+    void serialize(Archive& ar)
+    {
+        ar(echo, report);
+    }
+};
+
+// Returns the reading of the sender's clock `age_ms` before the report's.
+peer_reading reading_before(gateway_report const& r, std::int64_t age_ms)
+{
+    return duration(r.clock_us) - std::chrono::milliseconds(age_ms);
+}
+
+void observe_clock(
+    gateway_state& s, gateway_peer& p, gateway_report const& r, steady_time now)
+{
+    observe_latest(p.clock, {duration(r.clock_us), now});
+    std::optional<steady_time> const sent =
+        r.echo.addressee == s.self ? send_time_of(s.reports, r.echo.sequence)
+                                   : std::nullopt;
+    if (sent)
+        observe_earliest(
+            p.clock, {duration(r.clock_us - r.echo.age_us), *sent});
+    std::optional<steady_time> const lower =
+        earliest(p.clock, duration(r.clock_us));
+    if (!lower || *lower <= *latest(p.clock, duration(r.clock_us)))
+        return;
+    // One of the clocks was set, which the time since boot never is.
+    s.counters.count("peer_clocks_contradictory_total");
+    p.clock = {};
+}
+
+void record_reader_state(gateway_peer& p, gateway_report const& r)
 {
     p.is_reader = r.is_reader && r.copies.size() == state_kind_count;
     p.has_store = r.store_available_ms >= 0;
     p.is_stopping = r.is_stopping;
     p.config_version = r.config_version;
-    if (is_prompt && r.store_response_age_ms >= 0)
+    std::optional<steady_time> const responded =
+        earliest(p.clock, reading_before(r, r.store_response_age_ms));
+    if (responded && r.store_response_age_ms >= 0)
         p.last_store_response_at =
-            now - std::chrono::milliseconds(r.store_response_age_ms);
+            std::max(p.last_store_response_at, *responded);
     for (std::size_t i = 0; p.is_reader && i < state_kind_count; ++i)
     {
         p.copies[i].digest = r.copies[i].digest;
@@ -104,7 +149,8 @@
     gateway_report r;
     r.sender = s.settings.instance;
     r.incarnation_id = s.self;
-    r.sequence = s.reports_sent + 1;
+    r.sequence = s.reports.count + 1;
+    r.clock_us = now.time_since_epoch().count();
     bool const has_copies = std::all_of(
         s.kinds.begin(), s.kinds.end(),
         [](local_copy const& it) { return it.is_listed; });
@@ -145,33 +191,37 @@
     return r;
 }
 
-report_outcome apply_report(
-    gateway_state& s, gateway_report const& r, bool is_prompt, steady_time now)
+report_outcome
+apply_report(gateway_state& s, gateway_report const& r, steady_time now)
 {
     auto const peer = s.peers.find(r.sender);
     if (peer == s.peers.end())
         return report_outcome::unknown_sender;
-    if (!record_incarnation(peer->second, r))
+    gateway_peer& p = peer->second;
+    if (!record_incarnation(p, r, now))
         return report_outcome::outdated;
-    record_reader_state(peer->second, r, is_prompt, now);
-    if (is_prompt && r.config_age_ms >= 0 && s.config &&
+    observe_clock(s, p, r, now);
+    record_reader_state(p, r);
+    std::optional<steady_time> const confirmed =
+        earliest(p.clock, reading_before(r, r.config_age_ms));
+    if (confirmed && r.config_age_ms >= 0 && s.config &&
         s.config->version == r.config_version)
-        confirm_config(s, now - std::chrono::milliseconds(r.config_age_ms));
-    if (is_prompt && r.store_available_ms >= 0 && r.store_response_age_ms >= 0)
+        confirm_config(s, *confirmed);
+    std::optional<steady_time> const responded =
+        earliest(p.clock, reading_before(r, r.store_response_age_ms));
+    if (responded && r.store_available_ms >= 0 && r.store_response_age_ms >= 0)
         record_peer_store(
-            s,
-            {.available = std::chrono::milliseconds(r.store_available_ms),
-             .last_response =
-                 std::chrono::milliseconds(r.store_response_age_ms)},
-            now);
-    if (is_prompt && r.history_dropped_ms >= 0)
+            s, {.available_since =
+                    *latest(p.clock, reading_before(r, r.store_available_ms)),
+                .last_response_at = *responded});
+    if (r.history_dropped_ms >= 0)
         record_history_dropped(
-            s, now - std::chrono::milliseconds(r.history_dropped_ms));
+            s, *latest(p.clock, reading_before(r, r.history_dropped_ms)));
     std::int64_t const own_version = s.config ? s.config->version : 0;
     if (r.config_version > own_version && !s.config_behind_since)
         s.config_behind_since = now;
-    peer->second.last_received_at = now;
-    replace_loads(s.upstreams, peer->second, r.loads);
+    p.last_received_at = now;
+    replace_loads(s.upstreams, p, r.loads);
     for (pace_sample const& it : r.samples)
     {
         auto const u = s.upstreams.by_number.find(it.upstream);
@@ -206,14 +256,38 @@
         sum_loads(s);
 }
 
-peer_call to_call(gateway_report const& r)
+report_echo echo_for(gateway_peer const& p, steady_time now)
 {
-    return {.name = std::string(gateway_report_call), .body = encode_value(r)};
+    if (p.sequence == 0)
+        return {};
+    return {
+        .addressee = p.incarnation_id,
+        .sequence = p.sequence,
+        .age_us = (now - p.sequence_received_at).count()};
+}
+
+std::string encode_report(gateway_report const& r)
+{
+    return encode_value(r);
+}
+
+peer_call to_call(std::string_view report, report_echo const& echo)
+{
+    return {
+        .name = std::string(gateway_report_call),
+        .body = encode_value(addressed_report{echo, std::string(report)})};
 }
 
 result<gateway_report> decode_report(peer_call const& call)
 {
-    return decode_value<gateway_report>(call.body, trailing_bytes::ignored);
+    auto const a =
+        decode_value<addressed_report>(call.body, trailing_bytes::ignored);
+    if (!a)
+        return tl::unexpected<error>(a.error());
+    auto r = decode_value<gateway_report>(a->report, trailing_bytes::ignored);
+    if (r)
+        r->echo = a->echo;
+    return r;
 }
 
 } // namespace marjorambeam
--- a/src/gateway/peer_report.hpp
+++ b/src/gateway/peer_report.hpp
@@ -1,11 +1,17 @@
 // State reports that gateways exchange in datagrams.
 //
 // Example:
-//   peer_call call = to_call(make_report(state, now));
+//   std::string const report = encode_report(make_report(state, now));
+//   record_sent(state.reports, now);
+//   send(peer.address, to_call(report, echo_for(peer, now)));
+//
 //   result<gateway_report> r = decode_report(call);
-//   apply_report(state, *r, is_prompt, now);
+//   apply_report(state, *r, now);
 //
-// No I/O. Not thread-safe.
+// A report holds ages as of a reading of its sender's clock. They are used by
+// the bounds of peer_clock.hpp, so that a report that is late by any time, or
+// passed on by others, makes nothing look younger than it is. No I/O. Not
+// thread-safe.
 #pragma once
 
 #include "gateway/gateway_state.hpp"
@@ -22,7 +28,7 @@
 {
 
 // Name of the peer_call that carries a report.
-constexpr std::string_view gateway_report_call = "gateway_report_5";
+constexpr std::string_view gateway_report_call = "gateway_report_6";
 
 struct reported_load
 {
@@ -69,11 +75,28 @@
     }
 };
 
+// The latest report of the addressee that the sender of a report had read.
+struct report_echo
+{
+    incarnation addressee = 0;  // 0: none
+    std::uint64_t sequence = 0; // of that report
+    // Between reading that report and the clock of the one with the echo.
+    std::int64_t age_us = 0;
+
+    template <class Archive>
+    void serialize(Archive& ar)
+    {
+        ar(addressee, sequence, age_us);
+    }
+};
+
 struct gateway_report
 {
+    report_echo echo; // differs between addressees; see to_call()
     std::string sender;
     incarnation incarnation_id = 0; // of the sender
     std::uint64_t sequence = 0;     // of the report in it, from 1
+    std::int64_t clock_us = 0;      // the sender's clock, as of which ages are
     bool is_reader = false;         // reads the store for others
     bool is_stopping = false;
     std::int64_t config_version = 0;
@@ -90,7 +113,7 @@
     template <class Archive>
     void serialize(Archive& ar)
     {
-        ar(sender, incarnation_id, sequence, is_reader, is_stopping,
+        ar(sender, incarnation_id, sequence, clock_us, is_reader, is_stopping,
            config_version, config_age_ms, store_available_ms,
            store_response_age_ms, history_dropped_ms, copies, loads, rollouts,
            samples);
@@ -108,18 +131,22 @@
     outdated        // of an earlier incarnation, or older than one applied
 };
 
-// Applies another gateway's report to the state. `is_prompt`: it was read when
-// it arrived; after a pause of the process, the ages in it are too small. Not
+// Applies another gateway's report, read at `now`, to the state. Not
 // thread-safe.
-report_outcome apply_report(
-    gateway_state& s, gateway_report const& r, bool is_prompt, steady_time now);
+report_outcome
+apply_report(gateway_state& s, gateway_report const& r, steady_time now);
 
 // Removes the loads of gateways that have not reported within peer_load_ttl().
 // Not thread-safe.
 void expire_reports(gateway_state& s, steady_time now);
 
-// Encodes a report for a datagram. Thread-safe.
-peer_call to_call(gateway_report const& r);
+// Returns the echo in a report made at `now` for a peer. Not thread-safe.
+report_echo echo_for(gateway_peer const& p, steady_time now);
+
+// Encodes a report, without its echo, for all addressees. Thread-safe.
+std::string encode_report(gateway_report const& r);
+// Returns the datagram with an encoded report for one addressee. Thread-safe.
+peer_call to_call(std::string_view report, report_echo const& echo);
 // Decodes a report. Errors: frame_corrupt. Precondition: the call is a
 // gateway_report_call. Thread-safe.
 result<gateway_report> decode_report(peer_call const& call);
--- a/src/gateway/reader_election_test.cpp
+++ b/src/gateway/reader_election_test.cpp
@@ -93,16 +93,17 @@
                 continue;
             next_report[name] =
                 now + report_period(s.peers.size(), s.is_reader);
-            gateway_report const r = make_report(s, now);
-            ++s.reports_sent;
+            gateway_report r = make_report(s, now);
+            record_sent(s.reports, now);
             for (auto& [other, t] : all)
             {
                 bool const is_received =
                     other != name && !dead.contains(other) &&
                     !partitioned_links.contains({name, other}) &&
                     random() % 100 >= 2;
+                r.echo = echo_for(s.peers[other], now);
                 if (is_received)
-                    apply_report(t, r, true, now);
+                    apply_report(t, r, now);
             }
         }
     }
@@ -166,6 +167,17 @@
     }
 }
 
+// A report of `b` that answers one of `a`, all at once.
+gateway_report answer_of(gateway_state& b, gateway_state& a, steady_time at)
+{
+    apply_report(b, make_report(a, at), at);
+    record_sent(a.reports, at);
+    gateway_report r = make_report(b, at);
+    r.echo = echo_for(b.peers[a.settings.instance], at);
+    record_sent(b.reports, at);
+    return r;
+}
+
 } // namespace
 
 // Guards against a large fleet in which every gateway queries the store
@@ -338,20 +350,20 @@
     gateway_state& a = f.all["g0"];
     gateway_state& b = f.all["g1"];
     gateway_report const first = make_report(b, f.now);
-    ++b.reports_sent;
+    record_sent(b.reports, f.now);
     gateway_report const second = make_report(b, f.now);
-    CHECK(apply_report(a, second, true, f.now) == report_outcome::applied);
-    CHECK(apply_report(a, first, true, f.now) == report_outcome::outdated);
+    CHECK(apply_report(a, second, f.now) == report_outcome::applied);
+    CHECK(apply_report(a, first, f.now) == report_outcome::outdated);
     b.self = 99;
-    b.reports_sent = 0;
+    b.reports = {};
     CHECK(
-        apply_report(a, make_report(b, f.now), true, f.now) ==
+        apply_report(a, make_report(b, f.now), f.now) ==
         report_outcome::applied);
-    CHECK(apply_report(a, second, true, f.now) == report_outcome::outdated);
+    CHECK(apply_report(a, second, f.now) == report_outcome::outdated);
     gateway_report unknown_sender = second;
     unknown_sender.sender = "x";
     CHECK(
-        apply_report(a, unknown_sender, true, f.now) ==
+        apply_report(a, unknown_sender, f.now) ==
         report_outcome::unknown_sender);
 }
 
@@ -371,8 +383,7 @@
     auto const receive_report = [&](steady_time at)
     {
         b.last_store_response_at = at;
-        apply_report(a, make_report(b, at), true, at);
-        ++b.reports_sent;
+        apply_report(a, answer_of(b, a, at), at);
     };
     receive_report(f.now);
     CHECK_FALSE(is_behind(a, state_kind::upstreams, f.now));
@@ -403,7 +414,7 @@
     b.kinds[0] = {.is_listed = true, .digest = 5, .position = {2, 40}};
     b.config_confirmed = f.now;
     b.last_store_response_at = f.now;
-    apply_report(a, make_report(b, f.now), true, f.now);
+    apply_report(a, answer_of(b, a, f.now), f.now);
     CHECK(is_behind(a, state_kind::upstreams, f.now));
     record_fetch(a, state_kind::upstreams);
     CHECK(is_behind(a, state_kind::upstreams, f.now));
