Give up an attempt only when another one can be sent

With several streams on one upstream, a silence of 1.6 s cut all of them without a stop as well.

Cause: an attempt that was late was given up before it was known whether another one could be sent. The upstream, the only one, was then avoided, and in a stop nothing waits. Each stream that saw the silence lengthened the avoidance, up to 2 s, which is longer than a stream waits.

Change: attempt_delay says what delays an attempt and whether another one is possible: the request may be repeated, attempts and budget are left, an upstream other than the present one can take it now, and a stop would not cut it. Else the attempt goes on. record_silence counts a silence once, for the attempts that were under way when it was noticed. The next upstream is one that was not tried, or failing that not the latest one. A request whose answer has begun waits for an upstream in a stop, too. attempt_kept and attempts_kept_total say why an attempt went on; explain shows it.

A caller gets at least what the present upstream gives, and more only if another one is there.

--- a/src/ctl/explain_log.cpp
+++ b/src/ctl/explain_log.cpp
@@ -128,6 +128,27 @@
     return text.empty() ? text : text + ".";
 }
 
+// Why attempts went on although their upstreams were late.
+std::string delays_text(std::vector<log_line> const& lines)
+{
+    std::string text;
+    for (log_line const& it : lines)
+    {
+        if (!is_event(it, log_event::attempt_kept))
+            continue;
+        text.append(text.empty() ? " Attempts that went on: " : "; ")
+            .append(it.field("upstream"))
+            .append(" was ")
+            .append(it.field("delay"))
+            .append(" after ")
+            .append(it.field("after_ms"))
+            .append(" ms, and no other took over (")
+            .append(it.field("why"))
+            .append(")");
+    }
+    return text.empty() ? text : text + ".";
+}
+
 std::string end_text(log_line const& end)
 {
     if (is_event(end, log_event::request_served))
@@ -155,7 +176,7 @@
             ? "No end was logged: it is at work, its gateway ended first, or "
               "the line was held back."
             : end_text(*end);
-    return text + attempts_text(lines);
+    return text + attempts_text(lines) + delays_text(lines);
 }
 
 void sort_by_time(std::vector<log_line>& lines)
--- a/src/gateway/proxied_request.cpp
+++ b/src/gateway/proxied_request.cpp
@@ -251,7 +251,6 @@
     q.only_version = rule.only;
     q.never_version = rule.never;
     q.zone = context_.state.settings.zone;
-    q.tried = attempts_.tried;
     q.work = work_;
     q.prefers_consolidation = rule.prefers_consolidation;
     q.is_engine = s != nullptr && s->is_engine;
@@ -264,24 +263,34 @@
     return q;
 }
 
-upstream_selection proxied_request::select_next_upstream(steady_time now)
+upstream_selection proxied_request::select_except(
+    std::span<std::string const> excluded, steady_time now)
 {
     version_rule const rule =
         version_rule_of(context_.state, service_, request_.session, hash_, now);
     upstream_query q = make_query(rule);
+    q.tried = excluded;
     upstream_selection c = select_upstream(context_.state.upstreams, q, now);
     if (!c.chosen && rule.may_fall_back)
     {
         // The new version has no free upstream; the other versions serve its
         // share.
         q = make_query({.never = rule.only});
+        q.tried = excluded;
         c = select_upstream(context_.state.upstreams, q, now);
     }
-    if (!c.chosen && !attempts_.tried.empty() && is_repeatable(route_))
-    {
-        q.tried = {};
-        c = select_upstream(context_.state.upstreams, q, now);
-    }
+    return c;
+}
+
+// Prefers upstreams that were not tried, then those before the latest one.
+upstream_selection proxied_request::select_next_upstream(steady_time now)
+{
+    std::span<std::string const> const tried = attempts_.tried;
+    upstream_selection c = select_except(tried, now);
+    if (!c.chosen && tried.size() > 1 && is_repeatable(route_))
+        c = select_except(tried.last(1), now);
+    if (!c.chosen && !tried.empty() && is_repeatable(route_))
+        c = select_except({}, now);
     return c;
 }
 
@@ -353,6 +362,7 @@
     attempt_events_ = 0;
     has_survived_ = false;
     has_attempt_head_ = false;
+    waits_for_ = {};
     body_.clear();
     std::optional<std::uint64_t> const after = events_.last_id();
     std::string const bytes = context_.protocol.encode_request(
@@ -485,8 +495,11 @@
 
 void proxied_request::queue_or_refuse(steady_time now)
 {
-    bool const may_wait = now < wait_until_ && now < deadline_ &&
-                          !context_.state.drain_started && !cannot_succeed(now);
+    // During a stop another gateway serves what has not run.
+    bool const can_move = context_.state.drain_started && !has_response_head_ &&
+                          ran_ == run_state::not_run;
+    bool const may_wait = now < wait_until_ && now < deadline_ && !can_move &&
+                          !cannot_succeed(now);
     if (may_wait)
     {
         if (!is_waiting_)
--- a/src/gateway/proxied_request.hpp
+++ b/src/gateway/proxied_request.hpp
@@ -8,6 +8,7 @@
 #pragma once
 
 #include "event_loop/event_loop.hpp"
+#include "gateway/attempt_delay.hpp"
 #include "gateway/client_connection.hpp"
 #include "gateway/gateway_state.hpp"
 #include "gateway/limit_controller.hpp"
@@ -20,8 +21,10 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace marjorambeam
@@ -151,6 +154,8 @@
     void retry_or_give_up(error_kind kind, bool may_have_run, steady_time now);
     void record_survived_attempt(steady_time now);
     upstream_selection select_next_upstream(steady_time now);
+    upstream_selection
+    select_except(std::span<std::string const> excluded, steady_time now);
     void set_model(std::size_t model);
     upstream_query make_query(version_rule const& rule) const;
     bool dispatch(upstream_selection const& c, steady_time now);
@@ -188,6 +193,10 @@
     void leave(steady_time now);
     void on_deadline();
     void on_attempt_timeout();
+    void on_delay(attempt_delay delay, steady_time now);
+    replacement_options replacement_for_current(steady_time now);
+    bool can_end_in_stop(steady_time now) const;
+    bool is_suspected() const;
     void arm_attempt_timer();
     void
     finish(log_event event, std::string_view kind, int status, steady_time now);
@@ -220,6 +229,8 @@
     // did not crash its upstream.
     bool has_survived_ = false;
     bool has_attempt_head_ = false; // of the current attempt's answer
+    // The delay for which the current attempt was last said to go on.
+    std::pair<attempt_delay, wait_reason> waits_for_{};
     // Why the attempt before failed, while the next one waits until it is known
     // whether the upstream crashed.
     std::optional<error_kind> suspended_failure_;
--- a/src/gateway/proxied_request_failure.cpp
+++ b/src/gateway/proxied_request_failure.cpp
@@ -1,5 +1,6 @@
 // Failure handling, retries and completion of proxied_request.
 #include "gateway/local_response.hpp"
+#include "gateway/planned_stop.hpp"
 #include "gateway/proxied_request.hpp"
 
 #include <algorithm>
@@ -17,9 +18,6 @@
 // Time for a connection to be established; a reachable upstream needs a few
 // milliseconds.
 constexpr duration connect_timeout = milliseconds(400);
-// An upstream is silent when it has sent nothing on any connection for this
-// long; other streams of a live upstream would have sent something.
-constexpr duration silence_timeout = milliseconds(1200);
 // Time for a connection to a crashed upstream to be refused, before a request
 // that may have crashed it is sent to another one.
 constexpr duration evidence_delay = milliseconds(25);
@@ -75,10 +73,15 @@
     if (attempts_.runs >= route_.attempts ||
         attempts_.sends >= route_.attempts + max_free_sends)
         return false;
-    if (trial_ || !may_repeat(context_.state.crashes, traits_) ||
-        has_suspected_part(context_.state.quarantine, traits_))
-        return false;
-    return has_budget(extra_attempt_reason::after_failure, now);
+    return !is_suspected() &&
+           has_budget(extra_attempt_reason::after_failure, now);
+}
+
+// Whether the request may crash the upstream that it is sent to.
+bool proxied_request::is_suspected() const
+{
+    return trial_ || !may_repeat(context_.state.crashes, traits_) ||
+           has_suspected_part(context_.state.quarantine, traits_);
 }
 
 void proxied_request::fail_attempt(
@@ -271,35 +274,84 @@
         fail_attempt(error_kind::connection_lost, false, "no connection", now);
         return;
     }
-    bool const is_silent =
-        now - std::max(upstream_->last_received_at, sent_) > silence_timeout;
-    // A stream that stalls between events exceeds its gap target; one without a
-    // first event may be queued at the upstream.
-    bool const has_stalled = is_event_stream_ && events_.events() > 0 &&
-                             now - last_event_ > route_.gap_target * 3 / 2;
-    bool const is_overdue =
-        now - sent_ > std::max(route_.target, silence_timeout) &&
-        !is_event_stream_;
-    // A plain response that is this late was most likely lost; an engine may
-    // still have the request in its queue.
-    bool const is_presumed_lost = route_.kind == route_kind::idempotent &&
-                                  !is_engine() &&
-                                  now - sent_ > route_.target * 3 / 2;
-    if ((has_stalled || is_presumed_lost || (is_silent && is_overdue)) &&
-        is_repeatable(route_) && attempts_.runs + 1 < route_.attempts &&
-        has_budget(extra_attempt_reason::after_failure, now))
+    std::optional<duration> since_event;
+    if (is_event_stream_ && events_.events() > 0)
+        since_event = now - last_event_;
+    attempt_delay const delay = delay_of(
+        {.since_sent = now - sent_,
+         .since_received = now - std::max(upstream_->last_received_at, sent_),
+         .is_event_stream = is_event_stream_,
+         .since_event = since_event},
+        {.target = route_.target,
+         .gap_target = route_.gap_target,
+         .is_plain_idempotent =
+             route_.kind == route_kind::idempotent && !is_engine()});
+    if (delay != attempt_delay::none)
+        on_delay(delay, now);
+    else
+        arm_attempt_timer();
+}
+
+// Lets another upstream take over, or the attempt go on if none can.
+void proxied_request::on_delay(attempt_delay delay, steady_time now)
+{
+    wait_reason const reason = reason_to_wait(replacement_for_current(now));
+    if (delay == attempt_delay::silent && is_repeatable(route_))
+        record_silence(*upstream_, sent_, now);
+    if (reason == wait_reason::none)
     {
-        if (is_silent)
-            upstream_->ejected_until =
-                now + ejection_time(++upstream_->consecutive_failures);
         fail_attempt(
-            error_kind::upstream_silent, true, is_silent ? "silent" : "stalled",
+            error_kind::upstream_silent, true, std::string(to_string(delay)),
             now);
         return;
     }
+    std::pair const waits{delay, reason};
+    if (std::exchange(waits_for_, waits) != waits)
+    {
+        context_.state.counters.count(
+            "attempts_kept_total", to_string(reason), scope());
+        context_.log.write(
+            log_event::attempt_kept,
+            {{"request_id", request_.attempt_id},
+             {"upstream", upstream_->info.id},
+             {"delay", std::string(to_string(delay))},
+             {"why", std::string(to_string(reason))},
+             {"silent_ms", in_ms(now - upstream_->last_received_at)},
+             {"after_ms", in_ms(now - sent_)}});
+    }
     arm_attempt_timer();
 }
 
+replacement_options proxied_request::replacement_for_current(steady_time now)
+{
+    replacement_options o{
+        .is_repeatable = is_repeatable(route_) && !is_suspected(),
+        .has_attempts = attempts_.runs + 1 < route_.attempts &&
+                        attempts_.sends < route_.attempts + max_free_sends &&
+                        remaining(now) >= min_attempt_time,
+        .has_budget = has_budget(extra_attempt_reason::after_failure, now),
+        .can_end_in_time = can_end_in_stop(now)};
+    if (reason_to_wait(o) != wait_reason::no_upstream)
+        return o;
+    std::span<std::string const> const tried = attempts_.tried;
+    o.has_upstream = select_except(tried.last(1), now).chosen != nullptr;
+    return o;
+}
+
+// Whether an attempt that is sent now can end before a planned stop cuts it.
+bool proxied_request::can_end_in_stop(steady_time now) const
+{
+    gateway_state const& s = context_.state;
+    if (!s.drain_started)
+        return true;
+    return can_end_in_time(
+        make_stop_plan(*s.drain_started, s.settings.drain_time),
+        {.remaining = remaining(now),
+         .target = route_.target,
+         .may_repeat = true},
+        now);
+}
+
 void proxied_request::abort_request(steady_time now)
 {
     if (is_done_)
--- a/src/gateway/upstream_table.cpp
+++ b/src/gateway/upstream_table.cpp
@@ -389,6 +389,15 @@
         min_ejection_time * (1U << doublings) / 2, max_ejection_time);
 }
 
+bool record_silence(upstream_state& u, steady_time sent, steady_time now)
+{
+    if (std::max(sent, u.last_received_at) <= u.silence_noticed_at)
+        return false;
+    u.silence_noticed_at = now;
+    u.ejected_until = now + ejection_time(++u.consecutive_failures);
+    return true;
+}
+
 void record_unreachable(upstream_state& u, duration cold_start, steady_time now)
 {
     ++u.consecutive_failures;
--- a/src/gateway/upstream_table.hpp
+++ b/src/gateway/upstream_table.hpp
@@ -84,6 +84,7 @@
     steady_time ejected_until{}; // no requests until then, after a failure
     bool is_missing = false;     // unlisted while the list was uncertain
     std::uint32_t consecutive_failures = 0;
+    steady_time silence_noticed_at{}; // see record_silence()
     double failure_rate = 0; // of recent attempts, see record_outcome()
     steady_time last_outcome_at{};
     std::uint32_t requests = 0; // sent by this gateway and unfinished
@@ -241,6 +242,12 @@
 void record_unreachable(
     upstream_state& u, duration cold_start, steady_time now);
 
+// Records that an attempt sent at `sent` finds the upstream silent. A silence
+// that several attempts notice counts once: those that were under way, or had
+// heard from the upstream, before it was noticed. Returns whether it is a new
+// one. Not thread-safe.
+bool record_silence(upstream_state& u, steady_time sent, steady_time now);
+
 // Records how an attempt ended. Recent failures weigh more; an upstream that
 // fails most of its attempts gets none while others are healthy. Otherwise, one
 // that fails immediately would look idle and attract all requests. Not
--- a/src/log/log_events.cpp
+++ b/src/log/log_events.cpp
@@ -242,6 +242,11 @@
         "`kind` and `why`; `may_have_run` decides whether it is sent again. "
         "What the choice of the upstream rested on: `load`, `load_age_ms`, "
         "`expected_ms`, `started_ms` (its lifetime)."},
+    log_event_row{
+        attempt_kept, "attempt_kept", log_level::info,
+        "A delayed attempt goes on.",
+        "Its upstream is late (`delay`), and no other one takes over because "
+        "of `why`. `silent_ms` is the time since the upstream sent anything."},
     log_event_row{
         attempt_refused, "attempt_refused", log_level::debug,
         "Refused an attempt.", "By an agent, for `reason`; it has not run."},
--- a/src/log/log_events.hpp
+++ b/src/log/log_events.hpp
@@ -79,6 +79,7 @@
     request_refused,
     larger_model_asked,
     attempt_failed,
+    attempt_kept,
     attempt_refused,
     request_served,
     request_left,
