Bound what a gateway holds for requests and responses

Cause: the library's body reserves an announced length; single responses were bounded, their sum was not, and copies and growing buffers held each up to four times; the buffers of a connection gave memory back only when they were empty; an exception in the work of one connection left through libev.

Change: bodies grow with what arrives. buffer_pool bounds partial requests, requests, large bodies and large responses as parts of memoryMb, by claims of the most that something can become, made before it is read and kept until its last byte has left. A response without room is not read, in the order of claims; a request without room is refused as not run (buffers_full). Responses are moved instead of copied, buffers are compacted, the kernel is asked for 16 and 32 KiB for connections of callers and upstreams. guarded_call ends an exception at the event of one connection, listener, timer or datagram. An attempt that is held back by this gateway or its caller is not judged as late. A connection of an upstream is read when it is used again.

Conclusion: the bound is a sum of claims, so that no order of bytes exceeds it. What the store lists and the configuration are outside it.

--- a/src/ctl/explain_log.cpp
+++ b/src/ctl/explain_log.cpp
@@ -50,6 +50,9 @@
     kind_reason{
         error_kind::queue_full,
         "every upstream that was left refused it as full"},
+    kind_reason{
+        error_kind::buffers_full,
+        "the gateway held as many bytes of requests and responses as it may"},
     kind_reason{
         error_kind::upstream_cold,
         "the upstreams that were left were cold and bore no more requests"},
--- a/src/error/error.cpp
+++ b/src/error/error.cpp
@@ -182,6 +182,9 @@
     error_answer{
         kind::internal, "internal", 500, run::unknown, advice::same_key,
         seconds(1)},
+    error_answer{
+        kind::buffers_full, "buffers_full", 503, run::not_run, advice::later,
+        seconds(1)},
 };
 
 constexpr bool is_in_order()
@@ -191,7 +194,7 @@
         if (static_cast<std::size_t>(table[i].kind) != i)
             return false;
     }
-    return table.size() == static_cast<std::size_t>(kind::internal) + 1;
+    return table.size() == static_cast<std::size_t>(kind::buffers_full) + 1;
 }
 static_assert(is_in_order(), "the table follows the order of error_kind");
 
--- a/src/error/error.hpp
+++ b/src/error/error.hpp
@@ -86,6 +86,7 @@
     bad_setting,
     cancelled,
     internal,
+    buffers_full,
 };
 
 // Advice to the caller of a request that ended with an error.
--- a/src/event_loop/event_loop.hpp
+++ b/src/event_loop/event_loop.hpp
@@ -11,6 +11,7 @@
 #pragma once
 
 #include "base/time.hpp"
+#include "log/guarded_call.hpp"
 
 #include <ev++.h>
 #include <functional>
@@ -23,7 +24,8 @@
 constexpr int timer_priority = -1;
 
 // Calls a closure after a delay, once or repeatedly. The closure may start or
-// stop the timer; it must not destroy it.
+// stop the timer; it must not destroy it. An exception of the closure is
+// logged, and the loop goes on.
 class loop_timer
 {
 public:
@@ -68,7 +70,7 @@
 private:
     void on_timer(ev::timer&, int)
     {
-        callback_();
+        guarded_call("timer", callback_);
     }
 
     ev::timer timer_;
--- a/src/gateway/client_connection.cpp
+++ b/src/gateway/client_connection.cpp
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <charconv>
+#include <iterator>
 
 namespace marjorambeam
 {
@@ -9,7 +10,7 @@
 {
 
 // Bytes of pipelined requests that are buffered behind the current one.
-constexpr std::size_t max_pipelined_bytes = std::size_t{64} << 10U;
+constexpr std::size_t max_pipelined_bytes = std::size_t{16} << 10U;
 // An idle connection is kept this much longer than announced, so that a
 // request sent just before the timeout does not race with the close.
 constexpr duration idle_grace = std::chrono::seconds(2);
@@ -31,10 +32,11 @@
 } // namespace
 
 client_connection::client_connection(
-    std::shared_ptr<tcp_stream> stream, client_limits limits, steady_time now,
-    request_handler on_request)
+    std::shared_ptr<tcp_stream> stream, client_limits limits,
+    buffer_pools& pools, steady_time now, request_handler on_request)
     : stream_(std::move(stream))
     , limits_(limits)
+    , pools_(pools)
     , on_request_(std::move(on_request))
     , reader_(std::make_unique<request_reader>(limits_.message))
     , last_active_(now)
@@ -101,6 +103,12 @@
         }
         if (!reader_->is_done())
         {
+            if (!claim_input())
+            {
+                refuse_input(make_error(
+                    error_kind::buffers_full, "no room for the request"));
+                break;
+            }
             if (reader_->is_head_done() && !has_continued_ &&
                 reader_->expects_continue())
             {
@@ -112,6 +120,9 @@
         is_busy_ = true;
         has_bytes_ = false;
         has_continued_ = false;
+        partial_claim_.reset();
+        if (prompt_claim_)
+            claims_.push_back(std::move(prompt_claim_));
         http_request_message message = reader_->take();
         is_last_ = is_last_ || !message.keep_alive;
         reader_ = std::make_unique<request_reader>(limits_.message);
@@ -123,9 +134,62 @@
             is_busy_ && stream_->input().size() > max_pipelined_bytes);
 }
 
+// Claims what the request that is being received may hold. Returns false if
+// there is no room for it.
+bool client_connection::claim_input()
+{
+    if (!partial_claim_)
+        partial_claim_ =
+            try_claim(pools_.partial_requests, partial_request_bytes);
+    if (!partial_claim_)
+        return false;
+    if (!reader_->is_head_done() || prompt_claim_)
+        return true;
+    std::size_t const announced = static_cast<std::size_t>(
+        reader_->announced_length().value_or(reader_->body_bytes()));
+    if (announced <= small_body_bytes)
+        return true;
+    // A body is copied once, into the request to the upstream, and a buffer
+    // that grows holds twice of what is in it.
+    std::size_t const most = reader_->announced_length()
+                                 ? announced
+                                 : limits_.message.max_body_bytes;
+    prompt_claim_ = try_claim(pools_.prompts, most * 2);
+    return prompt_claim_ != nullptr;
+}
+
+void client_connection::hold(std::unique_ptr<buffer_claim> claim)
+{
+    if (claim)
+        claims_.push_back(std::move(claim));
+}
+
+// Returns the claims of the response that has been written when it has left.
+void client_connection::release_claims()
+{
+    std::move(
+        claims_.begin(), claims_.end(), std::back_inserter(unsent_claims_));
+    claims_.clear();
+    if (unsent() == 0)
+    {
+        unsent_claims_.clear();
+        return;
+    }
+    std::weak_ptr<client_connection> const weak = weak_from_this();
+    stream_->on_drained(
+        [weak]
+        {
+            if (auto const self = weak.lock())
+                self->unsent_claims_.clear();
+        });
+}
+
 // Ends the connection with the error, whose response is the last one.
 void client_connection::refuse_input(error const& why)
 {
+    partial_claim_.reset();
+    prompt_claim_.reset();
+    reader_ = std::make_unique<request_reader>(limits_.message);
     is_busy_ = true;
     is_last_ = true;
     has_failed_input_ = true;
@@ -159,16 +223,22 @@
     return out;
 }
 
-void client_connection::respond(
-    response_head const& head, std::string_view body)
+void client_connection::respond(response_head const& head, std::string body)
 {
     std::string framing;
     bool const has_length = head.status != 204 && head.status != 304;
     if (has_length)
         framing = "Content-Length: " + std::to_string(body.size()) + "\r\n";
     std::string out = head_text(head, framing);
-    out.append(body);
-    stream_->send(out);
+    if (body.size() <= small_body_bytes)
+    {
+        stream_->send_owned(out.append(body));
+    }
+    else
+    {
+        stream_->send(out);
+        stream_->send_owned(std::move(body));
+    }
     finish_response();
 }
 
@@ -204,6 +274,7 @@
     is_busy_ = false;
     last_active_ = boot_now();
     stream_->on_drained({});
+    release_claims();
     if (is_last_)
     {
         linger(last_active_);
--- a/src/gateway/client_connection.hpp
+++ b/src/gateway/client_connection.hpp
@@ -4,12 +4,14 @@
 // caller has ended it or has had the time to read the response.
 //
 // Example:
-//   auto c = std::make_shared<client_connection>(stream, limits, now,
-//   on_request); c->respond({.status = 200, .headers = h}, body);
+//   auto c = std::make_shared<client_connection>(
+//       stream, limits, pools, now, on_request);
+//   c->respond({.status = 200, .headers = h}, body);
 //
 // Everything here runs on the loop's thread; nothing is thread-safe.
 #pragma once
 
+#include "gateway/buffer_pool.hpp"
 #include "gateway/gateway_config.hpp"
 #include "gateway/request_protocol.hpp"
 #include "http_stream/http_reader.hpp"
@@ -18,7 +20,9 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <string>
 #include <string_view>
+#include <vector>
 
 namespace marjorambeam
 {
@@ -32,9 +36,10 @@
         std::shared_ptr<client_connection> const&,
         result<http_request_message>)>;
 
+    // Precondition: `pools` outlives the connection.
     client_connection(
         std::shared_ptr<tcp_stream> stream, client_limits limits,
-        steady_time now, request_handler on_request);
+        buffer_pools& pools, steady_time now, request_handler on_request);
     client_connection(client_connection const&) = delete;
     client_connection& operator=(client_connection const&) = delete;
     ~client_connection() = default;
@@ -43,7 +48,10 @@
     void start();
 
     // Sends a complete response. Precondition: is_busy().
-    void respond(response_head const& head, std::string_view body);
+    void respond(response_head const& head, std::string body);
+    // Keeps a claim until the pending response has left. Precondition: as
+    // above.
+    void hold(std::unique_ptr<buffer_claim> claim);
     // Starts a response of unknown length. Precondition: as above.
     void start_stream(response_head const& head);
     // Sends a part of the body. Precondition: start_stream() was called.
@@ -125,6 +133,8 @@
 
 private:
     void read();
+    bool claim_input();
+    void release_claims();
     void refuse_input(error const& why);
     void finish_response();
     void linger(steady_time now);
@@ -133,9 +143,18 @@
 
     std::shared_ptr<tcp_stream> stream_;
     client_limits limits_;
+    buffer_pools& pools_;
     request_handler on_request_;
     std::function<void()> on_disconnect_;
     std::unique_ptr<request_reader> reader_;
+    // Of a request that is not complete: for any, and for one that is not
+    // small.
+    std::unique_ptr<buffer_claim> partial_claim_;
+    std::unique_ptr<buffer_claim> prompt_claim_;
+    // Of the pending request and its response, and of those before whose output
+    // has not left.
+    std::vector<std::unique_ptr<buffer_claim>> claims_;
+    std::vector<std::unique_ptr<buffer_claim>> unsent_claims_;
     steady_time last_active_;
     steady_time first_byte_{};
     bool has_bytes_ = false; // of an incomplete request
--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -1,6 +1,7 @@
 #include "gateway/gateway_daemon.hpp"
 
 #include "gateway/reader_election.hpp"
+#include "log/guarded_call.hpp"
 
 namespace marjorambeam
 {
@@ -99,6 +100,8 @@
     m.set("log_lines_unread_total", static_cast<double>(lines.unread));
     m.set("requests_active", static_cast<double>(requests_.active()));
     m.set("store_era", static_cast<double>(state_.era.number));
+    m.set("callbacks_failed_total", static_cast<double>(failed_callbacks()));
+    requests_.set_gauges();
     limits_.set_gauges();
     quarantine_.set_gauges();
     return m.render();
--- a/src/gateway/gateway_state.hpp
+++ b/src/gateway/gateway_state.hpp
@@ -45,6 +45,9 @@
     std::string store_address;     // IP address and port of the object store
     std::string metrics_address;   // empty: none
     std::size_t max_connections = 3000;
+    // That the process may use; a part of it bounds what requests and responses
+    // hold.
+    std::size_t memory_bytes = std::size_t{260} << 20U;
     duration drain_time = std::chrono::seconds(8);
     // A revoked key must not be served for longer than this.
     std::optional<duration> key_bound;
--- a/src/gateway/proxied_request.cpp
+++ b/src/gateway/proxied_request.cpp
@@ -363,9 +363,8 @@
     has_survived_ = false;
     has_attempt_head_ = false;
     waits_for_ = {};
-    body_.clear();
     std::optional<std::uint64_t> const after = events_.last_id();
-    std::string const bytes = context_.protocol.encode_request(
+    std::string bytes = context_.protocol.encode_request(
         request_, {.upstream_id = upstream_->info.id,
                    .organisation = organisation_,
                    .model = route_.models.empty()
@@ -384,7 +383,7 @@
         };
     };
     connection_->send(
-        bytes, request_.attempt_id, request_.method == "HEAD",
+        std::move(bytes), request_.attempt_id, request_.method == "HEAD",
         context_.protocol.decode_response,
         {.on_connected = guarded(&proxied_request::on_connected),
          .on_head = guarded(&proxied_request::on_head),
@@ -416,6 +415,8 @@
 void proxied_request::release()
 {
     attempt_timer_.stop();
+    std::string().swap(body_); // before another response takes its room
+    response_claim_.reset();
     if (connection_)
     {
         if (has_attempt_head_ && !has_survived_)
--- a/src/gateway/proxied_request.hpp
+++ b/src/gateway/proxied_request.hpp
@@ -9,6 +9,7 @@
 
 #include "event_loop/event_loop.hpp"
 #include "gateway/attempt_delay.hpp"
+#include "gateway/buffer_pool.hpp"
 #include "gateway/client_connection.hpp"
 #include "gateway/gateway_state.hpp"
 #include "gateway/limit_controller.hpp"
@@ -51,6 +52,7 @@
     quarantine_controller& quarantine;
     // Requests that wait for a token of a request limit, by service.
     std::map<std::string, std::size_t>& limit_waiters;
+    buffer_pools& pools;
 };
 
 // Counts a waiting request while it exists. Not thread-safe.
@@ -173,6 +175,8 @@
     void on_upstream_refusal(upstream_response const& a);
     bool try_larger_model(upstream_response const& a, steady_time now);
     void start_response(http_response_head&& head);
+    void claim_response(std::size_t bytes, steady_time now);
+    void set_pause();
     void on_body(std::string&& bytes);
     void on_complete();
     void on_response_failure(response_failure const& why);
@@ -262,6 +266,8 @@
     http_response_head head_;
     bool is_event_stream_ = false; // the current attempt's response
     std::string body_;
+    // Of the current attempt, once its response is not small.
+    std::unique_ptr<buffer_claim> response_claim_;
     event_splitter events_;
     latency_histogram* pass_through_ = nullptr; // of this scope, once used
     loop_timer deadline_timer_;
--- a/src/gateway/proxied_request_failure.cpp
+++ b/src/gateway/proxied_request_failure.cpp
@@ -274,6 +274,13 @@
         fail_attempt(error_kind::connection_lost, false, "no connection", now);
         return;
     }
+    if (connection_->is_paused())
+    {
+        // It waits for this gateway or for the caller, not the other way round.
+        last_event_ = now;
+        arm_attempt_timer();
+        return;
+    }
     std::optional<duration> since_event;
     if (is_event_stream_ && events_.events() > 0)
         since_event = now - last_event_;
--- a/src/gateway/proxied_request_response.cpp
+++ b/src/gateway/proxied_request_response.cpp
@@ -12,10 +12,7 @@
 {
 
 // Backpressure: the upstream is not read while this many bytes are unsent.
-constexpr std::size_t pause_at_bytes = std::size_t{64} << 10U;
-// A plain response is buffered until it is complete, so that the request can be
-// retried; services on the platform respond with a few kilobytes.
-constexpr std::size_t max_buffered_response_bytes = std::size_t{8} << 20U;
+constexpr std::size_t pause_at_bytes = std::size_t{16} << 10U;
 // After startup the load from other gateways is unknown, so upstreams would be
 // measured as too slow.
 constexpr duration load_warm_up = std::chrono::milliseconds(1000);
@@ -77,8 +74,14 @@
     }
     head_ = std::move(head);
     is_event_stream_ = is_success && route_.kind == route_kind::streaming;
+    bool const is_too_long = head_.length.value_or(0) > max_response_bytes &&
+                             request_.method != "HEAD";
     if (is_event_stream_)
         start_response(std::move(head_));
+    else if (is_too_long)
+        fail_attempt(
+            error_kind::answer_corrupt, true,
+            "announced length exceeds the buffer limit", now);
 }
 
 // The connection has checked that the response belongs to this attempt. A
@@ -234,9 +237,47 @@
         [weak]
         {
             auto const run = weak.lock();
-            if (run && run->connection_)
-                run->connection_->pause(false);
+            if (run)
+                run->set_pause();
+        });
+}
+
+// Claims room for a response that is not small. Nothing more is read from the
+// upstream until there is.
+void proxied_request::claim_response(std::size_t bytes, steady_time now)
+{
+    if (response_claim_)
+        return;
+    std::weak_ptr<proxied_request> const weak = weak_from_this();
+    response_claim_ = std::make_unique<buffer_claim>(
+        context_.pools.responses, bytes,
+        [weak]
+        {
+            if (auto const run = weak.lock())
+                run->set_pause();
         });
+    if (response_claim_->is_granted())
+        return;
+    context_.state.counters.count("response_waits_total", "", scope());
+    context_.log.write(
+        log_event::response_held_back,
+        {{"request_id", request_.attempt_id},
+         {"upstream", upstream_->info.id},
+         {"bytes", std::to_string(bytes)},
+         {"used", std::to_string(context_.pools.responses.used)},
+         {"after_ms", in_ms(now - sent_)}});
+}
+
+// Reads from the upstream unless its response waits for room, or for its
+// caller.
+void proxied_request::set_pause()
+{
+    if (!connection_)
+        return;
+    bool const waits_for_room =
+        response_claim_ && !response_claim_->is_granted();
+    bool const waits_for_caller = client_->unsent() > pause_at_bytes;
+    connection_->pause(waits_for_room || waits_for_caller);
 }
 
 void proxied_request::on_body(std::string&& bytes)
@@ -244,11 +285,24 @@
     steady_time const now = boot_now();
     if (!is_event_stream_)
     {
-        body_.append(bytes);
-        if (body_.size() > max_buffered_response_bytes)
+        if (body_.size() + bytes.size() > max_response_bytes)
+        {
             fail_attempt(
                 error_kind::answer_corrupt, true,
                 "response body exceeds the buffer limit", now);
+            return;
+        }
+        if (body_.size() + bytes.size() > small_body_bytes)
+        {
+            std::size_t const most = static_cast<std::size_t>(
+                head_.length.value_or(max_response_bytes));
+            claim_response(most, now);
+            // Of one size, as a buffer that grows holds twice of what is in it.
+            if (response_claim_->is_granted())
+                body_.reserve(most);
+            set_pause();
+        }
+        body_.append(bytes);
         return;
     }
     std::uint64_t const before = events_.events();
@@ -260,8 +314,13 @@
             events_.has_gap() ? "events missing" : "event too long", now);
         return;
     }
+    if (events_.held_bytes() > small_body_bytes)
+        claim_response(2 * max_event_bytes, now);
     if (complete_events.empty())
+    {
+        set_pause();
         return;
+    }
     bool const has_event = events_.events() > before;
     if (has_event && first_event_ == steady_time{})
         first_event_ = now;
@@ -274,8 +333,7 @@
     }
     client_->write(complete_events);
     record_pass_through_time();
-    if (client_->unsent() > pause_at_bytes && connection_)
-        connection_->pause(true);
+    set_pause();
 }
 
 void proxied_request::on_complete()
@@ -319,6 +377,8 @@
     record_survived_attempt(now);
     std::shared_ptr<upstream_connection> const c =
         std::exchange(connection_, nullptr);
+    std::string body = std::move(body_);
+    std::unique_ptr<buffer_claim> claim = std::move(response_claim_);
     release();
     context_.pool.put_back(c, now);
     if (is_failure && route_.kind != route_kind::non_idempotent)
@@ -332,7 +392,8 @@
         give_up(error_kind::upstream_failed, run_state::ran, now);
         return;
     }
-    client_->respond({head_.status, std::move(head_.headers)}, body_);
+    client_->hold(std::move(claim));
+    client_->respond({head_.status, std::move(head_.headers)}, std::move(body));
     record_pass_through_time();
     finish(log_event::request_served, "whole", head_.status, now);
 }
--- a/src/gateway/request_controller.cpp
+++ b/src/gateway/request_controller.cpp
@@ -16,11 +16,16 @@
 constexpr duration sweep_period = milliseconds(200);
 constexpr duration waiting_period = milliseconds(20);
 constexpr stream_limits caller_stream_limits{
-    .unacknowledged = milliseconds(3000), .probe_after_s = 1, .probes = 3};
+    .unacknowledged = milliseconds(3000),
+    .probe_after_s = 1,
+    .probes = 3,
+    .receive_buffer_bytes = 16 << 10};
 // A request that waited longer before it was read has less time left.
 constexpr duration max_prompt_read = milliseconds(10);
 constexpr duration retry_elsewhere = milliseconds(100);
 constexpr duration retry_when_ready = milliseconds(400);
+// Requests that hold the buffers end within a second or so.
+constexpr duration retry_when_full = milliseconds(1000);
 // Connections beyond the limit that are refused with a response, as a part of
 // the limit. Any more are closed unread.
 constexpr std::size_t surplus_connections_divisor = 16;
@@ -39,8 +44,9 @@
     , protocol_(protocol)
     , pool_(pool)
     , monitor_(monitor)
-    , context_{loop,     state,  protocol,   pool,          log_,
-               waiting_, limits, quarantine, limit_waiters_}
+    , pools_(make_buffer_pools(state.settings.memory_bytes))
+    , context_{loop,     state,  protocol,   pool,           log_,
+               waiting_, limits, quarantine, limit_waiters_, pools_}
     , listener_(
           loop, state.settings.client_address, caller_stream_limits,
           [this](std::shared_ptr<tcp_stream> s)
@@ -67,7 +73,7 @@
     }
     bool const is_surplus = clients_.size() >= most;
     auto const c = std::make_shared<client_connection>(
-        std::move(stream), limits(), boot_now(),
+        std::move(stream), limits(), pools_, boot_now(),
         [this](
             std::shared_ptr<client_connection> const& client,
             result<http_request_message> message)
@@ -123,6 +129,16 @@
         refuse(client, {}, request.error().kind, duration{0}, now);
         return;
     }
+    std::unique_ptr<buffer_claim> claim =
+        try_claim(pools_.requests, request_buffer_bytes);
+    if (!claim)
+    {
+        refuse(
+            client, request->attempt_id, error_kind::buffers_full,
+            retry_when_full, now);
+        return;
+    }
+    client->hold(std::move(claim));
     if (is_starting(state_, now))
         hold(client, std::move(*request), unread, now);
     else
@@ -298,6 +314,22 @@
     return make_stop_plan(*state_.drain_started, state_.settings.drain_time);
 }
 
+void request_controller::set_gauges()
+{
+    metrics& m = state_.counters;
+    auto const set = [&](std::string const& name, buffer_pool const& p)
+    {
+        m.set("buffer_bytes_" + name, static_cast<double>(p.used));
+        m.set("buffer_capacity_bytes_" + name, static_cast<double>(p.capacity));
+        m.set("buffer_waits_" + name, static_cast<double>(p.waits));
+        m.set("buffer_refusals_" + name, static_cast<double>(p.refusals));
+    };
+    set("partial_requests", pools_.partial_requests);
+    set("requests", pools_.requests);
+    set("prompts", pools_.prompts);
+    set("responses", pools_.responses);
+}
+
 void request_controller::abort_quarantined(steady_time now)
 {
     std::vector<std::shared_ptr<proxied_request>> const all(
--- a/src/gateway/request_controller.hpp
+++ b/src/gateway/request_controller.hpp
@@ -55,6 +55,8 @@
     // Ends the requests that must not be sent any more, unless they are being
     // answered.
     void abort_quarantined(steady_time now);
+    // Sets the gauges of what is held for requests and responses.
+    void set_gauges();
     // Number of active requests.
     std::size_t active() const
     {
@@ -101,6 +103,7 @@
     upstream_pool& pool_;
     loop_monitor const& monitor_;
     logger log_{"request"};
+    buffer_pools pools_;
     std::map<std::string, std::size_t> limit_waiters_;
     std::list<std::shared_ptr<proxied_request>> waiting_;
     proxied_request_context context_;
--- a/src/gateway/upstream_pool.cpp
+++ b/src/gateway/upstream_pool.cpp
@@ -22,7 +22,10 @@
 // expected one.
 constexpr std::size_t max_skipped_bytes = std::size_t{1} << 20U;
 constexpr stream_limits upstream_stream_limits{
-    .unacknowledged = milliseconds(1500), .probe_after_s = 1, .probes = 2};
+    .unacknowledged = milliseconds(1500),
+    .probe_after_s = 1,
+    .probes = 2,
+    .receive_buffer_bytes = 32 << 10};
 
 duration idle_limit(upstream_connection const& c)
 {
@@ -48,10 +51,13 @@
 }
 
 void upstream_connection::send(
-    std::string_view bytes, std::string attempt_id, bool is_head_request,
+    std::string bytes, std::string attempt_id, bool is_head_request,
     upstream_response (*decode)(http_response_head const&),
     response_handlers handlers)
 {
+    // A response that ended while its reader held it back leaves the connection
+    // paused.
+    stream_->pause(false);
     attempt_id_ = std::move(attempt_id);
     decode_ = decode;
     handlers_ = std::move(handlers);
@@ -86,7 +92,7 @@
             if (auto const self = weak.lock())
                 self->on_end(why);
         });
-    stream_->send(bytes);
+    stream_->send_owned(std::move(bytes));
 }
 
 void upstream_connection::abort()
--- a/src/gateway/upstream_pool.hpp
+++ b/src/gateway/upstream_pool.hpp
@@ -18,6 +18,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace marjorambeam
@@ -60,7 +61,7 @@
     // distinguishes its response from a late one to an earlier request;
     // `decode` reads the id of a response. Precondition: no request is pending.
     void send(
-        std::string_view bytes, std::string attempt_id, bool is_head_request,
+        std::string bytes, std::string attempt_id, bool is_head_request,
         upstream_response (*decode)(http_response_head const&),
         response_handlers handlers);
 
@@ -92,6 +93,10 @@
     {
         stream_->pause(is_paused);
     }
+    bool is_paused() const
+    {
+        return stream_->is_paused();
+    }
 
     // Time of the return to the pool; set by the pool.
     steady_time idle_since{};
--- a/src/http_stream/event_stream.hpp
+++ b/src/http_stream/event_stream.hpp
@@ -38,6 +38,11 @@
     {
         return events_;
     }
+    // Bytes of an event that are held back.
+    std::size_t held_bytes() const
+    {
+        return held_.size();
+    }
     // Whether a part of an event is held back.
     bool has_partial() const
     {
--- a/src/http_stream/http_reader.cpp
+++ b/src/http_stream/http_reader.cpp
@@ -6,7 +6,6 @@
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 #include <charconv>
 #include <optional>
 
@@ -22,6 +21,55 @@
 // Interim answers before the final one; more come from a faulty upstream.
 constexpr int max_interim_answers = 16;
 
+// A body that grows with what arrives. The library's own reserves what a length
+// announces.
+struct growing_body
+{
+    using value_type = std::string;
+
+    class reader
+    {
+    public:
+        template <bool IsRequest, class Fields>
+        reader(http::header<IsRequest, Fields>& /*head*/, value_type& body)
+            : body_(body)
+        {
+        }
+        static void
+        init(boost::optional<std::uint64_t> const& /*length*/, error_code& ec)
+        {
+            ec = {};
+        }
+        template <class Buffers>
+        std::size_t put(Buffers const& buffers, error_code& ec)
+        {
+            std::size_t n = 0;
+            for (auto it = boost::asio::buffer_sequence_begin(buffers);
+                 it != boost::asio::buffer_sequence_end(buffers); ++it)
+            {
+                body_.append(static_cast<char const*>(it->data()), it->size());
+                n += it->size();
+            }
+            ec = {};
+            return n;
+        }
+        static void finish(error_code& ec)
+        {
+            ec = {};
+        }
+
+    private:
+        value_type& body_;
+    };
+};
+
+template <class Parser>
+std::optional<std::uint64_t> length_of(Parser const& parser)
+{
+    auto const n = parser.content_length();
+    return n ? std::optional<std::uint64_t>(*n) : std::nullopt;
+}
+
 boost::beast::string_view view(std::string_view s)
 {
     return {s.data(), s.size()};
@@ -145,7 +193,7 @@
 
 struct request_reader::implementation
 {
-    http::request_parser<http::string_body> parser;
+    http::request_parser<growing_body> parser;
 };
 
 request_reader::request_reader(message_limits limits)
@@ -186,6 +234,16 @@
     return iequals(impl_->parser.get()[http::field::expect], "100-continue");
 }
 
+std::optional<std::uint64_t> request_reader::announced_length() const
+{
+    return length_of(impl_->parser);
+}
+
+std::size_t request_reader::body_bytes() const
+{
+    return impl_->parser.get().body().size();
+}
+
 http_request_message request_reader::take()
 {
     auto& message = impl_->parser.get();
@@ -200,7 +258,7 @@
 
 struct response_reader::implementation
 {
-    std::optional<http::response_parser<http::string_body>> parser;
+    std::optional<http::response_parser<growing_body>> parser;
 
     void restart(bool has_no_body)
     {
@@ -270,6 +328,7 @@
     out.keep_alive = message.keep_alive() && !impl_->parser->need_eof();
     auto const value = message[http::field::keep_alive];
     out.keep_alive_seconds = keep_alive_seconds({value.data(), value.size()});
+    out.length = length_of(*impl_->parser);
     return out;
 }
 
--- a/src/http_stream/http_reader.hpp
+++ b/src/http_stream/http_reader.hpp
@@ -1,5 +1,5 @@
 // Reads HTTP/1.1 messages from bytes with the parser of Boost.Beast, without
-// any I/O of its own.
+// any I/O of its own. No memory is taken for bytes that have not arrived.
 //
 // Example:
 //   request_reader r({.max_header_bytes = 16384, .max_body_bytes = 1 << 20});
@@ -15,6 +15,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -55,6 +56,7 @@
     header_list headers; // without those of one connection and the length
     bool keep_alive = true;
     int keep_alive_seconds = 0; // announced idle timeout; 0 when there is none
+    std::optional<std::uint64_t> length; // of the body, if announced
 };
 
 // Bytes of a message that is not done which its reader may leave; more are a
@@ -84,6 +86,11 @@
     // Whether the sender waits for 100 (Continue) before it sends the body.
     // Precondition: is_head_done().
     bool expects_continue() const;
+    // Length of the body that the sender announced, if it did. Precondition:
+    // is_head_done().
+    std::optional<std::uint64_t> announced_length() const;
+    // Bytes of the body that are held.
+    std::size_t body_bytes() const;
     // Precondition: is_done().
     http_request_message take();
 
--- a/src/http_stream/http_reader_test.cpp
+++ b/src/http_stream/http_reader_test.cpp
@@ -147,3 +147,24 @@
     CHECK(r.head().keep_alive_seconds == 7);
     CHECK(r.take_body() == "ok");
 }
+
+// Guards against memory that is taken for bytes that never come: a length is
+// only an announcement, and one of 100 GB ended a process.
+TEST_CASE("An announced length takes no memory")
+{
+    response_reader r(false);
+    REQUIRE(r.put("HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\nabc"));
+    REQUIRE(r.is_head_done());
+    CHECK(r.head().length == 99999999999);
+    CHECK(r.take_body() == "abc");
+    response_reader chunked(false);
+    REQUIRE(chunked.put("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                        "fffffffff\r\nabc"));
+    CHECK_FALSE(chunked.head().length);
+    CHECK(chunked.take_body() == "abc");
+    request_reader q({.max_body_bytes = std::size_t{1} << 40U});
+    REQUIRE(q.put("POST / HTTP/1.1\r\nHost: h\r\n"
+                  "Content-Length: 999999999999\r\n\r\nabc"));
+    CHECK(q.announced_length() == 999999999999);
+    CHECK(q.body_bytes() == 3);
+}
--- a/src/http_stream/tcp_stream.cpp
+++ b/src/http_stream/tcp_stream.cpp
@@ -1,5 +1,7 @@
 #include "http_stream/tcp_stream.hpp"
 
+#include "log/guarded_call.hpp"
+
 #include <arpa/inet.h>
 #include <array>
 #include <cerrno>
@@ -19,8 +21,8 @@
 namespace
 {
 
-// Read in one call; larger than a socket's usual share of one event.
-constexpr std::size_t read_bytes = std::size_t{64} << 10U;
+// Read in one call.
+constexpr std::size_t read_bytes = std::size_t{16} << 10U;
 // A buffer that has grown past this is given back when it is empty.
 constexpr std::size_t kept_capacity = std::size_t{4} << 10U;
 constexpr int listen_backlog = 1024;
@@ -71,16 +73,32 @@
     return ::ioctl(fd, SIOCOUTQ, &n) == 0 ? n : 0;
 }
 
-void release_if_empty(std::string& buf, std::size_t& start)
+// Gives back what was taken from the front of a buffer: all of it when nothing
+// is left, else when it is more than what is left, so that each byte is moved
+// once at most. A buffer that is never empty would grow for ever otherwise.
+void release_taken(std::string& buf, std::size_t& start)
 {
     if (start < buf.size())
+    {
+        if (start < kept_capacity || start < buf.size() - start)
+            return;
+        buf.erase(0, start);
+        start = 0;
         return;
+    }
     start = 0;
     buf.clear();
     if (buf.capacity() > kept_capacity)
         std::string().swap(buf);
 }
 
+// Before the connection is established, as the window is agreed on then.
+void bound_receive_buffer(int fd, stream_limits const& limits)
+{
+    if (limits.receive_buffer_bytes > 0)
+        set_option(fd, SOL_SOCKET, SO_RCVBUF, limits.receive_buffer_bytes);
+}
+
 } // namespace
 
 bool is_ipv4_endpoint(std::string_view text)
@@ -99,6 +117,7 @@
         ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
     if (fd < 0)
         return fail(error_kind::queue_full, std::strerror(errno));
+    bound_receive_buffer(fd, limits);
     int const code =
         ::connect(fd, reinterpret_cast<sockaddr const*>(&*to), sizeof *to);
     if (code != 0 && errno != EINPROGRESS)
@@ -211,25 +230,49 @@
 void tcp_stream::consume(std::size_t n)
 {
     input_start_ += n;
-    release_if_empty(input_, input_start_);
+    release_taken(input_, input_start_);
 }
 
 void tcp_stream::send(std::string_view bytes)
 {
     if (fd_ < 0)
         return;
-    if (!is_connecting_ && unsent() == 0)
-    {
-        ssize_t const n = ::send(fd_, bytes.data(), bytes.size(), MSG_NOSIGNAL);
-        if (n > 0)
-            bytes.remove_prefix(static_cast<std::size_t>(n));
-    }
+    bytes.remove_prefix(send_some(bytes));
     if (bytes.empty())
         return;
     output_.append(bytes);
     watch();
 }
 
+void tcp_stream::send_owned(std::string bytes)
+{
+    if (fd_ < 0)
+        return;
+    std::size_t const n = send_some(bytes);
+    if (n == bytes.size())
+        return;
+    if (unsent() > 0)
+    {
+        output_.append(bytes);
+    }
+    else
+    {
+        output_ = std::move(bytes);
+        output_start_ = n;
+    }
+    watch();
+}
+
+// Sends what the socket takes at once, unless other output waits. Returns how
+// many bytes it took.
+std::size_t tcp_stream::send_some(std::string_view bytes)
+{
+    if (is_connecting_ || unsent() > 0)
+        return 0;
+    ssize_t const n = ::send(fd_, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+    return n > 0 ? static_cast<std::size_t>(n) : 0;
+}
+
 void tcp_stream::flush()
 {
     while (unsent() > 0)
@@ -237,7 +280,10 @@
         ssize_t const n =
             ::send(fd_, output_.data() + output_start_, unsent(), MSG_NOSIGNAL);
         if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))
+        {
+            release_taken(output_, output_start_);
             return;
+        }
         if (n < 0)
         {
             end(stream_end::reset);
@@ -245,7 +291,7 @@
         }
         output_start_ += static_cast<std::size_t>(n);
     }
-    release_if_empty(output_, output_start_);
+    release_taken(output_, output_start_);
     if (is_closing_ && !is_shut_)
     {
         is_shut_ = true;
@@ -289,6 +335,13 @@
 void tcp_stream::on_ready(ev::io&, int events)
 {
     auto const self = shared_from_this(); // a callback may drop the owner
+    if (guarded_call("connection", [&] { handle(events); }))
+        return;
+    guarded_call("end of a connection", [&] { end(stream_end::reset); });
+}
+
+void tcp_stream::handle(int events)
+{
     if (is_connecting_)
     {
         finish_connecting();
@@ -333,6 +386,7 @@
     if (fd_ < 0)
         throw std::runtime_error(std::strerror(errno));
     set_option(fd_, SOL_SOCKET, SO_REUSEADDR, 1);
+    bound_receive_buffer(fd_, limits_);
     sockaddr_in bound{};
     socklen_t n = sizeof bound;
     if (::bind(fd_, reinterpret_cast<sockaddr const*>(&*at), sizeof *at) != 0 ||
@@ -372,7 +426,13 @@
             ::accept4(fd_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
         if (fd < 0)
             return;
-        on_connection_(std::make_shared<tcp_stream>(loop_, fd, false, limits_));
+        // A connection that can't be taken on is closed.
+        guarded_call(
+            "new connection",
+            [&] {
+                on_connection_(
+                    std::make_shared<tcp_stream>(loop_, fd, false, limits_));
+            });
     }
 }
 
--- a/src/http_stream/tcp_stream.hpp
+++ b/src/http_stream/tcp_stream.hpp
@@ -41,6 +41,8 @@
     // from then on; it ends after `probes` without an answer.
     int probe_after_s = 1;
     int probes = 2;
+    // Bytes that the kernel holds before they are read; 0: as it likes.
+    int receive_buffer_bytes = 0;
 };
 
 // Whether `text` is an IPv4 address and a port that can be connected to.
@@ -100,12 +102,20 @@
 
     // Queues bytes and sends what the socket takes. Ignored once ended.
     void send(std::string_view bytes);
+    // The same, without a copy if no other output waits.
+    void send_owned(std::string bytes);
     // Bytes that the socket has not taken yet.
     std::size_t unsent() const
     {
         return output_.size() - output_start_;
     }
 
+    // Memory of the buffers for input and output.
+    std::size_t buffer_memory() const
+    {
+        return input_.capacity() + output_.capacity();
+    }
+
     // Stops or continues reading; a stopped connection notices no close.
     void pause(bool is_paused);
     bool is_paused() const
@@ -143,6 +153,8 @@
 private:
     void on_ready(ev::io&, int events);
     void finish_connecting();
+    void handle(int events);
+    std::size_t send_some(std::string_view bytes);
     bool read_available();
     void flush();
     void watch();
--- /dev/null
+++ b/src/log/guarded_call.hpp
@@ -0,0 +1,47 @@
+// Keeps an exception inside the callback that it left.
+//
+// Example:
+//   if (!guarded_call("connection", [&] { read_available(); }))
+//       close();
+//
+// The line is drawn where libev calls us: around each event of a connection, a
+// listener, a timer and a datagram. Behind it, the connection or the work that
+// threw is given up; what the others hold is untouched. Errors that are
+// expected are values and never come here.
+//
+// Not thread-safe.
+#pragma once
+
+#include "log/log.hpp"
+
+#include <cstdint>
+#include <exception>
+#include <string_view>
+
+namespace marjorambeam
+{
+
+// Exceptions that guarded calls have kept, since the start.
+std::uint64_t failed_callbacks();
+
+// Logs and counts the failure of a callback.
+void report_failed_callback(std::string_view part, std::string_view why);
+
+// Calls `f` and returns whether it returned. An exception is logged and
+// counted.
+template <class Function>
+bool guarded_call(std::string_view part, Function&& f)
+{
+    try
+    {
+        f();
+        return true;
+    }
+    catch (std::exception const& e)
+    {
+        report_failed_callback(part, e.what());
+        return false;
+    }
+}
+
+} // namespace marjorambeam
--- a/src/log/log_events.cpp
+++ b/src/log/log_events.cpp
@@ -44,6 +44,11 @@
         "One turn took `turn_ms`, of which `longest` took `longest_ms` (`-`: "
         "no part of it is timed). What arrived meanwhile was read `turn_ms` "
         "late at most."},
+    log_event_row{
+        callback_failed, "callback_failed", log_level::error,
+        "A callback failed.",
+        "What `part` was doing ended with the exception `why`; its connection "
+        "is closed, and the process goes on."},
     log_event_row{
         config_in_force, "config_in_force", log_level::info,
         "Configuration in force.",
@@ -247,6 +252,11 @@
         "A delayed attempt goes on.",
         "Its upstream is late (`delay`), and no other one takes over because "
         "of `why`. `silent_ms` is the time since the upstream sent anything."},
+    log_event_row{
+        response_held_back, "response_held_back", log_level::info,
+        "A response waits for room.",
+        "It may take `bytes` of the buffers for responses, of which `used` are "
+        "in use; nothing is read from its upstream until they are free."},
     log_event_row{
         attempt_refused, "attempt_refused", log_level::debug,
         "Refused an attempt.", "By an agent, for `reason`; it has not run."},
--- a/src/transport/transport.cpp
+++ b/src/transport/transport.cpp
@@ -1,5 +1,7 @@
 #include "transport/transport.hpp"
 
+#include "log/guarded_call.hpp"
+
 #include "settings/settings.hpp"
 
 #include <arpa/inet.h>
@@ -379,12 +381,17 @@
         if (n < 0)
             return;
         bytes_received_ += static_cast<std::uint64_t>(n);
-        result<message> m = decode_frame(
-            std::string_view(buf.data(), static_cast<std::size_t>(n)));
-        if (m)
-            on_message_(std::move(*m));
-        else if (on_error_)
-            on_error_(m.error());
+        guarded_call(
+            "datagram",
+            [&]
+            {
+                result<message> m = decode_frame(
+                    std::string_view(buf.data(), static_cast<std::size_t>(n)));
+                if (m)
+                    on_message_(std::move(*m));
+                else if (on_error_)
+                    on_error_(m.error());
+            });
     }
 }
 
