Confirm no key by an older copy at a gateway without a configuration

Cause: a configuration later than the one in force when the era began was taken for one that was written again. A gateway without one compares with 0, so that the first one, the older copy's, passed; and it knows no peers that would have a later one. A gateway that starts also took the first list as a confirmation before it knew whether the store holds the record of its era.

Change: only a gateway that had a configuration concludes from a later one. A confirmation that comes before the lookup of the era counts when that finds the record, and not at all when it doesn't; then the list has to be sent after the time in which what was lost is written again.

--- a/src/gateway/gateway_state.hpp
+++ b/src/gateway/gateway_state.hpp
@@ -132,7 +132,7 @@
     std::uint64_t number = 0; // that its responses name; 0: none yet
     // When this gateway heard that the store came back from an older copy.
     std::optional<steady_time> begun;
-    std::int64_t config_version = 0;        // in force at that moment
+    std::int64_t config_version = 0;        // in force at that moment; 0: none
     std::int64_t listed_config_version = 0; // in the store since
     bool is_settled = true; // what was not written again has been removed
     // A gateway that starts in an era of which the store holds no record does
@@ -140,6 +140,8 @@
     std::optional<steady_time> waits_until;
     // The record of this era: not known yet, to be written, or there.
     std::optional<bool> is_recorded;
+    // The latest confirmation of the configuration while that is not known.
+    std::optional<steady_time> unverified;
     std::map<std::string, gone_upstream, std::less<>> gone; // by id
 };
 
--- a/src/gateway/store_controller.cpp
+++ b/src/gateway/store_controller.cpp
@@ -234,8 +234,8 @@
     state_.last_store_response_at = now;
     if (!is_config)
         return;
-    if (as_of && is_confirmation(state_, *as_of, now))
-        confirm_config(state_, *as_of);
+    if (as_of)
+        record_confirmation(state_, *as_of, now);
     config_.set_wait(config_wait(state_));
     if (!state_.is_store_lost)
     {
--- a/src/gateway/store_era.cpp
+++ b/src/gateway/store_era.cpp
@@ -34,6 +34,7 @@
     s.era.listed_config_version = 0;
     s.era.is_settled = false;
     s.era.is_recorded = false;
+    s.era.unverified.reset();
     s.era.waits_until.reset(); // it has heard of the era before
     // An outage may have been too short to be noticed.
     s.uncertain_until = std::max(s.uncertain_until, now + rewrite_grace);
@@ -66,8 +67,14 @@
     if (s.era.is_recorded)
         return; // a later era has begun meanwhile
     s.era.is_recorded = is_recorded;
+    std::optional<steady_time> const unverified =
+        std::exchange(s.era.unverified, {});
     if (is_recorded)
+    {
+        if (unverified)
+            confirm_config(s, *unverified);
         return;
+    }
     s.era.begun = now;
     s.era.is_settled = false;
     s.era.waits_until = now + rewrite_grace;
@@ -95,12 +102,22 @@
     s.era.listed_config_version = version;
 }
 
+void record_confirmation(gateway_state& s, steady_time as_of, steady_time now)
+{
+    if (!s.era.is_recorded)
+        s.era.unverified = std::max(s.era.unverified.value_or(as_of), as_of);
+    else if (is_confirmation(s, as_of, now))
+        confirm_config(s, as_of);
+}
+
 bool is_confirmation(gateway_state const& s, steady_time as_of, steady_time now)
 {
     if (!s.era.begun || !s.config)
         return true;
     std::int64_t const version = s.config->version;
-    bool const is_rewritten = version > s.era.config_version;
+    // The first configuration of a gateway may be the older copy's.
+    bool const is_rewritten =
+        s.era.config_version > 0 && version > s.era.config_version;
     if (as_of < *s.era.begun + rewrite_grace && !is_rewritten)
         return false;
     if (s.era.listed_config_version < version)
--- a/src/gateway/store_era.hpp
+++ b/src/gateway/store_era.hpp
@@ -57,6 +57,11 @@
 // thread-safe.
 void record_listed_config(gateway_state& s, std::int64_t version);
 
+// Takes a response of the store, complete as of `as_of`, as a confirmation of
+// the configuration in force if it is one. It counts later if it is not known
+// yet whether the store has come back from an older copy. Not thread-safe.
+void record_confirmation(gateway_state& s, steady_time as_of, steady_time now);
+
 // Whether a response of the store, complete as of `as_of`, shows that the
 // configuration in force is the newest: not while the store may lack a newer
 // one, holds an older one, or a live peer has a newer one. Not thread-safe.
--- a/src/gateway/store_era_test.cpp
+++ b/src/gateway/store_era_test.cpp
@@ -209,3 +209,45 @@
     CHECK_FALSE(waits_for_lost_objects(s, later));
     CHECK(is_record_due(s, later + seconds(60)));
 }
+
+// Guards against a gateway that starts while the store comes back from an older
+// copy, and serves with the keys of that copy: its first configuration is later
+// than none, and it knows no peers (soak, seed 9002).
+TEST_CASE("The first configuration of a gateway is not taken as written again")
+{
+    gateway_config older;
+    older.version = 5;
+    auto const config = std::make_shared<gateway_config const>(older);
+    gateway_state s;
+    check_era(s, 1, now - milliseconds(10));
+    // The era begins before it has read a configuration.
+    REQUIRE(check_era(s, 2, now) == era_check::begun);
+    s.config = config;
+    record_listed_config(s, 5);
+    record_confirmation(s, now + milliseconds(5), now + milliseconds(9));
+    CHECK_FALSE(s.config_confirmed);
+    steady_time const settled = now + rewrite_grace;
+    record_confirmation(s, settled, settled + milliseconds(9));
+    CHECK(s.config_confirmed == settled);
+}
+
+// Guards against a confirmation that comes before it is known whether the store
+// has just come back from an older copy.
+TEST_CASE("A confirmation counts once the era of the store is known")
+{
+    bool const is_recorded = GENERATE(true, false);
+    CAPTURE(is_recorded);
+    gateway_config older;
+    older.version = 5;
+    gateway_state s;
+    check_era(s, 2, now);
+    s.config = std::make_shared<gateway_config const>(older);
+    record_listed_config(s, 5);
+    record_confirmation(s, now - milliseconds(5), now);
+    record_confirmation(s, now - milliseconds(9), now);
+    CHECK_FALSE(s.config_confirmed);
+    record_era_lookup(s, is_recorded, now + milliseconds(3));
+    CHECK(s.config_confirmed.has_value() == is_recorded);
+    if (is_recorded)
+        CHECK(*s.config_confirmed == now - milliseconds(5));
+}
