Return the room of a large event when it has left

A stream with one event of over 16 KiB kept the room of the largest event, 2 MiB, until its end, so that 16 such streams at 260 MB would have made others wait for theirs. The room is returned once the event has been passed on and its caller has taken it. The new test (12 streams that stay open, room for four) needs it; it was written after the fix and not run without it.

--- a/src/gateway/proxied_request_response.cpp
+++ b/src/gateway/proxied_request_response.cpp
@@ -333,6 +333,10 @@
     }
     client_->write(complete_events);
     record_pass_through_time();
+    bool const is_small = events_.held_bytes() <= small_body_bytes &&
+                          client_->unsent() <= pause_at_bytes;
+    if (is_small)
+        response_claim_.reset();
     set_pause();
 }
 
