Refuse requests with an unknown transfer coding

Found by the review beside its cases: a request with Transfer-Encoding identity, xchunked, 'chunked, chunked' or 'chunked, identity' was taken as one without a body, and its body as the next request, so that a request could be smuggled inside another one. Cause: the library frames by the last coding and takes any other for none. Such a request is answered with 400 now, and so is one with more codings than chunks, which would have been passed on without the names of its codings.

--- a/src/http_stream/http_reader.cpp
+++ b/src/http_stream/http_reader.cpp
@@ -109,6 +109,18 @@
     return all;
 }
 
+// Whether the body is framed by its length or by chunks. The library takes a
+// request with any other coding for one without a body, and what follows for
+// the next request.
+template <class Fields>
+bool has_known_coding(Fields const& fields)
+{
+    std::size_t const n = fields.count(http::field::transfer_encoding);
+    return n == 0 ||
+           (n == 1 &&
+            iequals(fields[http::field::transfer_encoding], "chunked"));
+}
+
 error_kind request_error(error_code const& ec)
 {
     if (ec == http::error::header_limit)
@@ -213,9 +225,12 @@
     std::size_t const used = feed(impl_->parser, bytes, ec);
     if (ec)
         return fail(request_error(ec), ec.message());
-    if (impl_->parser.is_header_done() &&
-        impl_->parser.get().count(http::field::host) != 1)
+    if (!impl_->parser.is_header_done())
+        return used;
+    if (impl_->parser.get().count(http::field::host) != 1)
         return fail(error_kind::bad_request, "one Host header is required");
+    if (!has_known_coding(impl_->parser.get()))
+        return fail(error_kind::bad_request, "unknown transfer coding");
     return used;
 }
 
--- a/src/http_stream/http_reader.hpp
+++ b/src/http_stream/http_reader.hpp
@@ -67,6 +67,8 @@
 {
     std::size_t max_header_bytes = std::size_t{16} << 10U;
     std::size_t max_body_bytes = std::size_t{4} << 20U;
+
+    bool operator==(message_limits const&) const = default;
 };
 
 // Reads one request.
--- a/src/http_stream/http_reader_test.cpp
+++ b/src/http_stream/http_reader_test.cpp
@@ -168,3 +168,24 @@
     CHECK(q.announced_length() == 999999999999);
     CHECK(q.body_bytes() == 3);
 }
+
+// Guards against a request inside the body of another one: with a coding that
+// is not known, the body would be read as the next request.
+TEST_CASE("A request with another coding than chunks is refused")
+{
+    std::string const head = "POST / HTTP/1.1\r\nHost: h\r\n";
+    for (char const* coding :
+         {"identity", "xchunked", "chunked, chunked", "chunked, identity",
+          "gzip, chunked", "gzip", ""})
+    {
+        INFO(coding);
+        CHECK_FALSE(read_request(
+            head + "Transfer-Encoding: " + coding +
+            "\r\n\r\n5\r\nabcde\r\n0\r\n\r\n"));
+    }
+    CHECK_FALSE(read_request(
+        head + "Transfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\n"
+               "\r\n0\r\n\r\n"));
+    CHECK(read_request(
+        head + "Transfer-Encoding: Chunked\r\n\r\n5\r\nabcde\r\n0\r\n\r\n"));
+}
