Apply new limits to connections that are kept

Found by the review beside its cases, by reading: a kept connection read its next request with the size limits of the configuration in force when it last began to read, so that a body that is allowed by now was answered with 413.

--- a/src/gateway/client_connection.cpp
+++ b/src/gateway/client_connection.cpp
@@ -310,13 +310,22 @@
     refuse_input(make_error(kind, "the request was not read"));
 }
 
+// The next request is read by the limits in force, also on a connection that
+// was kept before they changed.
+void client_connection::take_limits(client_limits const& limits)
+{
+    if (limits_ == limits)
+        return;
+    limits_ = limits;
+    if (!has_bytes_)
+        reader_ = std::make_unique<request_reader>(limits_.message);
+}
+
 bool client_connection::check(client_limits const& limits, steady_time now)
 {
     if (!stream_->is_open())
         return false;
-    if (limits_.idle_timeout != limits.idle_timeout ||
-        limits_.header_timeout != limits.header_timeout)
-        limits_ = limits;
+    take_limits(limits);
     if (is_busy_)
         return true;
     if (lingers_since_)
--- a/src/gateway/client_connection.hpp
+++ b/src/gateway/client_connection.hpp
@@ -138,6 +138,7 @@
     void refuse_input(error const& why);
     void finish_response();
     void linger(steady_time now);
+    void take_limits(client_limits const& limits);
     void on_end();
     std::string head_text(response_head const& head, std::string_view framing);
 
--- a/src/gateway/gateway_config.hpp
+++ b/src/gateway/gateway_config.hpp
@@ -76,6 +76,8 @@
     message_limits message;
     duration header_timeout = std::chrono::seconds(3);
     duration idle_timeout = std::chrono::seconds(15);
+
+    bool operator==(client_limits const&) const = default;
 };
 
 struct gateway_config
