--- a/src/log/guarded_call.hpp
+++ b/src/log/guarded_call.hpp
@@ -16,14 +16,19 @@
 
 #include <cstdint>
 #include <exception>
+#include <string>
 #include <string_view>
 
 namespace marjorambeam
 {
 
-// Exceptions that guarded calls have kept, since the start.
+// Exceptions that guarded calls have kept, since the start. Tests and the soak
+// fail when there are any that they don't expect.
 std::uint64_t failed_callbacks();
 
+// The part and reason of the latest one; empty if there is none.
+std::string const& last_failed_callback();
+
 // Logs and counts the failure of a callback.
 void report_failed_callback(std::string_view part, std::string_view why);
 
