Survive reports whose times contradict what was observed

What callers would have seen: a report whose echo contradicts earlier ones made the gateway drop its observations of that peer's clock and then use one that was no longer there, which may end the process; and times near the ends of their type overflow. Change: the report itself remains an observation, and reports with times that no clock shows are counted as bad datagrams. The new test passes; on the code before it, the first part fails by reading (such a report was decoded), it was not run there.

--- a/src/gateway/gateway_state_test.cpp
+++ b/src/gateway/gateway_state_test.cpp
@@ -4,6 +4,7 @@
 #include "gateway/reader_election.hpp"
 
 #include <catch2/catch.hpp>
+#include <cstdint>
 
 using namespace marjorambeam;
 using std::chrono::milliseconds;
@@ -88,6 +89,41 @@
     CHECK_FALSE(d.config_confirmed);
 }
 
+// Guards against a process that ends with a made-up report: times that no clock
+// shows, and an echo that contradicts what was observed before.
+TEST_CASE("A report with impossible times changes nothing that others rely on")
+{
+    gateway_report r{.sender = "b", .incarnation_id = 2, .sequence = 1};
+    for (std::int64_t const bad : {INT64_MIN, std::int64_t{-2}, INT64_MAX})
+    {
+        gateway_report odd = r;
+        odd.clock_us = bad;
+        CHECK_FALSE(decode_report(to_call(encode_report(odd), {})));
+        odd = r;
+        odd.history_dropped_ms = bad;
+        CHECK_FALSE(decode_report(to_call(encode_report(odd), {})));
+        CHECK_FALSE(decode_report(
+            to_call(encode_report(r), {.addressee = 1, .age_us = bad})));
+    }
+    gateway_state a = state_of("a", "b");
+    a.self = 1;
+    record_sent(a.reports, now);
+    r.clock_us = 1000;
+    REQUIRE(apply_report(a, r, now) == report_outcome::applied);
+    // It claims to have had a report long before it was sent.
+    r.sequence = 2;
+    r.clock_us = duration(seconds(50)).count();
+    r.echo = {.addressee = 1, .sequence = 1, .age_us = r.clock_us};
+    r.history_dropped_ms = 5;
+    r.config_age_ms = 0;
+    r.config_version = 3;
+    REQUIRE(
+        apply_report(a, r, now + milliseconds(1)) == report_outcome::applied);
+    CHECK_FALSE(a.config_confirmed);
+    REQUIRE(a.history_dropped);
+    CHECK(*a.history_dropped <= now + milliseconds(1));
+}
+
 // Guards against an echo for the process before, whose numbers began anew.
 TEST_CASE("An echo counts for the process that sent the report only")
 {
--- a/src/gateway/peer_report.cpp
+++ b/src/gateway/peer_report.cpp
@@ -114,7 +114,7 @@
         return;
     // One of the clocks was set, which the time since boot never is.
     s.counters.count("peer_clocks_contradictory_total");
-    p.clock = {};
+    p.clock = {.latest = clock_observation{duration(r.clock_us), now}};
 }
 
 void record_reader_state(gateway_peer& p, gateway_report const& r)
@@ -135,6 +135,26 @@
     }
 }
 
+// No clock shows more than this, and no age is longer.
+constexpr std::int64_t max_reported_us = std::int64_t{1} << 52U;
+constexpr std::int64_t max_reported_ms = max_reported_us / 1000;
+
+bool is_in_range(std::int64_t n, std::int64_t least, std::int64_t most)
+{
+    return n >= least && n <= most;
+}
+
+// Whether the times in a report can be reckoned with.
+bool has_valid_times(gateway_report const& r)
+{
+    return is_in_range(r.clock_us, 0, max_reported_us) &&
+           is_in_range(r.echo.age_us, 0, max_reported_us) &&
+           is_in_range(r.config_age_ms, -1, max_reported_ms) &&
+           is_in_range(r.store_available_ms, -1, max_reported_ms) &&
+           is_in_range(r.store_response_age_ms, -1, max_reported_ms) &&
+           is_in_range(r.history_dropped_ms, -1, max_reported_ms);
+}
+
 constexpr duration min_peer_load_ttl = std::chrono::milliseconds(2500);
 
 } // namespace
@@ -285,8 +305,11 @@
     if (!a)
         return tl::unexpected<error>(a.error());
     auto r = decode_value<gateway_report>(a->report, trailing_bytes::ignored);
-    if (r)
-        r->echo = a->echo;
+    if (!r)
+        return r;
+    r->echo = a->echo;
+    if (!has_valid_times(*r))
+        return fail(error_kind::frame_corrupt, "a time is out of range");
     return r;
 }
 
