--- a/src/gateway/peer_clock_test.cpp
+++ b/src/gateway/peer_clock_test.cpp
@@ -55,7 +55,7 @@
     static steady_time clock(int i, steady_time t)
     {
         // Up to 1000 millionths faster or slower than another one.
-        std::int64_t const millionths = (i % 3 - 1) * 500;
+        std::int64_t const millionths = std::int64_t{i % 3 - 1} * 500;
         duration const passed = t - start;
         return start + passed + passed * millionths / 1000000 + seconds(37) * i;
     }
