Read a plain answer on while its caller takes the one before

What callers would have seen: of two large answers on one connection, whose requests were sent one behind the other, the second ended with 504 if the caller took the first one slowly.

Cause: set_pause() holds an upstream back while its caller has unsent output, for plain answers too; only streams hear when that output has left, so that nothing resumed a plain one. Change: only streams wait for their caller, plain answers are covered by their claim of room. Ruled out: to resume them as well, which would add a second owner of the callback for drained output.

--- a/src/gateway/proxied_request_response.cpp
+++ b/src/gateway/proxied_request_response.cpp
@@ -268,15 +268,16 @@
          {"after_ms", in_ms(now - sent_)}});
 }
 
-// Reads from the upstream unless its response waits for room, or for its
-// caller.
+// Reads from the upstream unless its response waits for room, or its events for
+// their caller. A plain response is covered by its claim.
 void proxied_request::set_pause()
 {
     if (!connection_)
         return;
     bool const waits_for_room =
         response_claim_ && !response_claim_->is_granted();
-    bool const waits_for_caller = client_->unsent() > pause_at_bytes;
+    bool const waits_for_caller =
+        is_event_stream_ && client_->unsent() > pause_at_bytes;
     connection_->pause(waits_for_room || waits_for_caller);
 }
 
