--- a/tests/process/child_process.cpp
+++ b/tests/process/child_process.cpp
@@ -169,6 +169,19 @@
     return it->second;
 }
 
+std::size_t child_process::peak_memory() const
+{
+    constexpr std::string_view field = "VmHWM:";
+    constexpr std::size_t bytes_per_kb = 1024;
+    std::ifstream in("/proc/" + std::to_string(pid_) + "/status");
+    for (std::string line; std::getline(in, line);)
+    {
+        if (line.starts_with(field))
+            return std::stoul(line.substr(field.size())) * bytes_per_kb;
+    }
+    return 0;
+}
+
 std::string child_process::output() const
 {
     return read_file(path_ + ".out");
--- a/tests/process/child_process.hpp
+++ b/tests/process/child_process.hpp
@@ -10,6 +10,7 @@
 // Not thread-safe.
 #pragma once
 
+#include <cstddef>
 #include <map>
 #include <optional>
 #include <string>
@@ -50,6 +51,10 @@
     // An address of that line, such as "frames", without a scheme.
     std::string const& field(std::string_view key) const;
 
+    // Peak of the memory that the process has had in use, in bytes; 0 once it
+    // has ended.
+    std::size_t peak_memory() const;
+
     std::string output() const;
     std::string errors() const;
 
