Bound bodies and heads also where the configuration allows more

What callers would have seen: a configuration that allows bodies larger than the room for them let one caller take more memory than the process may use, as a claim is at most the whole room; and heads over 16 KiB were not covered by what each request claims.

Change: a body is too large (413) when the room can never hold it, whatever the configuration allows, and claims count the largest head that it allows.

--- a/src/gateway/buffer_pool.hpp
+++ b/src/gateway/buffer_pool.hpp
@@ -81,10 +81,10 @@
 std::unique_ptr<buffer_claim> try_claim(buffer_pool& pool, std::size_t n);
 
 // What a request holds in any case, from its arrival to the end of its
-// response: its head and a small body twice, pipelined bytes, a small response
-// or the part of a stream that its caller has not taken.
-constexpr std::size_t request_buffer_bytes = std::size_t{128} << 10U;
-// What a connection holds whose request is not complete.
+// response, besides its head twice: a small body twice, pipelined bytes, a
+// small response or the part of a stream that its caller has not taken.
+constexpr std::size_t request_buffer_bytes = std::size_t{96} << 10U;
+// What a connection holds whose request is not complete, besides its head.
 constexpr std::size_t partial_request_bytes = std::size_t{32} << 10U;
 // Bodies up to this size are covered by the above.
 constexpr std::size_t small_body_bytes = std::size_t{16} << 10U;
@@ -95,7 +95,7 @@
 struct buffer_pools
 {
     buffer_pool partial_requests;
-    buffer_pool requests;  // request_buffer_bytes each
+    buffer_pool requests;  // request_buffer_bytes and two heads each
     buffer_pool prompts;   // bodies of requests that are not small
     buffer_pool responses; // bodies of responses that are not small
 };
--- a/src/gateway/client_connection.cpp
+++ b/src/gateway/client_connection.cpp
@@ -1,5 +1,6 @@
 #include "gateway/client_connection.hpp"
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 #include <iterator>
@@ -16,9 +17,21 @@
 constexpr duration idle_grace = std::chrono::seconds(2);
 // Time limit for a request body, as a multiple of the header timeout.
 constexpr int body_timeout_factor = 4;
+// A body is copied once, into the request to the upstream, and a buffer that
+// grows holds twice of what is in it.
+constexpr std::size_t body_copies = 2;
 // Time for a caller to read the last response and to end its connection.
 constexpr duration linger_time = std::chrono::seconds(1);
 
+// A body that the pool can't hold is too large, whatever the configuration
+// allows.
+client_limits within(client_limits limits, buffer_pools const& pools)
+{
+    std::size_t& most = limits.message.max_body_bytes;
+    most = std::min(most, pools.prompts.capacity / body_copies);
+    return limits;
+}
+
 std::string chunk_header(std::size_t n)
 {
     std::array<char, 20> buf;
@@ -35,7 +48,7 @@
     std::shared_ptr<tcp_stream> stream, client_limits limits,
     buffer_pools& pools, steady_time now, request_handler on_request)
     : stream_(std::move(stream))
-    , limits_(limits)
+    , limits_(within(limits, pools))
     , pools_(pools)
     , on_request_(std::move(on_request))
     , reader_(std::make_unique<request_reader>(limits_.message))
@@ -139,8 +152,9 @@
 bool client_connection::claim_input()
 {
     if (!partial_claim_)
-        partial_claim_ =
-            try_claim(pools_.partial_requests, partial_request_bytes);
+        partial_claim_ = try_claim(
+            pools_.partial_requests,
+            partial_request_bytes + limits_.message.max_header_bytes);
     if (!partial_claim_)
         return false;
     if (!reader_->is_head_done() || prompt_claim_)
@@ -149,12 +163,10 @@
         reader_->announced_length().value_or(reader_->body_bytes()));
     if (announced <= small_body_bytes)
         return true;
-    // A body is copied once, into the request to the upstream, and a buffer
-    // that grows holds twice of what is in it.
     std::size_t const most = reader_->announced_length()
                                  ? announced
                                  : limits_.message.max_body_bytes;
-    prompt_claim_ = try_claim(pools_.prompts, most * 2);
+    prompt_claim_ = try_claim(pools_.prompts, most * body_copies);
     return prompt_claim_ != nullptr;
 }
 
@@ -314,9 +326,10 @@
 // was kept before they changed.
 void client_connection::take_limits(client_limits const& limits)
 {
-    if (limits_ == limits)
+    client_limits const bounded = within(limits, pools_);
+    if (limits_ == bounded)
         return;
-    limits_ = limits;
+    limits_ = bounded;
     if (!has_bytes_)
         reader_ = std::make_unique<request_reader>(limits_.message);
 }
--- a/src/gateway/request_controller.cpp
+++ b/src/gateway/request_controller.cpp
@@ -129,8 +129,9 @@
         refuse(client, {}, request.error().kind, duration{0}, now);
         return;
     }
-    std::unique_ptr<buffer_claim> claim =
-        try_claim(pools_.requests, request_buffer_bytes);
+    std::unique_ptr<buffer_claim> claim = try_claim(
+        pools_.requests,
+        request_buffer_bytes + 2 * limits().message.max_header_bytes);
     if (!claim)
     {
         refuse(
