Keep exceptions inside requests to and responses from HTTP libraries

What callers would have seen: an exception while the gateway handles a response of the store, or a request for its metrics, left through libcurl or libmicrohttpd and libev and ended the process, as it did for connections of callers and upstreams before.

Change: guarded_call around each response, its body and headers, each request to an HTTP server (answered with 500), and each event of a connection with frames, which belong to the other daemons. The new test of the client and the server passes (bad_alloc in a handler, a body and a response); it was not run on the code before, where it would end the test's process.

--- a/src/http_client/http_client.cpp
+++ b/src/http_client/http_client.cpp
@@ -1,5 +1,7 @@
 #include "http_client/http_client.hpp"
 
+#include "log/guarded_call.hpp"
+
 #include <algorithm>
 #include <cctype>
 #include <curl/curl.h>
@@ -46,9 +48,9 @@
     }
 };
 
-std::size_t take_body(char* data, std::size_t, std::size_t n, void* user)
+// Returns how many bytes were taken.
+std::size_t take_body_bytes(transfer& t, char const* data, std::size_t n)
 {
-    auto& t = *static_cast<transfer*>(user);
     if (t.on_data)
     {
         long status = 0;
@@ -66,13 +68,11 @@
     return n;
 }
 
-std::size_t take_header(char* data, std::size_t, std::size_t n, void* user)
+void take_header_line(transfer& t, std::string_view line)
 {
-    auto& t = *static_cast<transfer*>(user);
-    std::string_view line(data, n);
     std::size_t const colon = line.find(':');
     if (colon == std::string_view::npos)
-        return n;
+        return;
     std::string name(line.substr(0, colon));
     std::transform(
         name.begin(), name.end(), name.begin(),
@@ -84,7 +84,26 @@
            std::isspace(static_cast<unsigned char>(line.back())))
         line.remove_suffix(1);
     t.reply.headers[std::move(name)] = line;
-    return n;
+}
+
+// An exception must not pass through libcurl; the call ends with an error.
+std::size_t take_body(char* data, std::size_t, std::size_t n, void* user)
+{
+    std::size_t taken = 0;
+    auto& t = *static_cast<transfer*>(user);
+    guarded_call("response body", [&] { taken = take_body_bytes(t, data, n); });
+    return taken;
+}
+
+std::size_t take_header(char* data, std::size_t, std::size_t n, void* user)
+{
+    auto& t = *static_cast<transfer*>(user);
+    bool const is_taken = guarded_call(
+        "response header",
+        [&] {
+            take_header_line(t, {data, n});
+        });
+    return is_taken ? n : 0;
 }
 
 result<http_reply> outcome(transfer& t, CURLcode code)
@@ -292,7 +311,7 @@
             transfers.erase(t->id);
             curl_multi_remove_handle(multi, t->easy);
             if (t->done)
-                t->done(outcome(*t, code));
+                guarded_call("response", [&] { t->done(outcome(*t, code)); });
         }
     }
 };
--- a/src/http_client/http_client_test.cpp
+++ b/src/http_client/http_client_test.cpp
@@ -4,6 +4,7 @@
 #include "http_server/http_server.hpp"
 
 #include <catch2/catch.hpp>
+#include <new>
 #include <optional>
 
 using namespace marjorambeam;
@@ -208,3 +209,49 @@
     REQUIRE(requests == 2);
     CHECK(failure->run == run_state::unknown);
 }
+
+// Guards against a process that ends with an exception out of one request or
+// one response.
+TEST_CASE("an exception ends the request or the response that threw it")
+{
+    ev::dynamic_loop loop;
+    http_server server(
+        loop, {},
+        [](std::shared_ptr<http_exchange> const& ex)
+        {
+            if (ex->request().path == "/odd")
+                throw std::bad_alloc();
+            ex->respond(200, {}, "whole");
+        });
+    result<http_reply> reply = call(loop, {.url = url_of(server, "/odd")});
+    REQUIRE(reply);
+    CHECK(reply->status == 500);
+
+    http_client client(loop);
+    loop_timer limit(loop, [&] { loop.break_loop(ev::ALL); });
+    limit.start(std::chrono::seconds(5));
+    std::optional<result<http_reply>> cut;
+    client.send(
+        {.url = url_of(server, "/")},
+        [](result<http_reply>) { throw std::bad_alloc(); });
+    client.send(
+        {.url = url_of(server, "/")},
+        [&](result<http_reply> r) { cut = std::move(r); },
+        [](int, std::string_view) -> bool { throw std::bad_alloc(); });
+    client.send(
+        {.url = url_of(server, "/")},
+        [&](result<http_reply> r) { reply = std::move(r); });
+    loop_timer poll(
+        loop,
+        [&]
+        {
+            if (client.active() == 0)
+                loop.break_loop(ev::ALL);
+        });
+    poll.start_every(std::chrono::milliseconds(2));
+    loop.run();
+    REQUIRE(cut);
+    CHECK_FALSE(*cut);
+    REQUIRE(reply);
+    CHECK(reply->body == "whole");
+}
--- a/src/http_server/http_server.cpp
+++ b/src/http_server/http_server.cpp
@@ -1,5 +1,7 @@
 #include "http_server/http_server.hpp"
 
+#include "log/guarded_call.hpp"
+
 #include "settings/settings.hpp"
 
 #include <algorithm>
@@ -147,9 +149,11 @@
                     make_error(ex->refusal_, "the request is over a limit"), "",
                     {{"Connection", "close"}});
             }
-            else
+            else if (!guarded_call("request", [&] { server.on_request_(ex); }))
             {
-                server.on_request_(ex);
+                respond_error(
+                    *ex, make_error(error_kind::internal, "the request failed"),
+                    "", {});
             }
         }
         if (ex->is_dropped_)
--- a/src/log/guarded_call.hpp
+++ b/src/log/guarded_call.hpp
@@ -4,10 +4,11 @@
 //   if (!guarded_call("connection", [&] { read_available(); }))
 //       close();
 //
-// The line is drawn where libev calls us: around each event of a connection, a
-// listener, a timer and a datagram. Behind it, the connection or the work that
-// threw is given up; what the others hold is untouched. Errors that are
-// expected are values and never come here.
+// The line is drawn where a library calls us: around each event of a
+// connection, a listener, a timer and a datagram, each request to an HTTP
+// server and each response to an HTTP client. Behind it, the connection or the
+// work that threw is given up; what the others hold is untouched. Errors that
+// are expected are values and never come here.
 //
 // Not thread-safe.
 #pragma once
--- a/src/transport/transport.cpp
+++ b/src/transport/transport.cpp
@@ -177,12 +177,21 @@
 {
     auto const self = shared_from_this();
     flush_.stop();
-    flush();
+    guarded_call("frames to send", [&] { flush(); });
 }
 
 void frame_connection::on_ready(ev::io&, int events)
 {
     auto const self = shared_from_this();
+    if (guarded_call("frame connection", [&] { handle(events); }))
+        return;
+    guarded_call(
+        "end of a frame connection", [&]
+        { fail_with(make_error(error_kind::internal, "a callback failed")); });
+}
+
+void frame_connection::handle(int events)
+{
     if (is_connecting_)
     {
         finish_connecting();
--- a/src/transport/transport.hpp
+++ b/src/transport/transport.hpp
@@ -88,6 +88,7 @@
 private:
     void on_ready(ev::io&, int events);
     void on_prepare(ev::prepare&, int);
+    void handle(int events);
     void finish_connecting();
     void read_available();
     void flush();
