Give up a list of the store that has no end

What callers would have seen: a store whose pages each say that more follows made a gateway ask for them without a pause and keep all of them.

Change: a page has to end its list or bring it forward, and a kind has 100,000 objects at most; else the list begins anew after a pause, and the pauses grow until a list is whole.

--- a/src/gateway/object_watch.cpp
+++ b/src/gateway/object_watch.cpp
@@ -10,6 +10,9 @@
 namespace
 {
 
+// Objects of one kind; more come from a store that repeats itself.
+constexpr std::size_t max_listed_objects = 100'000;
+
 // A document that can't be parsed becomes a discarded value, which describes no
 // valid object of any kind.
 platform_object object_of(relayed_object&& r)
@@ -260,7 +263,16 @@
         retry(objects.error());
         return;
     }
-    delay_ = duration{0};
+    if (is_listing_ && !continues_list(*objects))
+    {
+        after_.clear();
+        listed_.clear();
+        retry(make_error(
+            error_kind::answer_corrupt, "a list of " + kind_ + " without end"));
+        return;
+    }
+    if (!objects->has_more)
+        delay_ = duration{0};
     has_failed_ = false;
     // The store responds to a watch without changes after its full wait.
     bool const has_waited = !is_listing_ && objects->objects.empty();
@@ -281,6 +293,18 @@
                            : timing_.initial_delay);
 }
 
+// Whether a page ends the list, or brings it forward within what a list may
+// hold.
+bool object_watch::continues_list(platform_objects const& page) const
+{
+    if (!page.has_more)
+        return true;
+    bool const is_progress =
+        !page.objects.empty() && page.objects.back().name != after_;
+    return is_progress &&
+           listed_.size() + page.objects.size() <= max_listed_objects;
+}
+
 void object_watch::send_after(duration pause)
 {
     if (pause == duration{0})
--- a/src/gateway/object_watch.hpp
+++ b/src/gateway/object_watch.hpp
@@ -172,6 +172,7 @@
     void retry(error const& why);
     void send_after(duration pause);
     std::optional<relayed_object> update_copy(platform_object& o);
+    bool continues_list(platform_objects const& page) const;
     std::vector<std::string>
     names_not_in(std::vector<platform_object> const& all) const;
     void report_copy_change(
