Drop an answer of low confidence only for a connection that was begun

What callers would have seen: an answer that was ready was dropped for a larger model, although no connection to that one could be begun, and the request then waited or failed. Change: the connection is taken first (take_connection), and dispatch() uses it. No test of its own: it needs a process without descriptors; the tests of larger models and of entries that can't be reached pass.

--- a/src/gateway/proxied_request.cpp
+++ b/src/gateway/proxied_request.cpp
@@ -310,13 +310,19 @@
             return send_outcome::none;
         }
         // One that can't be reached is avoided by the next selection.
-        if (dispatch(c, now))
+        auto connection = take_connection(c, now);
+        if (connection)
+        {
+            dispatch(c, std::move(connection), now);
             return send_outcome::sent;
+        }
     }
     return send_outcome::none;
 }
 
-bool proxied_request::dispatch(upstream_selection const& c, steady_time now)
+// Returns a connection to the selected upstream, or null if none can be begun.
+std::shared_ptr<upstream_connection>
+proxied_request::take_connection(upstream_selection const& c, steady_time now)
 {
     result<std::shared_ptr<upstream_connection>> taken =
         context_.pool.take(c.chosen, is_repeatable(route_), now);
@@ -328,9 +334,16 @@
         // Lack of a descriptor says nothing about the upstream.
         if (taken.error().kind != error_kind::queue_full)
             record_unreachable_upstream(*c.chosen, now);
-        return false;
+        return nullptr;
     }
-    connection_ = std::move(*taken);
+    return std::move(*taken);
+}
+
+void proxied_request::dispatch(
+    upstream_selection const& c,
+    std::shared_ptr<upstream_connection> connection, steady_time now)
+{
+    connection_ = std::move(connection);
     upstream_ = c.chosen;
     inputs_ = {
         .load = estimated_requests(*upstream_, now),
@@ -392,7 +405,6 @@
          .on_response_failure =
              guarded(&proxied_request::on_response_failure)});
     arm_attempt_timer();
-    return true;
 }
 
 // Uses a token if the upstream names a request limit, and counts the send by
--- a/src/gateway/proxied_request.hpp
+++ b/src/gateway/proxied_request.hpp
@@ -160,7 +160,11 @@
     select_except(std::span<std::string const> excluded, steady_time now);
     void set_model(std::size_t model);
     upstream_query make_query(version_rule const& rule) const;
-    bool dispatch(upstream_selection const& c, steady_time now);
+    std::shared_ptr<upstream_connection>
+    take_connection(upstream_selection const& c, steady_time now);
+    void dispatch(
+        upstream_selection const& c,
+        std::shared_ptr<upstream_connection> connection, steady_time now);
     void use_limit_token(steady_time now);
     bool cannot_succeed(steady_time now);
     steady_time take_limit_slot(steady_time next);
--- a/src/gateway/proxied_request_response.cpp
+++ b/src/gateway/proxied_request_response.cpp
@@ -199,7 +199,10 @@
         .expected = c.expected,
         .queued = c.queued,
         .left = started_ + route_.target - now};
-    if (!c.chosen || !is_worth_escalating(q, t))
+    std::shared_ptr<upstream_connection> connection;
+    if (c.chosen && is_worth_escalating(q, t))
+        connection = take_connection(c, now);
+    if (!connection)
     {
         set_model(current_model);
         context_.state.counters.count("larger_model_spared_total", "", scope());
@@ -218,11 +221,7 @@
          {"requests", std::to_string(budget().requests.count(now))}});
     ++attempts_.runs;
     release();
-    if (!dispatch(c, now))
-    {
-        wait_until_ = now + max_queue_time();
-        queue_or_refuse(now);
-    }
+    dispatch(c, std::move(connection), now);
     return true;
 }
 
