Keep exceptions of any type inside a guarded call

What callers would have seen: an exception that is no std::exception, out of one connection's callback, ends the process and with it all requests. Cause: guarded_call() caught std::exception only. Change: it catches all.

--- a/src/http_client/http_client_test.cpp
+++ b/src/http_client/http_client_test.cpp
@@ -233,7 +233,7 @@
     std::optional<result<http_reply>> cut;
     client.send(
         {.url = url_of(server, "/")},
-        [](result<http_reply>) { throw std::bad_alloc(); });
+        [](result<http_reply> const&) { throw std::bad_alloc(); });
     client.send(
         {.url = url_of(server, "/")},
         [&](result<http_reply> r) { cut = std::move(r); },
--- a/src/log/guarded_call.hpp
+++ b/src/log/guarded_call.hpp
@@ -46,8 +46,12 @@
     catch (std::exception const& e)
     {
         report_failed_callback(part, e.what());
-        return false;
     }
+    catch (...)
+    {
+        report_failed_callback(part, "an exception of an unknown type");
+    }
+    return false;
 }
 
 } // namespace marjorambeam
