Bound the part of the response room that one upstream holds

What callers saw: with 48 answers that one upstream begins in chunks and never ends, the answers over 16 KiB of a sound upstream waited until their deadline (504); the test's first one had not arrived after 500 ms. Cause: claims of unknown length take 8 MiB each, four of them all of the room at 260 MB, and others wait behind them in the order of claims, however long the faulty upstream keeps its own. Change: a claim for a response names its upstream, which gets no more than half of what the others leave; claims that wait for their own share hold up none of the others'. An unused pool is granted to a claim of any size, so that each is granted at last. Ruled out: claims that grow with what arrives, as two that each hold a part can wait for each other.

--- a/src/gateway/buffer_pool.cpp
+++ b/src/gateway/buffer_pool.cpp
@@ -14,6 +14,8 @@
 constexpr std::size_t requests_divisor = 4;
 constexpr std::size_t prompts_divisor = 8;
 constexpr std::size_t responses_divisor = 8;
+// Of what the others leave.
+constexpr std::size_t owner_share_divisor = 2;
 constexpr std::size_t mmap_threshold_bytes = std::size_t{128} << 10U;
 
 bool is_free(buffer_pool const& pool, std::size_t n)
@@ -24,12 +26,17 @@
 } // namespace
 
 buffer_claim::buffer_claim(
-    buffer_pool& pool, std::size_t n, std::function<void()> on_granted)
+    buffer_pool& pool, std::size_t n, std::function<void()> on_granted,
+    std::string owner)
     : pool_(pool)
     , bytes_(std::min(n, pool.capacity))
     , on_granted_(std::move(on_granted))
+    , owner_(std::move(owner))
 {
-    if (pool_.waiting.empty() && is_free(pool_, bytes_))
+    bool const is_next = std::all_of(
+        pool_.waiting.begin(), pool_.waiting.end(),
+        [](buffer_claim const* it) { return it->exceeds_share(); });
+    if (is_next && !exceeds_share() && is_free(pool_, bytes_))
     {
         grant();
         return;
@@ -40,28 +47,56 @@
 
 buffer_claim::~buffer_claim()
 {
-    if (is_granted_)
-        pool_.used -= bytes_;
-    else
+    if (!is_granted_)
+    {
         pool_.waiting.erase(place_);
+    }
+    else
+    {
+        pool_.used -= bytes_;
+        auto const it = pool_.used_by_owner.find(owner_);
+        if (it != pool_.used_by_owner.end() && (it->second -= bytes_) == 0)
+            pool_.used_by_owner.erase(it);
+    }
     grant_waiting(pool_);
 }
 
+// Whether the claim has to wait for others of its owner. An unused pool is
+// anyone's, so that each claim is granted at last.
+bool buffer_claim::exceeds_share() const
+{
+    if (owner_.empty() || pool_.used == 0)
+        return false;
+    auto const it = pool_.used_by_owner.find(owner_);
+    std::size_t const own = it == pool_.used_by_owner.end() ? 0 : it->second;
+    std::size_t const left_by_others = pool_.capacity - (pool_.used - own);
+    return own + bytes_ > left_by_others / owner_share_divisor;
+}
+
 void buffer_claim::grant()
 {
     pool_.used += bytes_;
+    if (!owner_.empty() && bytes_ > 0)
+        pool_.used_by_owner[owner_] += bytes_;
     is_granted_ = true;
 }
 
 void grant_waiting(buffer_pool& pool)
 {
-    while (!pool.waiting.empty() && is_free(pool, pool.waiting.front()->bytes_))
+    for (auto it = pool.waiting.begin(); it != pool.waiting.end();)
     {
-        buffer_claim& first = *pool.waiting.front();
-        pool.waiting.pop_front();
-        first.grant();
-        if (first.on_granted_)
-            first.on_granted_();
+        buffer_claim& claim = **it;
+        if (claim.exceeds_share())
+        {
+            ++it;
+            continue;
+        }
+        if (!is_free(pool, claim.bytes_))
+            return;
+        it = pool.waiting.erase(it);
+        claim.grant();
+        if (claim.on_granted_)
+            claim.on_granted_();
     }
 }
 
--- a/src/gateway/buffer_pool.hpp
+++ b/src/gateway/buffer_pool.hpp
@@ -18,6 +18,10 @@
 // exceeded. Claims that wait are granted in their order; a response never waits
 // for one that waits for it, because each of them makes one claim at most.
 //
+// Claims may name an owner, the upstream that sends the bytes. An owner gets no
+// more than half of what the others leave, so that there is room for others
+// however long it keeps its own, and its claims hold up none of theirs.
+//
 // Not thread-safe.
 #pragma once
 
@@ -25,7 +29,9 @@
 #include <cstdint>
 #include <functional>
 #include <list>
+#include <map>
 #include <memory>
+#include <string>
 
 namespace marjorambeam
 {
@@ -41,6 +47,7 @@
 {
     std::size_t capacity = 0;
     std::size_t used = 0;
+    std::map<std::string, std::size_t, std::less<>> used_by_owner;
     std::list<buffer_claim*> waiting;
     std::uint64_t waits = 0;    // claims that had to wait
     std::uint64_t refusals = 0; // claims that could not wait
@@ -52,9 +59,11 @@
 public:
     // Claims `n` bytes, or all of the pool if that is less. If they are not
     // free, `on_granted` is called once when they are; it must not destroy a
-    // claim. Precondition: `pool` outlives the claim.
+    // claim. An empty `owner` has no share of its own. Precondition: `pool`
+    // outlives the claim.
     buffer_claim(
-        buffer_pool& pool, std::size_t n, std::function<void()> on_granted);
+        buffer_pool& pool, std::size_t n, std::function<void()> on_granted,
+        std::string owner = {});
     // Returns the bytes and grants them to those that wait.
     ~buffer_claim();
     buffer_claim(buffer_claim const&) = delete;
@@ -67,11 +76,13 @@
 
 private:
     friend void grant_waiting(buffer_pool& pool);
+    bool exceeds_share() const;
     void grant();
 
     buffer_pool& pool_;
     std::size_t bytes_;
     std::function<void()> on_granted_;
+    std::string owner_;
     bool is_granted_ = false;
     std::list<buffer_claim*>::iterator place_;
 };
--- a/src/gateway/buffer_pool_benchmark.cpp
+++ b/src/gateway/buffer_pool_benchmark.cpp
@@ -35,6 +35,21 @@
 }
 BENCHMARK(grant_the_next)->Arg(10)->Arg(1000);
 
+// Passes over claims that wait for others of their owner, by their number.
+void claim_beside_a_faulty_owner(benchmark::State& state)
+{
+    buffer_pool pool{.capacity = 100};
+    std::list<buffer_claim> faulty;
+    for (std::int64_t i = 0; i < state.range(0); ++i)
+        faulty.emplace_back(pool, 25, std::function<void()>(), "f");
+    for (auto _ : state)
+    {
+        buffer_claim claim(pool, 1, {}, "s");
+        benchmark::DoNotOptimize(claim);
+    }
+}
+BENCHMARK(claim_beside_a_faulty_owner)->Arg(10)->Arg(1000);
+
 // What each attempt pays five times a second.
 void judge_an_attempt(benchmark::State& state)
 {
--- a/src/gateway/buffer_pool_test.cpp
+++ b/src/gateway/buffer_pool_test.cpp
@@ -2,8 +2,10 @@
 
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <list>
 #include <map>
 #include <random>
+#include <string>
 #include <vector>
 
 using namespace marjorambeam;
@@ -46,17 +48,56 @@
     CHECK(pool.used == 100);
 }
 
+// Guards against an owner whose claims keep others waiting: those that it holds
+// by their size, and those that wait by their place.
+TEST_CASE("An owner gets no more than half of what others leave")
+{
+    buffer_pool pool{.capacity = 320};
+    std::list<buffer_claim> faulty;
+    for (int i = 0; i < 6; ++i)
+        faulty.emplace_back(pool, 80, std::function<void()>(), "f");
+    CHECK(pool.used == 160);
+    buffer_claim const second(pool, 80, {}, "g");
+    CHECK(second.is_granted());
+    buffer_claim const third(pool, 80, {}, "h");
+    CHECK_FALSE(third.is_granted());
+    std::list<buffer_claim> small;
+    for (char const* owner : {"i", "j", "k"})
+        CHECK(small.emplace_back(pool, 8, std::function<void()>(), owner)
+                  .is_granted());
+    faulty.pop_front(); // what is left is more than half of what is free
+    CHECK(pool.used == 184);
+    faulty.clear();
+    CHECK(third.is_granted());
+    CHECK(pool.used_by_owner.size() == 5);
+}
+
+// Guards against a claim that no owner's share can ever hold.
+TEST_CASE("An unused pool is granted to a claim of any size")
+{
+    buffer_pool pool{.capacity = 100};
+    auto first =
+        std::make_unique<buffer_claim>(pool, 100, std::function<void()>(), "f");
+    CHECK(first->is_granted());
+    buffer_claim const second(pool, 100, {}, "f");
+    CHECK_FALSE(second.is_granted());
+    first.reset();
+    CHECK(second.is_granted());
+}
+
 // Guards against a sum that exceeds the pool after any order of claims.
 TEST_CASE("A pool is never exceeded and never forgets a claim")
 {
     std::mt19937 random(5);
+    auto const has_owners = GENERATE(false, true);
     buffer_pool pool{.capacity = 1000};
     std::map<int, std::unique_ptr<buffer_claim>> all;
     for (int i = 0; i < 20000; ++i)
     {
         if (random() % 2 == 0 || all.empty())
             all[i] = std::make_unique<buffer_claim>(
-                pool, random() % 600, std::function<void()>());
+                pool, random() % 600, std::function<void()>(),
+                has_owners ? std::to_string(random() % 4) : std::string());
         else
             all.erase(std::next(
                 all.begin(),
@@ -72,6 +113,7 @@
     }
     all.clear();
     CHECK(pool.used == 0);
+    CHECK(pool.used_by_owner.empty());
     CHECK(pool.waiting.empty());
 }
 
--- a/src/gateway/proxied_request_response.cpp
+++ b/src/gateway/proxied_request_response.cpp
@@ -254,7 +254,8 @@
         {
             if (auto const run = weak.lock())
                 run->set_pause();
-        });
+        },
+        upstream_->info.id);
     if (response_claim_->is_granted())
         return;
     context_.state.counters.count("response_waits_total", "", scope());
