Wait for peers whose receive window is full

What callers saw: a caller that does not read for more than 3 s while its window is full lost its answer, plain or streamed, with a reset; work that may not be repeated ended with 502 when its upstream stopped reading it for 1.5 s. Cause: the kernel's limit for unacknowledged bytes (TCP_USER_TIMEOUT), meant for dead paths, also ends a connection whose peer acknowledges all that it has room for. Change: while all that was sent is acknowledged and the rest waits for room, the limit is the idle timeout of the configuration for callers, and the time that is left for upstreams (extend_for_full_window). Sent bytes that are not acknowledged end the connection as before. The gauge callers_reading_slowly and slow_reads_total show it.

Conclusion: a pause in reading is no dead path; one that lasts longer than a caller may be idle still ends the connection and frees its room.

--- a/src/gateway/client_connection.cpp
+++ b/src/gateway/client_connection.cpp
@@ -339,6 +339,7 @@
     if (!stream_->is_open())
         return false;
     take_limits(limits);
+    stream_->extend_for_full_window(limits_.idle_timeout);
     if (is_busy_)
         return true;
     if (lingers_since_)
--- a/src/gateway/client_connection.hpp
+++ b/src/gateway/client_connection.hpp
@@ -125,6 +125,11 @@
     {
         return stream_->unsent();
     }
+    // Whether output waits, or has waited, for a caller that reads slowly.
+    bool is_extended() const
+    {
+        return stream_->is_extended();
+    }
     // Whether a request awaits its response.
     bool is_busy() const
     {
--- a/src/gateway/proxied_request_failure.cpp
+++ b/src/gateway/proxied_request_failure.cpp
@@ -258,6 +258,8 @@
     if (is_done_ || !connection_)
         return;
     auto const self = shared_from_this();
+    if (connection_->extend_for_full_window(remaining(now)))
+        context_.state.counters.count("slow_reads_total", "upstream", scope());
     upstream_notice const* const notice =
         find_notice(context_.state.upstreams, *upstream_);
     if (!connection_->is_connected() && notice != nullptr &&
--- a/src/gateway/request_controller.cpp
+++ b/src/gateway/request_controller.cpp
@@ -329,6 +329,10 @@
     set("requests", pools_.requests);
     set("prompts", pools_.prompts);
     set("responses", pools_.responses);
+    auto const slow = std::count_if(
+        clients_.begin(), clients_.end(),
+        [](auto const& it) { return it->is_extended(); });
+    m.set("callers_reading_slowly", static_cast<double>(slow));
 }
 
 void request_controller::abort_quarantined(steady_time now)
--- a/src/gateway/upstream_pool.cpp
+++ b/src/gateway/upstream_pool.cpp
@@ -198,6 +198,8 @@
 void upstream_connection::finish()
 {
     is_busy_ = false;
+    // All of the request has left, so that this ends an extension.
+    stream_->extend_for_full_window(duration{0});
     // Bytes after the response, or a request that the upstream has not fully
     // read, make the connection unusable for another request.
     if (!stream_->input().empty() || stream_->unsent() > 0)
--- a/src/gateway/upstream_pool.hpp
+++ b/src/gateway/upstream_pool.hpp
@@ -97,6 +97,12 @@
     {
         return stream_->is_paused();
     }
+    // Gives an upstream that reads a request slowly `limit` to go on. Returns
+    // whether such a wait has begun.
+    bool extend_for_full_window(duration limit)
+    {
+        return stream_->extend_for_full_window(limit);
+    }
 
     // Time of the return to the pool; set by the pool.
     steady_time idle_since{};
--- a/src/http_stream/tcp_stream.cpp
+++ b/src/http_stream/tcp_stream.cpp
@@ -2,6 +2,7 @@
 
 #include "log/guarded_call.hpp"
 
+#include <algorithm>
 #include <arpa/inet.h>
 #include <array>
 #include <cerrno>
@@ -56,14 +57,11 @@
 
 void watch_path(int fd, stream_limits const& limits)
 {
-    auto const ms = std::chrono::duration_cast<std::chrono::milliseconds>(
-        limits.unacknowledged);
     set_option(fd, IPPROTO_TCP, TCP_NODELAY, 1);
     set_option(fd, SOL_SOCKET, SO_KEEPALIVE, 1);
     set_option(fd, IPPROTO_TCP, TCP_KEEPIDLE, limits.probe_after_s);
     set_option(fd, IPPROTO_TCP, TCP_KEEPINTVL, 1);
     set_option(fd, IPPROTO_TCP, TCP_KEEPCNT, limits.probes);
-    set_option(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(ms.count()));
 }
 
 // Output that the peer's kernel has not acknowledged; 0 if it can't be told.
@@ -73,6 +71,13 @@
     return ::ioctl(fd, SIOCOUTQ, &n) == 0 ? n : 0;
 }
 
+// The part of it that was not sent yet; 0 if it can't be told.
+int held_back_bytes(int fd)
+{
+    int n = 0;
+    return ::ioctl(fd, SIOCOUTQNSD, &n) == 0 ? n : 0;
+}
+
 // Gives back what was taken from the front of a buffer: all of it when nothing
 // is left, else when it is more than what is left, so that each byte is moved
 // once at most. A buffer that is never empty would grow for ever otherwise.
@@ -136,10 +141,12 @@
 tcp_stream::tcp_stream(
     ev::loop_ref loop, int fd, bool is_connecting, stream_limits limits)
     : fd_(fd)
+    , unacknowledged_(limits.unacknowledged)
     , is_connecting_(is_connecting)
     , io_(loop)
 {
     watch_path(fd, limits);
+    set_unacknowledged_limit(unacknowledged_);
     io_.set<tcp_stream, &tcp_stream::on_ready>(this);
     watch();
 }
@@ -187,6 +194,33 @@
     return is_shut_ && undelivered_bytes(fd_) == 0;
 }
 
+void tcp_stream::set_unacknowledged_limit(duration limit) const
+{
+    auto const ms =
+        std::chrono::duration_cast<std::chrono::milliseconds>(limit);
+    set_option(
+        fd_, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(ms.count()));
+}
+
+bool tcp_stream::extend_for_full_window(duration limit)
+{
+    if (fd_ < 0 || !may_have_output_)
+        return false;
+    int const undelivered = undelivered_bytes(fd_);
+    may_have_output_ = undelivered > 0 || unsent() > 0;
+    // The kernel counts the time since the window became full, also when a part
+    // of the output leaves meanwhile, so that the extension ends with all of
+    // it.
+    bool const is_full = undelivered > 0 && held_back_bytes(fd_) == undelivered;
+    bool const is_extended = may_have_output_ && (is_extended_ || is_full);
+    if (is_extended == is_extended_)
+        return false;
+    is_extended_ = is_extended;
+    set_unacknowledged_limit(
+        is_extended ? std::max(limit, unacknowledged_) : unacknowledged_);
+    return is_extended;
+}
+
 void tcp_stream::discard()
 {
     // A plain close delivers them, however late. Without any, it spares the
@@ -269,6 +303,7 @@
 {
     if (is_connecting_ || unsent() > 0)
         return 0;
+    may_have_output_ = true;
     ssize_t const n = ::send(fd_, bytes.data(), bytes.size(), MSG_NOSIGNAL);
     return n > 0 ? static_cast<std::size_t>(n) : 0;
 }
@@ -277,6 +312,7 @@
 {
     while (unsent() > 0)
     {
+        may_have_output_ = true;
         ssize_t const n =
             ::send(fd_, output_.data() + output_start_, unsent(), MSG_NOSIGNAL);
         if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))
--- a/src/http_stream/tcp_stream.hpp
+++ b/src/http_stream/tcp_stream.hpp
@@ -140,6 +140,17 @@
     void close_after_output();
     // Whether the sending side was ended and the peer's kernel has all output.
     bool has_delivered_output() const;
+    // Gives a peer that acknowledges all it has room for `limit` to make room,
+    // instead of the time after which a path counts as dead. To be called
+    // several times within that time while output may wait. Returns whether
+    // such a wait has begun.
+    bool extend_for_full_window(duration limit);
+    // Whether output waits, or has waited, for the peer to make room, and has
+    // not left since.
+    bool is_extended() const
+    {
+        return is_extended_;
+    }
 
     bool is_open() const
     {
@@ -152,6 +163,7 @@
 
 private:
     void on_ready(ev::io&, int events);
+    void set_unacknowledged_limit(duration limit) const;
     void finish_connecting();
     void handle(int events);
     std::size_t send_some(std::string_view bytes);
@@ -161,10 +173,13 @@
     void end(stream_end why);
 
     int fd_ = -1;
+    duration unacknowledged_;
     bool is_connecting_ = false;
     bool is_paused_ = false;
-    bool is_closing_ = false; // after the output has left
-    bool is_shut_ = false;    // the sending side was ended
+    bool may_have_output_ = false; // in the kernel
+    bool is_extended_ = false;     // for a full window
+    bool is_closing_ = false;      // after the output has left
+    bool is_shut_ = false;         // the sending side was ended
     ev::io io_;
     std::string input_;
     std::size_t input_start_ = 0;
