Reject reports whose elapsed time of a roll-out is impossible

What callers would have seen: a made-up or garbled report moves the start of a roll-out by any time, past its limit or, as the conversion overflows, to an undefined one. Cause: of the times in a report only this one was not checked when it is decoded. Before: 'A report with impossible times changes nothing that others rely on' fails in 3 of 17 checks with the new lines; after: it passes.

--- a/src/gateway/gateway_state_test.cpp
+++ b/src/gateway/gateway_state_test.cpp
@@ -102,6 +102,9 @@
         odd = r;
         odd.history_dropped_ms = bad;
         CHECK_FALSE(decode_report(to_call(encode_report(odd), {})));
+        odd = r;
+        odd.rollouts = {{.service = "pool", .elapsed_ms = bad}};
+        CHECK_FALSE(decode_report(to_call(encode_report(odd), {})));
         CHECK_FALSE(decode_report(
             to_call(encode_report(r), {.addressee = 1, .age_us = bad})));
     }
--- a/src/gateway/peer_report.cpp
+++ b/src/gateway/peer_report.cpp
@@ -152,7 +152,11 @@
            is_in_range(r.config_age_ms, -1, max_reported_ms) &&
            is_in_range(r.store_available_ms, -1, max_reported_ms) &&
            is_in_range(r.store_response_age_ms, -1, max_reported_ms) &&
-           is_in_range(r.history_dropped_ms, -1, max_reported_ms);
+           is_in_range(r.history_dropped_ms, -1, max_reported_ms) &&
+           std::all_of(
+               r.rollouts.begin(), r.rollouts.end(),
+               [](reported_rollout const& it)
+               { return is_in_range(it.elapsed_ms, 0, max_reported_ms); });
 }
 
 constexpr duration min_peer_load_ttl = std::chrono::milliseconds(2500);
