Move overload control of requests into a file of its own

What asks and feeds the estimates of overload control is now in proxied_request_overload.cpp, and quarantine is with the other failures in proxied_request_failure.cpp. Functions are moved, not changed; what dispatch() predicts is a function of its own.

--- a/src/gateway/proxied_request.cpp
+++ b/src/gateway/proxied_request.cpp
@@ -1,7 +1,6 @@
 #include "gateway/proxied_request.hpp"
 
 #include "base/hash.hpp"
-#include "base/id.hpp"
 #include "gateway/local_response.hpp"
 #include "gateway/model_escalation.hpp"
 #include "gateway/overload_control.hpp"
@@ -176,78 +175,6 @@
         queue_or_refuse(now);
 }
 
-// Lets the request through to an upstream although it has a quarantined part,
-// if this gateway may try whether the part still crashes upstreams.
-void proxied_request::take_trial_if_due(steady_time now)
-{
-    quarantine_entry const* const e =
-        find_quarantine(context_.state.quarantine, traits_);
-    if (e == nullptr)
-        return;
-    quarantine_key const key = e->document.key;
-    auto const version = context_.state.default_versions.find(service_);
-    context_.quarantine.claim_trial_if_due(
-        key,
-        version == context_.state.default_versions.end()
-            ? std::string_view()
-            : std::string_view(version->second),
-        now);
-    if (take_trial(context_.state.quarantine, key, now))
-        trial_ = key;
-}
-
-// Refuses the request if it, or a part of its prompt, crashes upstreams.
-bool proxied_request::is_refused_by_quarantine(steady_time now)
-{
-    if (reaches_crash_limit(context_.state.crashes, traits_.request))
-    {
-        refuse_quarantined("request", 0, max_quarantine_retry, now);
-        return true;
-    }
-    quarantine_entry const* const e =
-        trial_ ? nullptr : find_quarantine(context_.state.quarantine, traits_);
-    if (e == nullptr)
-        return false;
-    refuse_quarantined(
-        "part", e->document.key.part,
-        quarantine_retry_after(*e, to_unix_ms(wall_now())), now);
-    return true;
-}
-
-void proxied_request::refuse_quarantined(
-    std::string_view reason, std::uint64_t part, duration retry_after,
-    steady_time now)
-{
-    context_.state.counters.count("quarantined_total", reason, scope());
-    context_.log.write(
-        log_event::request_quarantined,
-        {{"request_id", request_.attempt_id},
-         {"reason", std::string(reason)},
-         {"fingerprint", to_hex(traits_.request)},
-         {"part", part == 0 ? "-" : to_hex(part)},
-         {"run", std::string(to_string(ran_))}});
-    if (has_response_head_ || ran_ != run_state::not_run)
-        give_up(error_kind::request_quarantined, ran_, now);
-    else
-        refuse(
-            error_kind::request_quarantined, spread(retry_after, hash_ >> 8U),
-            now);
-}
-
-void proxied_request::abort_if_quarantined(steady_time now)
-{
-    bool const is_answered =
-        connection_ && (has_survived_ || attempt_events_ > 0);
-    if (is_done_ || trial_ || is_answered ||
-        find_quarantine(context_.state.quarantine, traits_) == nullptr)
-        return;
-    auto const self = shared_from_this();
-    if (connection_ && connection_->is_connected() &&
-        ran_ == run_state::not_run)
-        ran_ = run_state::unknown;
-    is_refused_by_quarantine(now);
-}
-
 upstream_query
 proxied_request::make_query(version_rule const& rule, steady_time now) const
 {
@@ -370,26 +297,7 @@
             .add(to_seconds(now - started_));
     predicted_end_ = duration{0};
     if (is_overload_controlled())
-        record_dispatch(context_.state.shares, waiting_inputs(now), now);
-    if (!is_engine() && is_overload_controlled())
-    {
-        upstream_->room.sent_at = now;
-        upstream_view const v = view_of(*upstream_, now);
-        predicted_start_ = estimate_room(
-            std::span(&v, 1), context_.state.service_times_by_name[service_],
-            now);
-    }
-    if (is_engine() && is_overload_controlled())
-    {
-        record_prompt(
-            context_.state.prompt_mixes[service_], work_.prefill, now);
-        predicted_end_ =
-            predict_completion(
-                context_.state.completions,
-                completion_query_for(
-                    model_, inputs_.load + 1, inputs_.expected, now))
-                .likely;
-    }
+        predict_attempt(now);
     upstream_->requests += 1;
     remaining_work_ = work_.total();
     upstream_->work += remaining_work_;
@@ -501,116 +409,6 @@
     work_.decode = pace * output_token_work * request_.max_output_tokens;
 }
 
-bool proxied_request::is_overload_controlled() const
-{
-    return marjorambeam::is_overload_controlled(context_.state, service_);
-}
-
-// Time that the service takes for a request; zero if it is unknown.
-duration proxied_request::expected_service_time(steady_time now) const
-{
-    auto const it = context_.state.service_times_by_name.find(service_);
-    if (is_engine() || it == context_.state.service_times_by_name.end())
-        return duration{0};
-    return room_of_service(context_.state.upstreams, service_, it->second, now)
-        .shortest_service_time;
-}
-
-// How long the request may wait at an upstream for a slot. One that can meet
-// its target has until then. One that can't leaves the queue to those that can
-// and takes a free slot, until it must start to end before its deadline.
-duration proxied_request::affordable_wait(steady_time now) const
-{
-    if (is_engine() || !is_overload_controlled())
-        return duration{0};
-    duration const expected = expected_service_time(now);
-    duration const to_target = started_ + route_.target - now - expected;
-    if (to_target > duration{0})
-        return to_target;
-    duration const to_deadline = remaining(now) - expected;
-    return to_deadline < 2 * expected ? std::max(to_deadline, duration{0})
-                                      : duration{0};
-}
-
-waiting_request proxied_request::waiting_inputs(steady_time now) const
-{
-    bool const engine = is_engine();
-    duration const expected = expected_service_time(now);
-    return {
-        .priority = priority_,
-        .organisation = organisation_,
-        .service = service_,
-        .arrived = started_,
-        .target_at = started_ + route_.target,
-        .deadline = deadline_,
-        .expected = expected,
-        .expected_end = expected,
-        .work = engine ? work_.total() : 1,
-        .came_back = request_.remaining &&
-                     seems_returned(*request_.remaining, route_.timeout)};
-}
-
-// Whether the request can't start and end in time by the estimate of the room,
-// as of its last selection, which found none.
-bool proxied_request::has_overload_refusal(steady_time now)
-{
-    if (is_engine() || !is_overload_controlled() ||
-        last_selection_.failure != selection_failure::full)
-        return false;
-    gateway_state& s = context_.state;
-    room_estimate const room = room_of_service(
-        s.upstreams, service_, s.service_times_by_name[service_], now);
-    admission_times const times =
-        plain_times(room, s.start_errors[service_], 0, duration{0}, now);
-    admission_result const a = decide_admission(
-        {.is_known = room.is_known,
-         .has_free_slot = room.has_free_slot,
-         .times = times,
-         .until_deadline = remaining(now),
-         .until_target = started_ + route_.target - now});
-    if (a.outcome != admission_outcome::refuse)
-        return false;
-    if (record_refusal(s.admissions, room.has_free_slot))
-        s.counters.count("refused_with_room_total", "", scope());
-    s.counters.count("overload_refusals_total", to_string(a.reason), scope());
-    room_at_ = place_for(
-        s.returns,
-        {.service = service_,
-         .priority = priority_,
-         .rate = room.start_interval > duration{0}
-                     ? 1 / to_seconds(room.start_interval)
-                     : 0,
-         .gateways = std::max<std::size_t>(s.limit_view.live, 1),
-         .until_room = a.until_room,
-         .remaining = remaining(now),
-         .expected = room.service_time,
-         .is_early = is_early_return(now)},
-        now);
-    context_.log.write(
-        log_event::overload_refused,
-        {{"request_id", request_.attempt_id},
-         {"service", service_},
-         {"reason", std::string(to_string(a.reason))},
-         {"early_ms", in_ms(times.end.early)},
-         {"likely_ms", in_ms(times.end.likely)},
-         {"left_ms", in_ms(remaining(now))},
-         {"priority", std::to_string(priority_)},
-         {"returned", waiting_inputs(now).came_back ? "yes" : "no"},
-         {"retry_after_ms", in_ms(*room_at_)}});
-    return true;
-}
-
-// Whether the caller was refused before and does not wait as it was told.
-bool proxied_request::is_early_return(steady_time now) const
-{
-    if (!request_.remaining ||
-        !seems_returned(*request_.remaining, route_.timeout))
-        return false;
-    return seems_early(
-        context_.state.returns, service_, priority_,
-        route_.timeout - *request_.remaining + (now - started_), now);
-}
-
 duration proxied_request::max_queue_time(steady_time now) const
 {
     // With a known service time, what can't end in time is refused by the
--- a/src/gateway/proxied_request_failure.cpp
+++ b/src/gateway/proxied_request_failure.cpp
@@ -1,4 +1,6 @@
-// Failure handling, retries and completion of proxied_request.
+// Failures, retries, quarantine and completion in proxied_request.
+#include "base/hash.hpp"
+#include "base/id.hpp"
 #include "gateway/load_admission.hpp"
 #include "gateway/local_response.hpp"
 #include "gateway/planned_stop.hpp"
@@ -445,4 +447,76 @@
          {"config", std::to_string(config_->version)}});
 }
 
+// Lets the request through to an upstream although it has a quarantined part,
+// if this gateway may try whether the part still crashes upstreams.
+void proxied_request::take_trial_if_due(steady_time now)
+{
+    quarantine_entry const* const e =
+        find_quarantine(context_.state.quarantine, traits_);
+    if (e == nullptr)
+        return;
+    quarantine_key const key = e->document.key;
+    auto const version = context_.state.default_versions.find(service_);
+    context_.quarantine.claim_trial_if_due(
+        key,
+        version == context_.state.default_versions.end()
+            ? std::string_view()
+            : std::string_view(version->second),
+        now);
+    if (take_trial(context_.state.quarantine, key, now))
+        trial_ = key;
+}
+
+// Refuses the request if it, or a part of its prompt, crashes upstreams.
+bool proxied_request::is_refused_by_quarantine(steady_time now)
+{
+    if (reaches_crash_limit(context_.state.crashes, traits_.request))
+    {
+        refuse_quarantined("request", 0, max_quarantine_retry, now);
+        return true;
+    }
+    quarantine_entry const* const e =
+        trial_ ? nullptr : find_quarantine(context_.state.quarantine, traits_);
+    if (e == nullptr)
+        return false;
+    refuse_quarantined(
+        "part", e->document.key.part,
+        quarantine_retry_after(*e, to_unix_ms(wall_now())), now);
+    return true;
+}
+
+void proxied_request::refuse_quarantined(
+    std::string_view reason, std::uint64_t part, duration retry_after,
+    steady_time now)
+{
+    context_.state.counters.count("quarantined_total", reason, scope());
+    context_.log.write(
+        log_event::request_quarantined,
+        {{"request_id", request_.attempt_id},
+         {"reason", std::string(reason)},
+         {"fingerprint", to_hex(traits_.request)},
+         {"part", part == 0 ? "-" : to_hex(part)},
+         {"run", std::string(to_string(ran_))}});
+    if (has_response_head_ || ran_ != run_state::not_run)
+        give_up(error_kind::request_quarantined, ran_, now);
+    else
+        refuse(
+            error_kind::request_quarantined, spread(retry_after, hash_ >> 8U),
+            now);
+}
+
+void proxied_request::abort_if_quarantined(steady_time now)
+{
+    bool const is_answered =
+        connection_ && (has_survived_ || attempt_events_ > 0);
+    if (is_done_ || trial_ || is_answered ||
+        find_quarantine(context_.state.quarantine, traits_) == nullptr)
+        return;
+    auto const self = shared_from_this();
+    if (connection_ && connection_->is_connected() &&
+        ran_ == run_state::not_run)
+        ran_ = run_state::unknown;
+    is_refused_by_quarantine(now);
+}
+
 } // namespace marjorambeam
--- a/src/gateway/proxied_request_response.cpp
+++ b/src/gateway/proxied_request_response.cpp
@@ -1,11 +1,9 @@
 // Forwarding of upstream responses by proxied_request.
 #include "base/hash.hpp"
-#include "gateway/model_choice.hpp"
 #include "gateway/overload_control.hpp"
 #include "gateway/proxied_request.hpp"
 
 #include <algorithm>
-#include <array>
 #include <utility>
 
 namespace marjorambeam
@@ -183,57 +181,6 @@
     fail_attempt(kind, false, "refused with " + std::to_string(a.status), now);
 }
 
-// Learns the room at an upstream of a plain service from its response.
-void proxied_request::record_service_response(
-    upstream_response const& a, steady_time now)
-{
-    if (is_engine() || !is_overload_controlled() || a.is_other_instance)
-        return;
-    service_time& prior = context_.state.service_times_by_name[service_];
-    machine_pace pace;
-    if (a.load && a.load->machine_pace)
-        pace.percent = *a.load->machine_pace;
-    if (a.has_not_run)
-    {
-        // One that asks for a pause gets it by its notice.
-        if (a.pause)
-            return;
-        ++attempts_.refusals;
-        record_full(
-            upstream_->room, prior,
-            {.sent_at = sent_,
-             .reported = a.load,
-             .requests = inputs_.load,
-             .slots = upstream_->info.slots,
-             .pace = pace,
-             .hash = hash64(request_.attempt_id, attempts_.sends)},
-            now);
-        return;
-    }
-    if (predicted_start_.is_known)
-        record_error(
-            context_.state.start_errors[service_], predicted_start_.until_start,
-            std::max(now - sent_ - predicted_start_.service_time, duration{0}),
-            predicted_start_.service_time, now);
-    record_service_time(
-        upstream_->room, prior,
-        {.took = now - sent_,
-         .requests = inputs_.load,
-         .slots = upstream_->info.slots,
-         .pace = pace,
-         .reported = a.load},
-        now);
-}
-
-// Keeps the connection of a refusal for reuse: a full upstream resets new ones,
-// which would leave the outcome of the next request unknown.
-void proxied_request::recycle_connection(http_response_head const& head)
-{
-    if (!is_overload_controlled() || !head.keep_alive)
-        return;
-    context_.pool.recycle(std::exchange(connection_, nullptr), boot_now());
-}
-
 bool proxied_request::try_larger_model(
     upstream_response const& a, steady_time now)
 {
@@ -288,74 +235,6 @@
     return true;
 }
 
-// Returns whether the response of a larger model at the selected engine is
-// worth its time, and that of the others there; else `spared` says why not.
-bool proxied_request::is_worth_larger_model(
-    escalation_query const& q, upstream_selection const& c,
-    larger_model_delay const& t, std::string_view& spared, steady_time now)
-{
-    gateway_state& s = context_.state;
-    if (!is_overload_controlled())
-        return is_worth_escalating(q, t);
-    double const requests = estimated_requests(*c.chosen, now);
-    std::array const candidates{model_candidate{
-        .model = model_,
-        .delay = t,
-        .completion = predict_completion(
-            s.completions,
-            completion_query_for(model_, requests + 1, c.expected, now)),
-        .own_time = c.expected - c.queued,
-        .requests = requests}};
-    model_choice const choice = choose_model(
-        {.escalation = q,
-         .candidates = candidates,
-         .until_deadline = remaining(now),
-         .target = route_.target});
-    if (!choice.model)
-        spared = name_of(choice.reason);
-    return choice.model.has_value();
-}
-
-completion_query proxied_request::completion_query_for(
-    std::size_t model, double requests, duration first_event,
-    steady_time now) const
-{
-    return {
-        .service = service_,
-        .route = route_.name,
-        .model = model,
-        .models = route_.models.size(),
-        .hinted_tokens = static_cast<double>(std::min(
-            request_.hinted_output_tokens, request_.max_output_tokens)),
-        .requests = requests,
-        .first_event = first_event,
-        .now = now};
-}
-
-// Learns how long the responses of the current attempt take and how long they
-// are. `is_complete` is false for one that was cut off.
-void proxied_request::record_stream_end(bool is_complete, steady_time now)
-{
-    gateway_state& s = context_.state;
-    if (!is_engine() || !is_overload_controlled() || attempt_events_ == 0)
-        return;
-    completion_query const q =
-        completion_query_for(model_, 0, duration{0}, now);
-    auto const events = static_cast<double>(events_.events());
-    if (!is_complete)
-    {
-        record_cut_length(s.completions, q.route, q.hinted_tokens, events);
-        return;
-    }
-    record_length(s.completions, q.route, q.hinted_tokens, events);
-    if (predicted_end_ > duration{0})
-    {
-        record_completion(s.completions, service_, predicted_end_, now - sent_);
-        s.counters.histogram("completion_error", scope())
-            .add(to_seconds(now - sent_) / to_seconds(predicted_end_));
-    }
-}
-
 void proxied_request::start_response(http_response_head&& head)
 {
     if (has_response_head_)
