Tell engines the urgency of an attempt by its slack

Requests of one priority were admitted by engines in the order of their arrival there, whatever the time that they had left: Request-Priority was the number of the route or organisation. engine_urgency(), which nothing called, orders them by the slack until their first event within each priority. The priorities in use are collected as the configuration is read.

Services without overload control tell the priority as before. A new test of the configuration guards the list; the order itself was tested already.

--- a/src/gateway/gateway_config.cpp
+++ b/src/gateway/gateway_config.cpp
@@ -33,9 +33,18 @@
 {
     c.route_by_host_and_prefix.emplace(
         route_key(r.host, r.prefix), c.routes.size());
+    add_priority(c, r.priority);
     c.routes.push_back(std::move(r));
 }
 
+void add_priority(gateway_config& c, int priority)
+{
+    auto const it =
+        std::lower_bound(c.priorities.begin(), c.priorities.end(), priority);
+    if (it == c.priorities.end() || *it != priority)
+        c.priorities.insert(it, priority);
+}
+
 bool remove_routes(gateway_config& c, std::size_t n)
 {
     for (; n > 0 && !c.routes.empty(); --n)
--- a/src/gateway/gateway_config.hpp
+++ b/src/gateway/gateway_config.hpp
@@ -91,6 +91,8 @@
     std::vector<organisation> organisations;
     std::unordered_map<std::string, std::size_t> organisation_by_key;
     client_limits limits;
+    // In use by routes and organisations, ascending; see add_priority().
+    std::vector<int> priorities;
     // Filled by add_route(): position in `routes` by host and prefix.
     std::unordered_map<std::string, std::size_t> route_by_host_and_prefix;
 };
@@ -99,6 +101,10 @@
 // prefix, the first takes precedence. Not thread-safe.
 void add_route(gateway_config& c, gateway_route&& r);
 
+// Adds a priority of a route or an organisation to those in use; add_route()
+// does so for its route. Not thread-safe.
+void add_priority(gateway_config& c, int priority);
+
 // Removes routes of a configuration that is not in use any more, `n` at most.
 // Returns whether it has none left. Not thread-safe.
 bool remove_routes(gateway_config& c, std::size_t n);
--- a/src/gateway/gateway_config_test.cpp
+++ b/src/gateway/gateway_config_test.cpp
@@ -34,6 +34,18 @@
     CHECK(find_route(c, "h", "") == nullptr);
 }
 
+// Guards against priorities that are missing or listed twice, so that two of
+// them share a part of the engines' range of urgencies.
+TEST_CASE("The priorities in use are listed in ascending order, once each")
+{
+    gateway_config c;
+    for (int const it : {5, 0, 5, 2})
+        add_route(c, {.name = "r", .priority = it});
+    add_priority(c, 2);
+    add_priority(c, 1);
+    CHECK(c.priorities == std::vector{0, 1, 2, 5});
+}
+
 // Guards against accepting a key that no organisation holds.
 TEST_CASE("A key identifies its organisation")
 {
--- a/src/gateway/proxied_request.cpp
+++ b/src/gateway/proxied_request.cpp
@@ -330,7 +330,7 @@
                                 : std::string_view(route_.models[model_]),
                    .remaining = remaining(now),
                    .resume_after = after,
-                   .urgency = priority_});
+                   .urgency = urgency(now)});
     std::weak_ptr<proxied_request> const weak = weak_from_this();
     auto guarded = [weak](auto member)
     {
--- a/src/gateway/proxied_request.hpp
+++ b/src/gateway/proxied_request.hpp
@@ -179,6 +179,7 @@
     bool has_overload_refusal(steady_time now);
     bool is_early_return(steady_time now) const;
     void predict_attempt(steady_time now);
+    int urgency(steady_time now) const;
     void record_service_response(upstream_response const& a, steady_time now);
     void recycle_connection(http_response_head const& head);
     steady_time take_limit_slot(steady_time next);
--- a/src/gateway/proxied_request_overload.cpp
+++ b/src/gateway/proxied_request_overload.cpp
@@ -83,6 +83,17 @@
             .likely;
 }
 
+// The priority that the upstream is told. At an engine the slack until the
+// first event orders requests of the same priority.
+int proxied_request::urgency(steady_time now) const
+{
+    if (!is_engine() || !is_overload_controlled())
+        return priority_;
+    return engine_urgency(
+        priority_, config_->priorities,
+        started_ + route_.target - now - inputs_.expected, route_.target);
+}
+
 // Whether the request can't start and end in time by the estimate of the room,
 // as of its last selection, which found none.
 bool proxied_request::has_overload_refusal(steady_time now)
