Learn how long events take at each engine

Change: a gateway keeps, for each engine, decayed sums of the seen and the expected time of the events that it receives from there. Their ratio is the pace; completion_query::pace scales the time per event with it. The prediction whose error is learned uses it. No selection uses it yet.

Ruled out: an exchange of paces between gateways, which change faster than reports are trusted; a line for each engine, of which one gateway sees too few responses; the load at the sending as the base of the pace, because load that came since would count in the pace and in the line.

--- a/src/gateway/completion_estimate.cpp
+++ b/src/gateway/completion_estimate.cpp
@@ -306,12 +306,14 @@
             ? s.models[q.model]
             : none;
     double const requests = is_valid(q.requests) ? q.requests : 1;
+    double const pace = is_valid(q.pace) ? q.pace : 1;
     if (auto const prior = line_of_others(s, q))
-        return seconds_at(
-            fit(clipped(own, *prior), *prior, prior_level_weight), requests);
+        return pace * seconds_at(
+                          fit(clipped(own, *prior), *prior, prior_level_weight),
+                          requests);
     if (own.weight < min_event_samples)
         return std::nullopt;
-    return seconds_at(own.line, requests);
+    return pace * seconds_at(own.line, requests);
 }
 
 void add_log(log_estimate& e, double sample, double variance, double max_weight)
--- a/src/gateway/completion_estimate.hpp
+++ b/src/gateway/completion_estimate.hpp
@@ -149,6 +149,8 @@
     double requests = 0;      // at the engine, this one included
     duration first_event{0};  // expected until the first event, from now
     steady_time now{};
+    // Of the engine, see engine_pace.hpp: factor on the time per event.
+    double pace = 1;
 };
 
 struct completion_prediction
@@ -166,8 +168,8 @@
 predict_completion(completion_estimates const& all, completion_query const& q);
 
 // Returns the expected time per event at an engine, or nothing if there are too
-// few recent samples. Reads service, model, models, requests and now of the
-// query.
+// few recent samples. Reads service, model, models, requests, now and pace
+// of the query.
 // Thread-safe while no function records.
 std::optional<duration>
 expected_event_time(completion_estimates const& all, completion_query const& q);
--- a/src/gateway/proxied_request.hpp
+++ b/src/gateway/proxied_request.hpp
@@ -213,6 +213,7 @@
     void record_version_outcome(attempt_outcome outcome);
     void record_timing(timing_kind kind, duration took, steady_time now);
     void record_event_gap(std::uint64_t events, steady_time now);
+    void record_engine_pace(std::uint64_t events, steady_time now);
     void refuse(error_kind kind, duration retry_after, steady_time now);
     void give_up(error_kind kind, run_state ran, steady_time now);
     void respond_with_error(error const& e, steady_time now);
@@ -291,6 +292,8 @@
     steady_time last_event_{};
     steady_time previous_event_{}; // of the current attempt
     duration predicted_end_{0};    // of the current attempt; 0: unknown
+    // Of the current attempt's model, as of its sending.
+    std::optional<event_time_line> event_line_;
     steady_time first_event_{};
     // Events of the current attempt, and when the first one arrived.
     std::uint64_t attempt_events_ = 0;
--- a/src/gateway/proxied_request_overload.cpp
+++ b/src/gateway/proxied_request_overload.cpp
@@ -76,11 +76,22 @@
         return;
     }
     record_prompt(s.prompt_mixes[service_], work_.prefill, now);
-    predicted_end_ =
-        predict_completion(
-            s.completions, completion_query_for(
-                               model_, inputs_.load + 1, inputs_.expected, now))
-            .likely;
+    completion_query q =
+        completion_query_for(model_, inputs_.load + 1, inputs_.expected, now);
+    q.pace = event_pace_of(upstream_->event_pace, now);
+    predicted_end_ = predict_completion(s.completions, q).likely;
+    event_line_ = expected_event_line(s.completions, q);
+}
+
+// Learns how long events take at the engine of the current attempt relative to
+// the others.
+void proxied_request::record_engine_pace(std::uint64_t events, steady_time now)
+{
+    if (event_line_)
+        record_event_pace(
+            upstream_->event_pace, *event_line_,
+            std::max(estimated_requests(*upstream_, now), 1.0),
+            now - previous_event_, events, now);
 }
 
 // Whether the request can't start and end in time by the estimate of the room,
--- a/src/gateway/proxied_request_response.cpp
+++ b/src/gateway/proxied_request_response.cpp
@@ -477,9 +477,12 @@
     if (attempt_events_ == 0)
         attempt_first_event_ = now;
     else if (is_overload_controlled())
+    {
+        record_engine_pace(events, now);
         record_event_time(
             context_.state.completions, service_, model_, inputs_.load + 1,
             (now - previous_event_) / static_cast<duration::rep>(events), now);
+    }
     previous_event_ = now;
     bool const was_open = attempt_events_ <= gap_events;
     attempt_events_ += events;
--- a/src/gateway/upstream_table.hpp
+++ b/src/gateway/upstream_table.hpp
@@ -10,6 +10,7 @@
 #pragma once
 
 #include "base/time.hpp"
+#include "gateway/engine_pace.hpp"
 #include "gateway/prompt_separation.hpp"
 #include "gateway/rate_window.hpp"
 #include "gateway/request_protocol.hpp"
@@ -96,7 +97,8 @@
     steady_time load_reported_at{};
     steady_time last_received_at{}; // last byte received on any connection
     work_pace pace;
-    upstream_room room; // of a plain service under overload control
+    engine_event_pace event_pace; // of an engine under overload control
+    upstream_room room;           // of a plain service under overload control
     rate_window cold_sends{std::chrono::seconds(1)};
 };
 
