Correct the likely end by the median of its error

Cause: `likely` stayed biased where the line does not show the time that a response takes; only `early` and `late` used the recorded error. The error was learned from `likely`, so that a correction would have cancelled itself, and from complete responses alone, so that it fell as the load rose.

Change: a prediction also has its uncorrected time, from which the error is learned; `likely` is that time by the median of the error, as `early` and `late` are by its ends. Only streams that are not resumed count. The histogram is in a file of its own. The `completion_error` histogram of the metrics keeps comparing with the corrected time, which is the one that decides.

--- a/src/gateway/completion_estimate.cpp
+++ b/src/gateway/completion_estimate.cpp
@@ -71,7 +71,6 @@
 // logarithm, as without complete ones nothing bounds its length.
 constexpr double max_log_excess = 1;
 
-constexpr double max_error_weight = 256;
 // Weight of the spread of lengths and event times against recorded errors.
 constexpr double prior_error_weight = 30;
 // Standard deviation of the logarithm of a response's time per event: engines
@@ -427,20 +426,6 @@
     add_log(all.ratio, log_events - hint, variance, max_length_weight);
 }
 
-// Logarithm of the error of which the part `p` is below. Precondition: the
-// histogram has samples.
-double quantile(error_histogram const& h, double p)
-{
-    double const lowest = -error_histogram::width *
-                          static_cast<double>(error_histogram::bins) / 2;
-    double left = std::clamp(p, 0.0, 1.0) * h.total;
-    std::size_t i = 0;
-    for (; i + 1 < h.counts.size() && left > h.counts[i]; ++i)
-        left -= h.counts[i];
-    double const part = h.counts[i] > 0 ? std::min(left / h.counts[i], 1.0) : 1;
-    return lowest + error_histogram::width * (static_cast<double>(i) + part);
-}
-
 duration predicted_time(double seconds)
 {
     return from_seconds(std::clamp(seconds, 0.0, max_predicted_seconds));
@@ -459,7 +444,7 @@
         return {};
     double const first = std::max(to_seconds(q.first_event), 0.0);
     double const rest = std::max(std::exp(length->mean) - 1, 0.0) * *per_event;
-    double const likely = first + rest;
+    double const uncorrected = first + rest;
     double const deviation = std::sqrt(
         length->variance + event_time_deviation * event_time_deviation);
     double const recorded =
@@ -469,19 +454,19 @@
     auto at = [&](double p, double deviations)
     {
         double const factor = std::exp(deviations * deviation);
-        if (likely <= 0)
+        if (uncorrected <= 0)
             return predicted_time(0);
-        double log_error = std::log((first + rest * factor) / likely);
+        double log_error = std::log((first + rest * factor) / uncorrected);
         if (recorded > 0)
             log_error += recorded * (quantile(s->errors, p) - log_error);
-        return predicted_time(likely * std::exp(log_error));
+        return predicted_time(uncorrected * std::exp(log_error));
     };
-    duration const median = predicted_time(likely);
     return {
         .is_known = true,
-        .likely = median,
-        .early = std::min(at(0.1, -normal_90th), median),
-        .late = std::max(at(0.9, normal_90th), median)};
+        .likely = at(0.5, 0),
+        .early = at(0.1, -normal_90th),
+        .late = at(0.9, normal_90th),
+        .uncorrected = predicted_time(uncorrected)};
 }
 
 std::optional<duration>
@@ -573,18 +558,20 @@
     completion_estimates& all, std::string_view service, duration predicted,
     duration seen)
 {
-    if (!is_valid(predicted) || !is_valid(seen))
-        return;
-    error_histogram& h =
-        entry_of(all.services, hash64(service), ++all.updates).errors;
-    double const bin = std::log(to_seconds(seen) / to_seconds(predicted)) /
-                           error_histogram::width +
-                       static_cast<double>(error_histogram::bins) / 2;
-    double const last = static_cast<double>(error_histogram::bins - 1);
-    for (double& c : h.counts)
-        c *= 1 - 1 / max_error_weight;
-    h.counts[static_cast<std::size_t>(std::clamp(bin, 0.0, last))] += 1;
-    h.total = h.total * (1 - 1 / max_error_weight) + 1;
+    if (is_valid(predicted) && is_valid(seen))
+        add_error(
+            entry_of(all.services, hash64(service), ++all.updates).errors,
+            std::log(to_seconds(seen) / to_seconds(predicted)));
+}
+
+void record_cut_completion(
+    completion_estimates& all, std::string_view service, duration predicted,
+    duration seen)
+{
+    if (is_valid(predicted) && is_valid(seen))
+        add_least_error(
+            entry_of(all.services, hash64(service), ++all.updates).errors,
+            std::log(to_seconds(seen) / to_seconds(predicted)));
 }
 
 std::optional<double> completion_error(
--- a/src/gateway/completion_estimate.hpp
+++ b/src/gateway/completion_estimate.hpp
@@ -11,7 +11,7 @@
 //   record_event_time(estimates, "pool", 2, 43, since_previous_event, now);
 //   record_length(estimates, "chat", 900, events);      // it is complete
 //   record_cut_length(estimates, "chat", 900, events);  // it was cut off
-//   record_completion(estimates, "pool", p.likely, took);
+//   record_completion(estimates, "pool", p.uncorrected, took);
 //
 // The time per event is a line over the requests at the engine, learned per
 // service and model. The number of events is learned per route, relative to the
@@ -22,6 +22,7 @@
 #pragma once
 
 #include "base/time.hpp"
+#include "gateway/error_histogram.hpp"
 
 #include <array>
 #include <cstddef>
@@ -84,20 +85,11 @@
     steady_time updated{}; // time of the latest sample
 };
 
-// Decayed histogram of logarithms of observed over predicted times.
-struct error_histogram
-{
-    static constexpr std::size_t bins = 60;
-    static constexpr double width = 0.1; // of a bin; they are centred on 0
-    std::array<double, bins> counts{};
-    double total = 0;
-};
-
 struct service_completion_estimate
 {
     std::vector<event_time_estimate> models; // at most max_estimated_models
-    error_histogram errors;
-    std::uint64_t updated = 0; // number of the latest update
+    error_histogram errors;                  // of the uncorrected predictions
+    std::uint64_t updated = 0;               // number of the latest update
 };
 
 // Decayed mean and variance of logarithms.
@@ -154,9 +146,10 @@
 struct completion_prediction
 {
     bool is_known = false; // enough samples
-    duration likely{0};    // from now until the last event
+    duration likely{0};    // from now until the last event, by the median error
     duration early{0};     // by the 10th percentile of the error
     duration late{0};      // by the 90th percentile of the error
+    duration uncorrected{0}; // without the error, which is learned from it
 };
 
 // Returns when a response that is requested now would end. It is unknown
@@ -198,13 +191,21 @@
     completion_estimates& all, std::string_view route, double hinted_tokens,
     double events);
 
-// Records the error of a prediction: `predicted` is its likely time. Not
+// Records the error of a prediction: `predicted` is its uncorrected time, as a
+// correction that is learned from corrected times would cancel itself. Not
 // thread-safe.
 void record_completion(
     completion_estimates& all, std::string_view service, duration predicted,
     duration seen);
 
-// Returns the percentile `p` (0 to 1) of observed over predicted times of a
+// Records the error of a prediction whose response was cut off, as at its
+// deadline, after `seen`: it would have taken at least that long. Without
+// these, only the faster responses would count under load. Not thread-safe.
+void record_cut_completion(
+    completion_estimates& all, std::string_view service, duration predicted,
+    duration seen);
+
+// Returns the percentile `p` (0 to 1) of observed over uncorrected times of a
 // service, or nothing without samples. Thread-safe while no function records.
 std::optional<double> completion_error(
     completion_estimates const& all, std::string_view service, double p);
--- a/src/gateway/completion_estimate_test.cpp
+++ b/src/gateway/completion_estimate_test.cpp
@@ -81,7 +81,7 @@
         if (!p.is_known)
             return 0;
         duration const seen = from_seconds(t - begin);
-        record_completion(all, "pool", p.likely, seen);
+        record_completion(all, "pool", p.uncorrected, seen);
         is_within = p.early <= seen && seen <= p.late;
         return to_seconds(seen) / to_seconds(p.likely);
     }
@@ -89,6 +89,33 @@
 
 } // namespace
 
+// Guards against a bias that stays, or a correction that follows itself:
+// engines that stop between responses take twice as long as their events tell.
+TEST_CASE("The likely time is corrected by the median of its error")
+{
+    std::mt19937 random{5};
+    std::lognormal_distribution<double> error{std::log(2), 0.3};
+    completion_estimates all;
+    for (int i = 0; i < 30; ++i)
+        record_event_time(all, "pool", 0, 4, milliseconds(50));
+    auto const predict = [&] { return predict_completion(all, query(0, 4)); };
+    completion_prediction const first = predict();
+    CHECK(first.likely == first.uncorrected);
+    for (int i = 0; i < 600; ++i)
+    {
+        duration const p = predict().uncorrected;
+        record_completion(
+            all, "pool", p, from_seconds(to_seconds(p) * error(random)));
+    }
+    completion_prediction const last = predict();
+    CHECK(last.uncorrected == first.uncorrected);
+    double const ratio = to_seconds(last.likely) / to_seconds(last.uncorrected);
+    // A tenth of the weight is the spread that is assumed at the start.
+    CHECK(ratio == Approx(2).epsilon(0.12));
+    CHECK(last.early < last.likely);
+    CHECK(last.late > last.likely);
+}
+
 // Guards against estimates that need more responses than one gateway of many
 // sees: ten fleets of 24 gateways with 12 responses each, from nothing, of
 // which the first four are not judged. In a trial, exact knowledge of the
@@ -314,6 +341,8 @@
     record_cut_length(all, "chat", 100, -1);
     record_completion(all, "pool", duration{0}, seconds(1));
     record_completion(all, "pool", seconds(1), seconds(-1));
+    record_cut_completion(all, "pool", duration{0}, seconds(1));
+    record_cut_completion(all, "pool", seconds(1), seconds(3601));
     CHECK(all.services.empty());
     CHECK(all.routes.empty());
     for (int i = 0; i < 3000; ++i)
--- a/src/gateway/proxied_request.cpp
+++ b/src/gateway/proxied_request.cpp
@@ -296,6 +296,7 @@
         context_.state.counters.histogram("queue_seconds", scope())
             .add(to_seconds(now - started_));
     predicted_end_ = duration{0};
+    uncorrected_end_ = duration{0};
     if (is_overload_controlled())
         predict_attempt(now);
     upstream_->requests += 1;
--- a/src/gateway/proxied_request.hpp
+++ b/src/gateway/proxied_request.hpp
@@ -199,6 +199,7 @@
         std::size_t model, double requests, duration first_event,
         steady_time now) const;
     void record_stream_end(bool is_complete, steady_time now);
+    void record_attempt_error(bool is_complete, steady_time now);
     void start_response(http_response_head&& head);
     void claim_response(std::size_t bytes, steady_time now);
     void set_pause();
@@ -291,6 +292,7 @@
     steady_time last_event_{};
     steady_time previous_event_{}; // of the current attempt
     duration predicted_end_{0};    // of the current attempt; 0: unknown
+    duration uncorrected_end_{0};  // the same without the learned error
     steady_time first_event_{};
     // Events of the current attempt, and when the first one arrived.
     std::uint64_t attempt_events_ = 0;
--- a/src/gateway/proxied_request_failure.cpp
+++ b/src/gateway/proxied_request_failure.cpp
@@ -238,6 +238,10 @@
     context_.state.counters.count(
         "callers_left_total", attempts_.sends == 0 ? "not_sent" : "sent",
         scope());
+    // A caller that waited until its deadline leaves before the timer here, by
+    // the way between them.
+    if (remaining(now) < min_attempt_time)
+        record_stream_end(false, now);
     release();
     finish(log_event::request_left, "caller_left", 0, now);
 }
--- a/src/gateway/proxied_request_overload.cpp
+++ b/src/gateway/proxied_request_overload.cpp
@@ -76,11 +76,11 @@
         return;
     }
     record_prompt(s.prompt_mixes[service_], work_.prefill, now);
-    predicted_end_ =
-        predict_completion(
-            s.completions, completion_query_for(
-                               model_, inputs_.load + 1, inputs_.expected, now))
-            .likely;
+    completion_prediction const end = predict_completion(
+        s.completions,
+        completion_query_for(model_, inputs_.load + 1, inputs_.expected, now));
+    predicted_end_ = end.likely;
+    uncorrected_end_ = end.uncorrected;
 }
 
 // Whether the request can't start and end in time by the estimate of the room,
@@ -244,7 +244,10 @@
 void proxied_request::record_stream_end(bool is_complete, steady_time now)
 {
     gateway_state& s = context_.state;
-    if (!is_engine() || !is_overload_controlled() || attempt_events_ == 0)
+    if (!is_engine() || !is_overload_controlled())
+        return;
+    record_attempt_error(is_complete, now);
+    if (attempt_events_ == 0)
         return;
     completion_query const q =
         completion_query_for(model_, 0, duration{0}, now);
@@ -255,12 +258,29 @@
         return;
     }
     record_length(s.completions, q.route, q.hinted_tokens, events);
-    if (predicted_end_ > duration{0})
+}
+
+// Records how wrong the prediction for the current attempt was. A resumed
+// stream is left out, as its prediction covers the whole response.
+void proxied_request::record_attempt_error(bool is_complete, steady_time now)
+{
+    gateway_state& s = context_.state;
+    bool const is_resumed =
+        request_.resume_after || attempt_events_ < events_.events();
+    bool const is_empty = is_complete && attempt_events_ == 0;
+    if (route_.kind != route_kind::streaming || is_resumed || is_empty ||
+        uncorrected_end_ <= duration{0})
+        return;
+    if (!is_complete)
     {
-        record_completion(s.completions, service_, predicted_end_, now - sent_);
-        s.counters.histogram("completion_error", scope())
-            .add(to_seconds(now - sent_) / to_seconds(predicted_end_));
+        if (connection_ && connection_->is_connected())
+            record_cut_completion(
+                s.completions, service_, uncorrected_end_, now - sent_);
+        return;
     }
+    record_completion(s.completions, service_, uncorrected_end_, now - sent_);
+    s.counters.histogram("completion_error", scope())
+        .add(to_seconds(now - sent_) / to_seconds(predicted_end_));
 }
 
 } // namespace marjorambeam
