--- a/src/gateway/proxied_request.cpp
+++ b/src/gateway/proxied_request.cpp
@@ -297,6 +297,7 @@
             .add(to_seconds(now - started_));
     predicted_end_ = duration{0};
     event_line_.reset();
+    uncorrected_end_ = duration{0};
     if (is_overload_controlled())
         predict_attempt(now);
     upstream_->requests += 1;
