Bound the inputs and the ends of the completion estimate

Cause: percentile 0 of the error was the first bin of the histogram, 1/20, whatever had been recorded, and one outlier held percentile 1 for ever. A number of requests below 1 was extrapolated to better than idle. A hint by a factor of more than 1,000 off was ignored for learning, but decided the prediction. `record_event_time` had a default time, which makes every line recent or none.

Change: percentiles 0 and 1 are the limits of the bins with samples; a bin with less than 0.001 samples is empty. Requests below 1 or not finite count as 1. A hint that is a factor of 1,000 off the usual length of its route is ignored for prediction too. `record_event_time` needs the time, and a line is recent only if its last sample is within a minute of the query's time on either side, so that a query without a time predicts nothing.

A route with fewer than five lengths has nothing to compare a hint with and uses it.

--- a/src/gateway/completion_benchmark.cpp
+++ b/src/gateway/completion_benchmark.cpp
@@ -13,6 +13,7 @@
 
 using std::chrono::milliseconds;
 
+constexpr steady_time start{std::chrono::seconds(1000)};
 constexpr std::size_t models = 3;
 constexpr int many_services = 40;
 constexpr int many_routes = 400;
@@ -32,7 +33,8 @@
         for (std::size_t m = 0; m < models; ++m)
         {
             for (int n = 1; n <= 256; ++n)
-                record_event_time(all, service, m, n, milliseconds(20 + n));
+                record_event_time(
+                    all, service, m, n, milliseconds(20 + n), start);
         }
         for (int k = 0; k < 50; ++k)
             record_completion(
@@ -65,7 +67,8 @@
                   .models = models,
                   .hinted_tokens = 900,
                   .requests = 43,
-                  .first_event = milliseconds(400)});
+                  .first_event = milliseconds(400),
+                  .now = start});
         benchmark::DoNotOptimize(p);
         i = (i + 1) % routes.size();
     }
@@ -80,7 +83,7 @@
     for (auto _ : state)
     {
         n = n % 43 + 1;
-        record_event_time(all, "service-7", 2, n, milliseconds(20 + n));
+        record_event_time(all, "service-7", 2, n, milliseconds(20 + n), start);
     }
 }
 BENCHMARK(record_one_event_time);
--- a/src/gateway/completion_estimate.cpp
+++ b/src/gateway/completion_estimate.cpp
@@ -141,7 +141,14 @@
 
 bool is_recent(event_time_estimate const& e, steady_time now)
 {
-    return now - e.updated <= max_line_age;
+    return std::chrono::abs(now - e.updated) <= max_line_age;
+}
+
+// An engine that serves a request has at least that one, and a wrong number is
+// no reason to predict nothing.
+double at_least_one(double requests)
+{
+    return std::isfinite(requests) ? std::max(requests, 1.0) : 1;
 }
 
 // Line of the model with the most samples among the others with recent ones, as
@@ -250,7 +257,7 @@
         q.model < s.models.size() && is_recent(s.models[q.model], q.now)
             ? s.models[q.model]
             : none;
-    double const requests = is_valid_count(q.requests) ? q.requests : 1;
+    double const requests = at_least_one(q.requests);
     if (auto const prior = line_of_others(s, q))
         return seconds_at(
             fit(clipped(own, *prior), *prior, prior_level_weight), requests);
@@ -333,6 +340,7 @@
     }
     e.updated = std::max(e.updated, now);
     double const seconds = to_seconds(per_event);
+    requests = at_least_one(requests);
     if (e.first_count < first_event_samples)
         add_first_sample(e, requests, seconds);
     else
--- a/src/gateway/completion_estimate.hpp
+++ b/src/gateway/completion_estimate.hpp
@@ -137,10 +137,13 @@
     // Models of the route. With it, a model without samples is predicted from
     // the others by model_pace(); 0 if unknown.
     std::size_t models = 0;
-    double hinted_tokens = 0; // the caller's estimate, 0 if none
-    double requests = 0;      // at the engine, this one included
-    duration first_event{0};  // expected until the first event, from now
-    steady_time now{};
+    // The caller's estimate, 0 if none. One that is a factor of 1,000 off the
+    // usual length of the route is ignored.
+    double hinted_tokens = 0;
+    // At the engine, this one included. Below 1 and if not finite, it is 1.
+    double requests = 0;
+    duration first_event{0}; // expected until the first event, from now
+    steady_time now{};       // at 0, no line is recent
 };
 
 struct completion_prediction
@@ -176,7 +179,7 @@
 // this one included. Not thread-safe.
 void record_event_time(
     completion_estimates& all, std::string_view service, std::size_t model,
-    double requests, duration per_event, steady_time now = {});
+    double requests, duration per_event, steady_time now);
 
 // Records the length of a complete response. `hinted_tokens` is 0 without a
 // hint. Not thread-safe.
--- a/src/gateway/completion_estimate_test.cpp
+++ b/src/gateway/completion_estimate_test.cpp
@@ -17,9 +17,11 @@
 namespace
 {
 
+constexpr steady_time start{seconds(1000)};
+
 completion_query query(
     std::size_t model, double requests, double hinted_tokens = 100,
-    steady_time now = {})
+    steady_time now = start)
 {
     return {"pool", "chat", model, 3, hinted_tokens, requests, {}, now};
 }
@@ -97,7 +99,7 @@
     std::lognormal_distribution<double> error{std::log(2), 0.3};
     completion_estimates all;
     for (int i = 0; i < 30; ++i)
-        record_event_time(all, "pool", 0, 4, milliseconds(50));
+        record_event_time(all, "pool", 0, 4, milliseconds(50), start);
     auto const predict = [&] { return predict_completion(all, query(0, 4)); };
     completion_prediction const first = predict();
     CHECK(first.likely == first.uncorrected);
@@ -159,19 +161,19 @@
     auto at = [](double n)
     { return milliseconds(40 + static_cast<int>(10 * n)); };
     for (int i = 0; i < 60; ++i)
-        record_event_time(all, "pool", 2, 1 + i % 4, at(1 + i % 4));
+        record_event_time(all, "pool", 2, 1 + i % 4, at(1 + i % 4), start);
     CHECK(event_ms(all, 2, 43) > 2 * event_ms(all, 2, 1));
     for (int i = 0; i < 20000; ++i)
-        record_event_time(all, "pool", 2, 41 + i % 5, at(41 + i % 5));
+        record_event_time(all, "pool", 2, 41 + i % 5, at(41 + i % 5), start);
     CHECK(event_ms(all, 2, 43) == Approx(470).epsilon(0.05));
     CHECK(event_ms(all, 2, 1) == Approx(50).epsilon(0.2));
     // A model without samples, from the largest one's.
     CHECK(event_ms(all, 0, 43) == Approx(47).epsilon(0.1));
     // Engines that get slower by others on their machines.
     for (int i = 0; i < 60; ++i)
-        record_event_time(all, "pool", 2, 20, at(20));
+        record_event_time(all, "pool", 2, 20, at(20), start);
     for (int i = 0; i < 600; ++i)
-        record_event_time(all, "pool", 2, 43, 3 * at(43));
+        record_event_time(all, "pool", 2, 43, 3 * at(43), start);
     CHECK(event_ms(all, 2, 43) == Approx(3 * 470).epsilon(0.25));
 }
 
@@ -183,18 +185,18 @@
     bool const has_other = GENERATE(false, true);
     completion_estimates all;
     for (int i = 0; has_other && i < 30; ++i)
-        record_event_time(all, "pool", 1, 4, milliseconds(3));
+        record_event_time(all, "pool", 1, 4, milliseconds(3), start);
     for (std::size_t i = 0; i < 8; ++i)
     {
         record_event_time(
             all, "pool", 2, 4,
-            i == stalled ? milliseconds(20000) : milliseconds(10));
+            i == stalled ? milliseconds(20000) : milliseconds(10), start);
         if (has_other)
             CHECK(event_ms(all, 2, 4) < 25);
     }
     CHECK(event_ms(all, 2, 4) < 15);
     for (int i = 0; i < 20; ++i)
-        record_event_time(all, "pool", 2, 4, milliseconds(10));
+        record_event_time(all, "pool", 2, 4, milliseconds(10), start);
     CHECK(event_ms(all, 2, 4) == Approx(10).epsilon(0.15));
 }
 
@@ -260,10 +262,10 @@
     for (int i = 0; i < 3000; ++i)
     {
         int const n = 1 << (i * levels / 3000);
-        record_event_time(all, "pool", 2, n, at(n));
+        record_event_time(all, "pool", 2, n, at(n), start);
     }
     for (int i = 0; i < 1000; ++i)
-        record_event_time(all, "pool", 2, 6, at(6) / 3);
+        record_event_time(all, "pool", 2, 6, at(6) / 3, start);
     CHECK(event_ms(all, 2, 6) == Approx(100.0 / 3).epsilon(0.2));
 }
 
@@ -333,10 +335,10 @@
 {
     completion_estimates all;
     constexpr double nan = std::numeric_limits<double>::quiet_NaN();
-    record_event_time(all, "pool", 0, 4, duration{0});
-    record_event_time(all, "pool", 0, 4, seconds(3601));
-    record_event_time(all, "pool", 0, nan, seconds(1));
-    record_event_time(all, "pool", 99, 4, seconds(1));
+    record_event_time(all, "pool", 0, 4, duration{0}, start);
+    record_event_time(all, "pool", 0, 4, seconds(3601), start);
+    record_event_time(all, "pool", 0, nan, seconds(1), start);
+    record_event_time(all, "pool", 99, 4, seconds(1), start);
     record_length(all, "chat", 100, nan);
     record_cut_length(all, "chat", 100, -1);
     record_completion(all, "pool", duration{0}, seconds(1));
@@ -349,8 +351,41 @@
         record_length(all, "route-" + std::to_string(i), nan, 10);
     CHECK(all.routes.size() == max_estimated_series);
     for (int i = 0; i < 30; ++i)
-        record_event_time(all, "pool", 0, 4, milliseconds(50));
-    record_event_time(all, "pool", 0, 4, seconds(3600));
+        record_event_time(all, "pool", 0, 4, milliseconds(50), start);
+    record_event_time(all, "pool", 0, 4, seconds(3600), start);
     CHECK(event_ms(all, 0, 4) < 80);
     CHECK_FALSE(predict_completion(all, query(0, nan, 1e300)).is_known);
+    // A query without a time is answered by no line.
+    CHECK_FALSE(predict_completion(all, query(0, 4, 100, {})).is_known);
+}
+
+// Guards against estimates of an engine that reports no number of requests or a
+// wrong one, which would be unknown or better than those of an idle engine.
+TEST_CASE("A number of requests that can't be true counts as one")
+{
+    completion_estimates all;
+    for (int i = 0; i < 30; ++i)
+        record_event_time(
+            all, "pool", 0, 1 + i % 8, milliseconds(20 + 10 * (i % 8)), start);
+    double const idle = event_ms(all, 0, 1);
+    constexpr double infinite = std::numeric_limits<double>::infinity();
+    for (double const n : {0.0, 0.3, -5.0, std::nan(""), infinite, -infinite})
+        CHECK(event_ms(all, 0, n) == idle);
+    CHECK(event_ms(all, 0, 8) > 2 * idle);
+}
+
+// Guards against a caller whose hints are no counts of tokens: questions of 30
+// events with hints of 100 tokens, among them one with a hint of 40,000.
+TEST_CASE("A hint that is too far off is ignored in the prediction")
+{
+    completion_estimates all;
+    auto expect = [&](double hint)
+    { return *expected_events(all, query(0, 1, hint)); };
+    CHECK(expect(40000) == Approx(40000).epsilon(0.1)); // nothing to compare
+    for (int i = 0; i < 20; ++i)
+        record_length(all, "chat", 100, 30);
+    CHECK(expect(40000) == expect(0));
+    CHECK(expect(0.01) == expect(0));
+    CHECK(expect(200) > 1.5 * expect(100));
+    CHECK(expect(25000) > expect(200));
 }
--- a/src/gateway/completion_length.cpp
+++ b/src/gateway/completion_length.cpp
@@ -100,6 +100,13 @@
         .variance = blended_variance(std::max(residual, 0.0), e.weight)};
 }
 
+// Whether a hint may count the tokens of a response of so many events; both are
+// logarithms.
+bool is_token_count(double hint, double events)
+{
+    return std::abs(events - hint) <= std::log(max_hint_factor);
+}
+
 void add_length(
     completion_estimates& all, std::string_view route, double hinted_tokens,
     double log_events, double variance)
@@ -110,7 +117,7 @@
     if (!is_valid_count(hinted_tokens))
         return;
     double hint = std::log(hinted_tokens);
-    if (std::abs(log_events - hint) > std::log(max_hint_factor))
+    if (!is_token_count(hint, log_events))
         return;
     if (all.ratio.weight >= min_length_samples)
     {
@@ -137,9 +144,14 @@
     static route_length_estimate const none{};
     route_length_estimate const* const known = find_entry(all.routes, route);
     route_length_estimate const& r = known == nullptr ? none : *known;
+    bool const has_lengths = r.events.weight >= min_length_samples;
     if (is_valid_count(hinted_tokens))
-        return predict_hinted(all, r.hinted, std::log(hinted_tokens));
-    if (r.events.weight < min_length_samples)
+    {
+        double const hint = std::log(hinted_tokens);
+        if (!has_lengths || is_token_count(hint, r.events.mean))
+            return predict_hinted(all, r.hinted, hint);
+    }
+    if (!has_lengths)
         return std::nullopt;
     return length_prediction{
         r.events.mean, blended_variance(r.events.variance, r.events.weight)};
--- a/src/gateway/error_histogram.cpp
+++ b/src/gateway/error_histogram.cpp
@@ -12,6 +12,9 @@
 
 // Weight of the past, in samples.
 constexpr double max_error_weight = 256;
+// A bin with less is empty, so that the range of the errors forgets one after
+// about 1,800 samples.
+constexpr double min_count = 0.001;
 // Normal distribution that counts as one sample where a least error is
 // recorded: the spread of lengths and event times that is assumed at the start.
 // Without it, errors above all that were observed would count as small ones.
@@ -42,9 +45,14 @@
 
 void decay(error_histogram& h)
 {
+    h.total = 0;
     for (double& c : h.counts)
+    {
         c *= 1 - 1 / max_error_weight;
-    h.total *= 1 - 1 / max_error_weight;
+        if (c < min_count)
+            c = 0;
+        h.total += c;
+    }
 }
 
 } // namespace
@@ -72,11 +80,19 @@
 double quantile(error_histogram const& h, double p)
 {
     double left = std::clamp(p, 0.0, 1.0) * h.total;
-    std::size_t i = 0;
-    for (; i + 1 < h.counts.size() && left > h.counts[i]; ++i)
-        left -= h.counts[i];
-    double const part = h.counts[i] > 0 ? std::min(left / h.counts[i], 1.0) : 1;
-    return lower_bound_of(i) + error_histogram::width * part;
+    double edge = 0;
+    for (std::size_t i = 0; i < h.counts.size(); ++i)
+    {
+        double const count = h.counts[i];
+        if (count <= 0)
+            continue;
+        edge = lower_bound_of(i) +
+               error_histogram::width * std::min(left / count, 1.0);
+        if (left <= count)
+            break;
+        left -= count;
+    }
+    return edge;
 }
 
 } // namespace marjorambeam
--- a/src/gateway/error_histogram.hpp
+++ b/src/gateway/error_histogram.hpp
@@ -34,9 +34,9 @@
 // there.
 void add_least_error(error_histogram& h, double least_log_error);
 
-// Returns the logarithm of the error of which the part `p` is below.
-// Precondition: the histogram has samples. Thread-safe while no function
-// records.
+// Returns the logarithm of the error of which the part `p` is below; for 0 and
+// 1 the limits of the bins with samples. Precondition: the histogram has
+// samples. Thread-safe while no function records.
 double quantile(error_histogram const& h, double p);
 
 } // namespace marjorambeam
--- a/src/gateway/error_histogram_test.cpp
+++ b/src/gateway/error_histogram_test.cpp
@@ -52,3 +52,21 @@
     CHECK(percentile(h, 0.5) == Approx(first).epsilon(0.01));
     CHECK(percentile(h, 0.5) < 2);
 }
+
+// Guards against a range of errors that begins at the first bin, a factor of
+// 1/20, whatever was seen, and against one that an outlier of long ago widens:
+// responses that take 1 to 1.2 times the prediction, after a stall of 10 times.
+TEST_CASE("The extreme percentiles are the limits of the recent errors")
+{
+    error_histogram h;
+    add_error(h, std::log(10));
+    for (int i = 0; i < 1500; ++i)
+        add_error(h, 0.05 + 0.1 * (i % 2));
+    CHECK(quantile(h, 0) == Approx(0).margin(1e-9));
+    CHECK(quantile(h, 1) == Approx(2.4)); // the end of the bin of 10
+    for (int i = 0; i < 500; ++i)
+        add_error(h, 0.05 + 0.1 * (i % 2));
+    CHECK(quantile(h, 0) == Approx(0).margin(1e-9));
+    CHECK(quantile(h, 0.25) == Approx(0.05).margin(0.01));
+    CHECK(quantile(h, 1) == Approx(0.2));
+}
--- a/src/gateway/model_choice_test.cpp
+++ b/src/gateway/model_choice_test.cpp
@@ -12,6 +12,7 @@
 namespace
 {
 
+constexpr steady_time start{seconds(1000)};
 constexpr larger_model_delay soon{
     .expected = milliseconds(300), .left = milliseconds(2000)};
 
@@ -80,8 +81,8 @@
     {
         for (int event = 0; event < 5; ++event)
         {
-            record_event_time(all, "pool", 2, 43, milliseconds(470));
-            record_event_time(all, "pool", 1, 43, milliseconds(110));
+            record_event_time(all, "pool", 2, 43, milliseconds(470), start);
+            record_event_time(all, "pool", 1, 43, milliseconds(110), start);
         }
         record_length(all, "chat", 900, 106);
     }
@@ -90,7 +91,14 @@
         std::array<model_candidate, 2> both;
         for (std::size_t i : {0, 1})
         {
-            completion_query const q{"pool", "chat", 2 - i, 3, hint, 43};
+            completion_query const q{
+                .service = "pool",
+                .route = "chat",
+                .model = 2 - i,
+                .models = 3,
+                .hinted_tokens = hint,
+                .requests = 43,
+                .now = start};
             both.at(i) = {2 - i, soon, predict_completion(all, q)};
         }
         return choose(both);
