Ask the middle model where the largest is spared

Cause: `choose_model` weighs models between the current one and the largest, but the gateway offered it the largest alone, so that a response of low confidence was kept wherever the largest could not end in time or held up others.

Change: `try_larger_model` considers the next smaller model, at the engine that would be selected for it, if the one before is spared for `cannot_end` or `queue` (`may_ask_smaller`); `choose_model` stops at the other reasons as well. Only under overload control. `larger_model_spared_total` counts the reason of the largest. The line `larger_model_asked` has the `model`.

Ruled out: removal with its constant, as the call is a loop around what was there; selecting engines for all larger models at once, which would cost a selection where the largest is asked.

Reports of 750 ms beside 20 streams are asked of the middle model, as before of none.

--- a/src/gateway/model_choice.cpp
+++ b/src/gateway/model_choice.cpp
@@ -62,10 +62,18 @@
             return {c.model, reason};
         if (!first)
             first = reason;
+        if (!may_ask_smaller(reason))
+            break;
     }
     return {std::nullopt, first.value_or(model_choice_reason::no_candidate)};
 }
 
+bool may_ask_smaller(model_choice_reason reason)
+{
+    return reason == model_choice_reason::cannot_end ||
+           reason == model_choice_reason::queue;
+}
+
 bool can_end_within(completion_prediction const& p, duration left)
 {
     return !p.is_known || to_seconds(p.likely) * end_margin <= to_seconds(left);
--- a/src/gateway/model_choice.hpp
+++ b/src/gateway/model_choice.hpp
@@ -5,11 +5,12 @@
 // Example:
 //   model_choice_query q{.escalation = {.models = 3, .current = 0,
 //                                       .confidence = 30}};
-//   q.candidates = candidates; // largest first
+//   q.candidates = candidates; // largest first, or one after the other
 //   q.until_deadline = std::chrono::seconds(12);
 //   q.target = std::chrono::seconds(3);
 //   model_choice const c = choose_model(q);
 //   if (c.model) ask(*c.model); else count("spared", name_of(c.reason));
+//   if (may_ask_smaller(c.reason)) consider(next_smaller_candidate);
 //
 // Without load and predictions, the choice is that of model_escalation.hpp. No
 // I/O. Thread-safe.
@@ -84,6 +85,11 @@
 // Returns the model to ask next, or nothing and the reason. Thread-safe.
 model_choice choose_model(model_choice_query const& q);
 
+// Returns whether the next smaller model is considered after one that is spared
+// for `reason`: if its response would end too late, or delay others too much.
+// Thread-safe.
+bool may_ask_smaller(model_choice_reason reason);
+
 // Returns whether a response likely ends within `left`; true if that is
 // unknown. Thread-safe.
 bool can_end_within(completion_prediction const& p, duration left);
--- a/src/gateway/model_choice_test.cpp
+++ b/src/gateway/model_choice_test.cpp
@@ -140,6 +140,37 @@
     CHECK(ask(report, -3).model);
 }
 
+// Guards against no larger model at all where the largest holds up others: a
+// report that the largest model reads for 750 ms and the middle one for 237 ms,
+// beside 20 streams; and against any where the largest would begin late.
+TEST_CASE("The middle model is asked where the largest holds up others")
+{
+    auto ask = [](larger_model_delay const& largest, double requests)
+    {
+        std::array const both{
+            model_candidate{
+                .model = 2,
+                .delay = largest,
+                .completion = around(seconds(3)),
+                .own_time = milliseconds(750),
+                .requests = requests},
+            model_candidate{
+                .model = 1,
+                .delay = soon,
+                .completion = around(seconds(1)),
+                .own_time = milliseconds(237),
+                .requests = requests}};
+        return choose(both);
+    };
+    CHECK(ask(soon, 4).model == std::size_t{2});
+    CHECK(ask(soon, 20).model == std::size_t{1});
+    CHECK(ask(soon, 80).reason == model_choice_reason::queue);
+    constexpr larger_model_delay late{
+        .expected = seconds(5), .left = seconds(2)};
+    CHECK(ask(late, 4).reason == model_choice_reason::late_to_target);
+    CHECK_FALSE(ask(late, 4).model);
+}
+
 // Guards against answers that are begun and cut off at the deadline.
 TEST_CASE("A larger model is not asked if its answer ends after the deadline")
 {
--- a/src/gateway/proxied_request.hpp
+++ b/src/gateway/proxied_request.hpp
@@ -194,7 +194,8 @@
     bool try_larger_model(upstream_response const& a, steady_time now);
     bool is_worth_larger_model(
         escalation_query const& q, upstream_selection const& c,
-        larger_model_delay const& t, std::string_view& spared, steady_time now);
+        larger_model_delay const& t, std::optional<model_choice_reason>& spared,
+        steady_time now);
     completion_query completion_query_for(
         std::size_t model, double requests, duration first_event,
         steady_time now) const;
--- a/src/gateway/proxied_request_overload.cpp
+++ b/src/gateway/proxied_request_overload.cpp
@@ -199,7 +199,8 @@
 // worth its time, and that of the others there; else `spared` says why not.
 bool proxied_request::is_worth_larger_model(
     escalation_query const& q, upstream_selection const& c,
-    larger_model_delay const& t, std::string_view& spared, steady_time now)
+    larger_model_delay const& t, std::optional<model_choice_reason>& spared,
+    steady_time now)
 {
     gateway_state& s = context_.state;
     if (!is_overload_controlled())
@@ -219,7 +220,7 @@
          .until_deadline = remaining(now),
          .target = route_.target});
     if (!choice.model)
-        spared = name_of(choice.reason);
+        spared = choice.reason;
     return choice.model.has_value();
 }
 
--- a/src/gateway/proxied_request_response.cpp
+++ b/src/gateway/proxied_request_response.cpp
@@ -201,21 +201,35 @@
     if (end_if_caller_left(now))
         return true;
     std::size_t const current_model = model_;
-    set_model(*next);
-    upstream_selection const c = select_next_upstream(now);
-    larger_model_delay const t{
-        .expected = c.expected,
-        .queued = c.queued,
-        .left = started_ + route_.target - now};
-    std::string_view spared;
+    upstream_selection c;
+    larger_model_delay t;
+    std::optional<model_choice_reason> spared; // why the largest one is
     std::shared_ptr<upstream_connection> connection;
-    if (c.chosen && is_worth_larger_model(q, c, t, spared, now))
-        connection = take_connection(c, now);
+    for (std::size_t model = *next; model > current_model; --model)
+    {
+        set_model(model);
+        c = select_next_upstream(now);
+        t = {
+            .expected = c.expected,
+            .queued = c.queued,
+            .left = started_ + route_.target - now};
+        std::optional<model_choice_reason> reason;
+        if (c.chosen && is_worth_larger_model(q, c, t, reason, now))
+        {
+            connection = take_connection(c, now);
+            break;
+        }
+        if (!spared)
+            spared = reason;
+        if (!reason || !may_ask_smaller(*reason))
+            break;
+    }
     if (!connection)
     {
         set_model(current_model);
         context_.state.counters.count(
-            "larger_model_spared_total", spared, scope());
+            "larger_model_spared_total", spared ? name_of(*spared) : "",
+            scope());
         return false;
     }
     context_.state.counters.count("larger_model_total", "", scope());
@@ -223,6 +237,7 @@
         log_event::larger_model_asked,
         {{"request_id", request_.attempt_id},
          {"confidence", std::to_string(a.confidence.value_or(0))},
+         {"model", std::to_string(model_)},
          {"upstream", upstream_->info.id},
          {"next_upstream", c.chosen->info.id},
          {"expected_ms", in_ms(t.expected)},
--- a/src/log/log_events.cpp
+++ b/src/log/log_events.cpp
@@ -254,8 +254,9 @@
     log_event_row{
         larger_model_asked, "larger_model_asked", log_level::info,
         "Larger model asked.",
-        "The answer's `confidence` was too low, and `expected_ms` fits into "
-        "`left_ms`. `extras` of `requests` are the share of the budget used."},
+        "The answer's `confidence` was too low, and `expected_ms` of `model` "
+        "fits into `left_ms`. `extras` of `requests` are the share of the "
+        "budget used."},
     log_event_row{
         attempt_failed, "attempt_failed", log_level::warning, "Attempt failed.",
         "`kind` and `why`; `may_have_run` decides whether it is sent again. "
