Show the errors of the estimates as gauges per service

Cause: the errors of the predicted ends and starts decide what is refused and spared, but nobody could read them; `completion_error` is a histogram of the corrected times by route.

Change: `completion_error_p10`, `_p50` and `_p90` (of the uncorrected time until the end of streams) and `start_error_p10`, `_p50` and `_p90` (of waits at plain services) per service. Gauges can have a label `service`, are bounded like counters, and are cleared before they are set, so that a service that is removed leaves none. They are computed when the metrics page is read.

Ruled out: a series per route, as the errors are learned per service; start errors after 30 s without samples, where only the prior would be shown.

--- a/src/gateway/prediction_error.cpp
+++ b/src/gateway/prediction_error.cpp
@@ -63,6 +63,11 @@
     e.updated_at = now;
 }
 
+bool has_recent_errors(prediction_error const& e, steady_time now)
+{
+    return e.samples > 0 && !is_expired(e, now);
+}
+
 double error_ratio(prediction_error const& e, double fraction, steady_time now)
 {
     bool const has_samples = !is_expired(e, now);
--- a/src/gateway/prediction_error.hpp
+++ b/src/gateway/prediction_error.hpp
@@ -41,6 +41,9 @@
     prediction_error& e, duration predicted, duration seen, duration floor,
     steady_time now);
 
+// Returns whether there are samples that have not expired. Thread-safe.
+bool has_recent_errors(prediction_error const& e, steady_time now);
+
 // Returns the ratio of observed to predicted time that the part `fraction` of
 // the samples do not exceed, between 1/64 and 64. Precondition: `fraction` is
 // from 0 to 1. Not thread-safe.
--- a/src/gateway/request_controller.cpp
+++ b/src/gateway/request_controller.cpp
@@ -1,6 +1,7 @@
 #include "gateway/request_controller.hpp"
 
 #include "base/hash.hpp"
+#include "gateway/error_gauges.hpp"
 #include "gateway/local_response.hpp"
 
 #include <algorithm>
@@ -353,6 +354,7 @@
         clients_.begin(), clients_.end(),
         [](auto const& it) { return it->is_extended(); });
     m.set("callers_reading_slowly", static_cast<double>(slow));
+    set_error_gauges(state_, boot_now());
 }
 
 void request_controller::abort_quarantined(steady_time now)
--- a/src/metrics/metrics.cpp
+++ b/src/metrics/metrics.cpp
@@ -109,7 +109,32 @@
 
 void metrics::set(std::string_view name, double value)
 {
-    gauges_[std::string(name)] = value;
+    gauges_[key(name, std::string())] = value;
+}
+
+void metrics::set(std::string_view name, gauge_scope const& scope, double value)
+{
+    std::string labels;
+    add_label(labels, "service", scope.service);
+    key k(name, std::move(labels));
+    if (!gauges_.contains(k))
+    {
+        std::size_t& series = series_[k.first];
+        if (series >= max_series_per_name)
+            return;
+        ++series;
+    }
+    gauges_[std::move(k)] = value;
+}
+
+void metrics::clear_gauge(std::string_view name)
+{
+    auto const first = gauges_.lower_bound(key(name, std::string()));
+    auto last = first;
+    while (last != gauges_.end() && last->first.first == name)
+        ++last;
+    gauges_.erase(first, last);
+    series_.erase(std::string(name));
 }
 
 void metrics::observe(
@@ -159,8 +184,8 @@
     out.precision(12);
     for (auto const& [k, value] : counters_)
         write_line(out, k.first, k.second, acc::sum(value));
-    for (auto const& [name, value] : gauges_)
-        write_line(out, name, {}, value);
+    for (auto const& [k, value] : gauges_)
+        write_line(out, k.first, k.second, value);
     write_line(
         out, "process_cpu_seconds", {},
         static_cast<double>(std::clock()) / CLOCKS_PER_SEC);
--- a/src/metrics/metrics.hpp
+++ b/src/metrics/metrics.hpp
@@ -36,6 +36,12 @@
     std::string_view organisation_class;
 };
 
+// What a gauge describes; an empty text is left out.
+struct gauge_scope
+{
+    std::string_view service;
+};
+
 // Upper bounds in seconds of a histogram's buckets: those of the Prometheus
 // clients, with finer ones for the time that a gateway adds and coarser ones
 // for whole answers of models.
@@ -81,6 +87,11 @@
 
     // Sets the gauge `name`.
     void set(std::string_view name, double value);
+    // The same, told apart by scope. What is beyond max_series_per_name is left
+    // out, as gauges of different scopes have no sum.
+    void set(std::string_view name, gauge_scope const& scope, double value);
+    // Removes the gauge `name` of all scopes.
+    void clear_gauge(std::string_view name);
 
     // Adds one sample to the distribution `name` with the label `reason`.
     void observe(std::string_view name, std::string_view reason, double sample);
@@ -123,7 +134,7 @@
     std::map<key, counter_accumulator, std::less<>> counters_;
     std::map<key, latency_histogram, std::less<>> histograms_;
     std::map<std::string, std::size_t, std::less<>> series_; // with a scope
-    std::map<std::string, double, std::less<>> gauges_;
+    std::map<key, double, std::less<>> gauges_;
     std::map<key, sample_accumulator, std::less<>> samples_;
 };
 
--- a/src/metrics/metrics_test.cpp
+++ b/src/metrics/metrics_test.cpp
@@ -86,3 +86,31 @@
         page.find("marjorambeam_whole_seconds_count 2500\n") !=
         std::string::npos);
 }
+
+// Guards against gauges of a service that the configuration does not have any
+// more, which would keep their last value, and against pages that grow with
+// each service that ever was.
+TEST_CASE("gauges are told apart by service, cleared and bounded")
+{
+    metrics m;
+    m.set("error", 1);
+    m.set("error", {.service = "a"}, 2);
+    m.set("error", {.service = "a"}, 3);
+    m.set("error_of_others", {.service = "a"}, 4);
+    auto const has = [&](std::string const& line)
+    { return m.render().find("marjorambeam_" + line) != std::string::npos; };
+    CHECK(has("error 1\n"));
+    CHECK(has("error{service=\"a\"} 3\n"));
+    m.clear_gauge("error");
+    CHECK_FALSE(has("error{"));
+    CHECK_FALSE(has("error "));
+    CHECK(has("error_of_others{service=\"a\"} 4\n"));
+    for (int round = 0; round < 2; ++round)
+    {
+        for (int i = 0; i < 2000; ++i)
+            m.set("error", {.service = std::to_string(i)}, i);
+        CHECK(has("error{service=\"499\"} 499\n"));
+        CHECK_FALSE(has("error{service=\"500\"}"));
+        m.clear_gauge("error");
+    }
+}
