Share one pass over the upstreams among the requests of a turn

Cause: room_of_service went over all upstreams of all services for each selection, decision and place in the waiting order.

Change: room_cache keeps the room per service for 5 ms, or until the list of upstreams changes (upstream_table::changes), and lists the upstreams of each service. The report of a free slot shows in it at once, so that nothing is refused by an older estimate. The service time alone is kept for 0.1 ms per upstream, if that is longer; up to 50 upstreams that is 5 ms as well.

Ruled out: 5 ms for the service time too; at 43 requests/s per gateway each request would make a pass.

--- a/src/gateway/gateway_state.hpp
+++ b/src/gateway/gateway_state.hpp
@@ -20,6 +20,7 @@
 #include "gateway/peer_clock.hpp"
 #include "gateway/prediction_error.hpp"
 #include "gateway/return_schedule.hpp"
+#include "gateway/room_cache.hpp"
 #include "gateway/session_pins.hpp"
 #include "gateway/shared_limits.hpp"
 #include "gateway/state_relay.hpp"
@@ -236,6 +237,7 @@
     overload_control_state overload;
     completion_estimates completions;
     service_times service_times_by_name;
+    room_cache rooms; // of plain services under overload control
     std::map<std::string, prediction_error, std::less<>> start_errors;
     service_shares shares; // of organisations
     return_schedule returns;
--- a/src/gateway/proxied_request_overload.cpp
+++ b/src/gateway/proxied_request_overload.cpp
@@ -20,11 +20,11 @@
 // Time that the service takes for a request; zero if it is unknown.
 duration proxied_request::expected_service_time(steady_time now) const
 {
-    auto const it = context_.state.service_times_by_name.find(service_);
-    if (is_engine() || it == context_.state.service_times_by_name.end())
+    gateway_state& s = context_.state;
+    auto const it = s.service_times_by_name.find(service_);
+    if (is_engine() || it == s.service_times_by_name.end())
         return duration{0};
-    return room_of_service(context_.state.upstreams, service_, it->second, now)
-        .shortest_service_time;
+    return cached_service_time(s.rooms, s.upstreams, service_, it->second, now);
 }
 
 // How long the request may wait at an upstream for a slot. One that can meet
@@ -91,8 +91,8 @@
         last_selection_.failure != selection_failure::full)
         return false;
     gateway_state& s = context_.state;
-    room_estimate const room = room_of_service(
-        s.upstreams, service_, s.service_times_by_name[service_], now);
+    room_estimate const& room = cached_room(
+        s.rooms, s.upstreams, service_, s.service_times_by_name[service_], now);
     admission_times const times =
         plain_times(room, s.start_errors[service_], 0, duration{0}, now);
     admission_result const a = decide_admission(
@@ -151,6 +151,8 @@
     if (is_engine() || !is_overload_controlled() || a.is_other_instance)
         return;
     service_time& prior = context_.state.service_times_by_name[service_];
+    if (has_free_slot(view_of(*upstream_, now), now))
+        record_free_slot(context_.state.rooms, service_);
     machine_pace pace;
     if (a.load && a.load->machine_pace)
         pace.percent = *a.load->machine_pace;
--- a/src/gateway/store_controller.cpp
+++ b/src/gateway/store_controller.cpp
@@ -458,6 +458,9 @@
              {"leaving", info->is_draining ? "yes" : "no"},
              {"cold_ms", std::to_string(cold.count() / 1000)}});
     u->is_missing = false;
+    if (u->info.service != info->service ||
+        u->info.is_draining != info->is_draining)
+        ++state_.upstreams.changes;
     u->info = std::move(*info);
     if (is_new)
         put_upstream(state_.upstreams, u);
--- a/src/gateway/upstream_table.cpp
+++ b/src/gateway/upstream_table.cpp
@@ -251,6 +251,7 @@
     u->number = upstream_number(u->info.id);
     b.by_number[u->number] = u.get();
     b.by_id[u->info.id] = std::move(u);
+    ++b.changes;
 }
 
 upstream_map::iterator
@@ -259,6 +260,7 @@
     auto const numbered = b.by_number.find(it->second->number);
     if (numbered != b.by_number.end() && numbered->second == it->second.get())
         b.by_number.erase(numbered);
+    ++b.changes;
     return b.by_id.erase(it);
 }
 
@@ -305,20 +307,6 @@
     return v;
 }
 
-room_estimate room_of_service(
-    upstream_table const& b, std::string_view service,
-    service_time const& prior, steady_time now)
-{
-    std::vector<upstream_view> views;
-    for (auto const& [id, u] : b.by_id)
-    {
-        if (u->info.service == service && is_usable(b, *u) &&
-            now >= u->ejected_until)
-            views.push_back(view_of(*u, now));
-    }
-    return estimate_room(views, prior, now);
-}
-
 double estimated_requests(upstream_state const& u, steady_time now)
 {
     double const counted = u.requests + u.peers.requests;
--- a/src/gateway/upstream_table.hpp
+++ b/src/gateway/upstream_table.hpp
@@ -130,6 +130,9 @@
     upstream_map by_id;
     // By upstream_state::number. put_upstream() and erase_upstream() keep both.
     std::unordered_map<std::uint32_t, upstream_state*> by_number;
+    // Changes of the list. Whoever changes an entry so that it serves another
+    // service or is no longer usable raises it.
+    std::uint64_t changes = 0;
     // Availability zones excluded from new work.
     std::set<std::string, std::less<>> evacuated_zones;
     upstream_notices notices;                 // received from upstreams
@@ -234,12 +237,6 @@
 // long as `u`. Not thread-safe.
 upstream_view view_of(upstream_state const& u, steady_time now);
 
-// Estimates the room at the usable upstreams of a plain service. Not
-// thread-safe.
-room_estimate room_of_service(
-    upstream_table const& b, std::string_view service,
-    service_time const& prior, steady_time now);
-
 // Estimates the requests at the upstream from this gateway's count, those of
 // its peers, and the upstream's own recent report. Not thread-safe.
 double estimated_requests(upstream_state const& u, steady_time now);
