Check the pace of a query where the bounds of inputs moved

The merge of the bounds of the completion estimate left is_valid() with a duration only, so that the gateway did not compile. A pace that is not positive or not finite counts as 1, as before.

--- a/src/gateway/completion_estimate.cpp
+++ b/src/gateway/completion_estimate.cpp
@@ -258,7 +258,7 @@
             ? s.models[q.model]
             : none;
     double const requests = at_least_one(q.requests);
-    double const pace = is_valid(q.pace) ? q.pace : 1;
+    double const pace = q.pace > 0 && std::isfinite(q.pace) ? q.pace : 1;
     if (auto const prior = line_of_others(s, q))
         return pace * seconds_at(
                           fit(clipped(own, *prior), *prior, prior_level_weight),
