Decide on a request by its place among those that wait

Cause: the decision to refuse counted no request before the one that it was about, so that the last of a burst counted on the room that the others take; and a request waited for half of its time, then was refused though it could have ended in time.

Change: on arrival, and at each turn of the dispatch loop, plain_times gets the number of requests that go first and the interval between this gateway's starts. start_interval measures it while requests wait; it counts as at most an equal share of all starts. While upstreams are full and the estimate is known, a request waits as long as it could still end in time. The error of the start includes the wait at the gateway; starts without a wait are not recorded. The early estimate is lower by the width of a bucket of the error: the new test refused a request that ends just in time without it. A request of which an attempt may have run is not refused by the estimate.

Ruled out: the interval between all starts, which a lull makes long.

--- a/src/gateway/gateway_state.hpp
+++ b/src/gateway/gateway_state.hpp
@@ -23,6 +23,7 @@
 #include "gateway/room_cache.hpp"
 #include "gateway/session_pins.hpp"
 #include "gateway/shared_limits.hpp"
+#include "gateway/start_interval.hpp"
 #include "gateway/state_relay.hpp"
 #include "gateway/upstream_table.hpp"
 #include "gateway/version_rollout.hpp"
@@ -237,7 +238,8 @@
     overload_control_state overload;
     completion_estimates completions;
     service_times service_times_by_name;
-    room_cache rooms; // of plain services under overload control
+    room_cache rooms;          // of plain services under overload control
+    start_intervals intervals; // of the same
     std::map<std::string, prediction_error, std::less<>> start_errors;
     service_shares shares; // of organisations
     return_schedule returns;
--- a/src/gateway/load_admission.cpp
+++ b/src/gateway/load_admission.cpp
@@ -10,6 +10,10 @@
 constexpr double early_fraction = 0.1;
 constexpr double likely_fraction = 0.5;
 constexpr double late_fraction = 0.9;
+// Width of a bucket of the error, a quarter of a power of two. The ratio that
+// is read from a bucket may be larger than the observed one by this factor, by
+// which a request that ends just in time was refused.
+constexpr double error_resolution = 1.19;
 
 static_assert(prediction_error_ttl == service_time_ttl);
 
@@ -17,7 +21,9 @@
 range_of(prediction_error const& e, duration predicted, steady_time now)
 {
     return {
-        .early = scale_prediction(e, predicted, early_fraction, now),
+        .early = from_seconds(
+            to_seconds(scale_prediction(e, predicted, early_fraction, now)) /
+            error_resolution),
         .likely = scale_prediction(e, predicted, likely_fraction, now),
         .late = scale_prediction(e, predicted, late_fraction, now)};
 }
@@ -35,6 +41,13 @@
 
 } // namespace
 
+duration
+expected_interval(duration own, room_estimate const& room, std::size_t gateways)
+{
+    return std::min(
+        own, room.start_interval * static_cast<duration::rep>(gateways));
+}
+
 admission_times plain_times(
     room_estimate const& room, prediction_error const& error,
     double waiting_before, duration waiting_interval, steady_time now)
--- a/src/gateway/load_admission.hpp
+++ b/src/gateway/load_admission.hpp
@@ -22,6 +22,7 @@
 #include "gateway/prediction_error.hpp"
 #include "gateway/service_room.hpp"
 
+#include <cstddef>
 #include <cstdint>
 #include <string_view>
 
@@ -45,6 +46,14 @@
     duration service_time{0}; // the floor when the error is recorded
 };
 
+// Returns the mean time between starts that requests which wait at this gateway
+// are to expect: `own`, as measured here while requests waited, or that of an
+// equal share of all starts, if that is shorter. What this gateway started
+// lately may be less than it could have, and a request is not refused for that.
+// Zero if `own` is. Precondition: `gateways` is positive. Thread-safe.
+duration expected_interval(
+    duration own, room_estimate const& room, std::size_t gateways);
+
 // Returns the times of a request to a plain service that starts after
 // `waiting_before` others that wait at this gateway. `waiting_interval` is the
 // mean time between starts of this gateway's requests; 0: unknown, which counts
--- a/src/gateway/load_admission_test.cpp
+++ b/src/gateway/load_admission_test.cpp
@@ -105,6 +105,51 @@
         seconds(64 * 3700));
 }
 
+// Guards against a refusal by what a gateway started lately, where it has room
+// for more: CNRB's orders after a lull at one of 24 gateways.
+TEST_CASE("A gateway counts on its equal share of the starts at least")
+{
+    room_estimate const room{.start_interval = milliseconds(3)};
+    CHECK(expected_interval(milliseconds(300), room, 24) == milliseconds(72));
+    CHECK(expected_interval(milliseconds(9), room, 24) == milliseconds(9));
+    CHECK(expected_interval(duration{0}, room, 24) == duration{0});
+}
+
+// Guards against a burst of orders at one gateway of which those that can end
+// in time are refused, or those that cannot wait until their deadline.
+TEST_CASE("Of a burst only the requests that cannot end in time are refused")
+{
+    constexpr milliseconds service_time{60};
+    constexpr milliseconds interval{10}; // 6 slots
+    constexpr milliseconds deadline{600};
+    steady_time const now{seconds(1000)};
+    room_estimate const room{
+        .is_known = true,
+        .service_time = service_time,
+        .shortest_service_time = service_time,
+        .until_end = service_time,
+        .start_interval = interval};
+    prediction_error e;
+    for (int i = 1; i <= 100; ++i)
+        record_error(e, interval * i, interval * i, service_time, now);
+    int refused = 0;
+    for (int before = 0; before < 200; ++before)
+    {
+        admission_times const t = plain_times(
+            room, e, before, expected_interval(interval, room, 1), now);
+        bool const is_refused =
+            decide_admission(
+                {.is_known = true, .times = t, .until_deadline = deadline})
+                .outcome == admission_outcome::refuse;
+        milliseconds const end = interval * before + service_time;
+        CAPTURE(before);
+        CHECK_FALSE((is_refused && end <= deadline));
+        CHECK((is_refused || end < 2 * deadline));
+        refused += is_refused ? 1 : 0;
+    }
+    CHECK(refused > 0);
+}
+
 // Guards against late ends and false refusals that no counter shows.
 TEST_CASE("Ends and refusals are counted by how they turned out")
 {
--- a/src/gateway/proxied_request.cpp
+++ b/src/gateway/proxied_request.cpp
@@ -412,8 +412,9 @@
 duration proxied_request::max_queue_time(steady_time now) const
 {
     // With a known service time, what can't end in time is refused by the
-    // estimate. The rest waits for half of its time at most, so that its caller
-    // has the other half for coming back.
+    // estimate. Where no upstream is reachable, the rest waits for half of its
+    // time, so that its caller has the other half for coming back; where all
+    // are full, see latest_wait().
     if (!has_response_head_ && expected_service_time(now) > duration{0})
         return std::max((deadline_ - started_) / 2, route_.target / 2);
     duration const target =
@@ -426,7 +427,7 @@
 bool proxied_request::cannot_succeed(steady_time now)
 {
     upstream_selection const& c = last_selection_;
-    if (c.failure == selection_failure::draining || has_overload_refusal(now))
+    if (c.failure == selection_failure::draining)
         return true;
     steady_time available_at = c.resumes_at;
     if (c.failure == selection_failure::limited)
@@ -461,8 +462,9 @@
     // During a stop another gateway serves what has not run.
     bool const can_move = context_.state.drain_started && !has_response_head_ &&
                           ran_ == run_state::not_run;
-    bool const may_wait = now < wait_until_ && now < deadline_ && !can_move &&
-                          !cannot_succeed(now);
+    bool const may_wait = now < deadline_ && !can_move &&
+                          !has_overload_refusal(now) &&
+                          now < latest_wait(now) && !cannot_succeed(now);
     if (may_wait)
     {
         if (!is_waiting_)
@@ -512,7 +514,7 @@
     return base_delay;
 }
 
-bool proxied_request::retry_selection(steady_time now)
+bool proxied_request::retry_selection(std::size_t before, steady_time now)
 {
     if (is_done_ || !is_waiting_)
         return false;
@@ -524,11 +526,13 @@
         retry_or_give_up(*std::exchange(suspended_failure_, {}), true, now);
         return false;
     }
+    waiting_before_ = before;
     send_outcome const o = send(now);
     if (o == send_outcome::none)
         queue_or_refuse(now);
     else
         is_waiting_ = false;
+    waiting_before_.reset();
     return is_waiting_ && !is_done_;
 }
 
--- a/src/gateway/proxied_request.hpp
+++ b/src/gateway/proxied_request.hpp
@@ -98,9 +98,10 @@
     // Sends the request to an upstream, queues it or responds with an error.
     // Preconditions: held by a shared_ptr; not started.
     void start(steady_time now);
-    // Retries the selection of an upstream for a queued request. Returns false
-    // when the request is no longer queued. Precondition: started.
-    bool retry_selection(steady_time now);
+    // Retries the selection of an upstream for a queued request. `before` is
+    // how many requests of its service wait that go first. Returns false when
+    // the request is no longer queued. Precondition: started.
+    bool retry_selection(std::size_t before, steady_time now);
     // Aborts the request because the process stops. Precondition: started.
     void abort_request(steady_time now);
     // Ends the request if it must not be sent any more and no upstream has
@@ -117,6 +118,11 @@
     {
         return priority_;
     }
+    // The service that it goes to. Valid as long as the request.
+    std::string_view service_name() const
+    {
+        return service_;
+    }
     // Whether its service is under overload control.
     bool is_overload_controlled() const;
     // The inputs of its place among those that wait. The views are valid as
@@ -144,6 +150,13 @@
         std::int64_t started_unix_ms = 0; // incarnation of the upstream
     };
 
+    // When the request would start and end, as predicted when it had to wait.
+    struct wait_prediction
+    {
+        steady_time at{};
+        admission_times times;
+    };
+
     enum class send_outcome : std::uint8_t
     {
         sent,
@@ -176,10 +189,15 @@
     bool cannot_succeed(steady_time now);
     duration expected_service_time(steady_time now) const;
     duration affordable_wait(steady_time now) const;
+    std::size_t count_waiting_before(steady_time now) const;
+    admission_times admission_times_of(
+        room_estimate const& room, std::size_t before, steady_time now) const;
     bool has_overload_refusal(steady_time now);
+    steady_time latest_wait(steady_time now) const;
     bool is_early_return(steady_time now) const;
     void predict_attempt(steady_time now);
     void record_service_response(upstream_response const& a, steady_time now);
+    void record_start_error(steady_time now);
     void recycle_connection(http_response_head const& head);
     steady_time take_limit_slot(steady_time next);
     void queue_or_refuse(steady_time now);
@@ -277,9 +295,13 @@
     std::optional<duration> room_at_;
     // Of the current attempt, for a plain service under overload control.
     room_estimate predicted_start_;
+    // The first one, if the request waited.
+    std::optional<wait_prediction> wait_prediction_;
     upstream_selection last_selection_; // the last one without an upstream
     steady_time wait_until_{};
     bool is_waiting_ = false;
+    // Waiting requests that go first, in the present turn of the dispatch loop.
+    std::optional<std::size_t> waiting_before_;
     std::unique_ptr<counted_waiter> limit_slot_;
     bool is_done_ = false;
     bool has_response_head_ = false; // the response head was sent to the caller
--- a/src/gateway/proxied_request_overload.cpp
+++ b/src/gateway/proxied_request_overload.cpp
@@ -70,6 +70,7 @@
     if (!is_engine())
     {
         upstream_->room.sent_at = now;
+        record_start(s.intervals[service_]);
         upstream_view const v = view_of(*upstream_, now);
         predicted_start_ = estimate_room(
             std::span(&v, 1), s.service_times_by_name[service_], now);
@@ -83,18 +84,66 @@
             .likely;
 }
 
-// Whether the request can't start and end in time by the estimate of the room,
-// as of its last selection, which found none.
+// Returns how many of the requests that wait for the service go before this
+// one.
+std::size_t proxied_request::count_waiting_before(steady_time now) const
+{
+    if (waiting_before_)
+        return *waiting_before_;
+    std::vector<waiting_request> all{waiting_inputs(now)};
+    for (auto const& it : context_.waiting)
+    {
+        if (it.get() != this && it->service_ == service_)
+            all.push_back(it->waiting_inputs(now));
+    }
+    std::vector<std::uint32_t> const order =
+        order_waiting(all, context_.state.shares, now);
+    return static_cast<std::size_t>(
+        std::find(order.begin(), order.end(), 0U) - order.begin());
+}
+
+// Returns when the request starts and ends behind `before` others.
+admission_times proxied_request::admission_times_of(
+    room_estimate const& room, std::size_t before, steady_time now) const
+{
+    gateway_state& s = context_.state;
+    return plain_times(
+        room, s.start_errors[service_], static_cast<double>(before),
+        expected_interval(
+            start_interval_of(s.intervals[service_]), room,
+            std::max<std::size_t>(s.limit_view.live, 1)),
+        now);
+}
+
+// Returns until when the request may wait. While the upstreams are full and the
+// estimate is known, it is as long as it could still end in time.
+steady_time proxied_request::latest_wait(steady_time now) const
+{
+    bool const is_full = last_selection_.failure == selection_failure::full &&
+                         ran_ == run_state::not_run;
+    duration const expected = is_full && is_overload_controlled()
+                                  ? expected_service_time(now)
+                                  : duration{0};
+    return expected > duration{0} ? std::max(wait_until_, deadline_ - expected)
+                                  : wait_until_;
+}
+
+// Whether the request can't start and end in time by the estimate of the room
+// and its place among those that wait, as of its last selection, which found no
+// room.
 bool proxied_request::has_overload_refusal(steady_time now)
 {
     if (is_engine() || !is_overload_controlled() ||
-        last_selection_.failure != selection_failure::full)
+        last_selection_.failure != selection_failure::full ||
+        ran_ != run_state::not_run)
         return false;
     gateway_state& s = context_.state;
-    room_estimate const& room = cached_room(
+    room_estimate const room = cached_room(
         s.rooms, s.upstreams, service_, s.service_times_by_name[service_], now);
-    admission_times const times =
-        plain_times(room, s.start_errors[service_], 0, duration{0}, now);
+    std::size_t const before = room.is_known ? count_waiting_before(now) : 0;
+    admission_times const times = admission_times_of(room, before, now);
+    if (room.is_known && !wait_prediction_)
+        wait_prediction_ = {.at = now, .times = times};
     admission_result const a = decide_admission(
         {.is_known = room.is_known,
          .has_free_slot = room.has_free_slot,
@@ -176,11 +225,7 @@
             now);
         return;
     }
-    if (predicted_start_.is_known)
-        record_error(
-            context_.state.start_errors[service_], predicted_start_.until_start,
-            std::max(now - sent_ - predicted_start_.service_time, duration{0}),
-            predicted_start_.service_time, now);
+    record_start_error(now);
     record_service_time(
         upstream_->room, prior,
         {.took = now - sent_,
@@ -191,6 +236,28 @@
         now);
 }
 
+// Learns the error of the prediction of the start: from when the request had to
+// wait at the gateway, or else from when it was sent.
+void proxied_request::record_start_error(steady_time now)
+{
+    if (!predicted_start_.is_known || attempts_.runs > 0)
+        return;
+    duration const service_time = predicted_start_.service_time;
+    duration seen = std::max(now - sent_ - service_time, duration{0});
+    duration predicted = predicted_start_.until_start;
+    if (wait_prediction_)
+    {
+        seen += sent_ - wait_prediction_->at;
+        predicted = wait_prediction_->times.predicted;
+    }
+    // Starts without a wait, of which there are many before an overload, say
+    // nothing about the error of a long one.
+    if (std::max(seen, predicted) > service_time)
+        record_error(
+            context_.state.start_errors[service_], predicted, seen,
+            service_time, now);
+}
+
 // Keeps the connection of a refusal for reuse: a full upstream resets new ones,
 // which would leave the outcome of the next request unknown.
 void proxied_request::recycle_connection(http_response_head const& head)
--- a/src/gateway/request_controller.cpp
+++ b/src/gateway/request_controller.cpp
@@ -269,8 +269,13 @@
 void request_controller::dispatch_waiting(steady_time now)
 {
     serve_held(now);
+    // Requests that still wait, by service under overload control.
+    std::map<std::string_view, std::size_t> kept;
     if (waiting_.empty())
+    {
+        record_turns(kept, now);
         return;
+    }
     std::vector<std::shared_ptr<proxied_request>> all(
         waiting_.begin(), waiting_.end());
     waiting_.clear();
@@ -281,8 +286,24 @@
     order_controlled(all, now);
     for (auto const& it : all)
     {
-        if (it->retry_selection(now))
-            waiting_.push_back(it);
+        bool const is_controlled = it->is_overload_controlled();
+        std::size_t const before = is_controlled ? kept[it->service_name()] : 0;
+        if (!it->retry_selection(before, now))
+            continue;
+        waiting_.push_back(it);
+        if (is_controlled)
+            ++kept[it->service_name()];
+    }
+    record_turns(kept, now);
+}
+
+void request_controller::record_turns(
+    std::map<std::string_view, std::size_t> const& waiting, steady_time now)
+{
+    for (auto& [service, i] : state_.intervals)
+    {
+        auto const it = waiting.find(service);
+        record_turn(i, it != waiting.end() && it->second > 0, now);
     }
 }
 
--- a/src/gateway/request_controller.hpp
+++ b/src/gateway/request_controller.hpp
@@ -17,6 +17,7 @@
 #include "log/log.hpp"
 
 #include <list>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string_view>
@@ -94,6 +95,9 @@
         std::string_view attempt_id, error_kind kind, duration retry_after,
         steady_time now);
     void tick();
+    void record_turns(
+        std::map<std::string_view, std::size_t> const& waiting,
+        steady_time now);
     void order_controlled(
         std::vector<std::shared_ptr<proxied_request>>& all,
         steady_time now) const;
