Give other refusals under overload control places of the schedule

Cause: only refusals by the estimate had a place; callers that were refused with queue_full, upstream_cold, upstream_paused or upstream_limited came back after a time that depends on the route's target. The phase of the schedule was never set, so that the places of all gateways coincided.

Change: place_after gives them places at the rate of the starts at all upstreams, or of the limits that these name if that is lower, no earlier than the notice of the upstream says, also if the refusal ended the attempts. Without a known rate, as for engines that name no limit, the time is as before. The phase is the gateway's index among the registered ones.

Ruled out: the index among the live gateways, which differs between gateways while reports are lost.

--- a/src/gateway/overload_control.cpp
+++ b/src/gateway/overload_control.cpp
@@ -1,5 +1,7 @@
 #include "gateway/overload_control.hpp"
 
+#include <algorithm>
+
 namespace marjorambeam
 {
 
@@ -71,6 +73,18 @@
     return overload_control_reason_of(s, service).has_value();
 }
 
+double return_phase(gateway_state const& s)
+{
+    std::string const& self = s.settings.instance;
+    if (std::find(s.gateways.begin(), s.gateways.end(), self) ==
+        s.gateways.end())
+        return 0;
+    auto const before = std::count_if(
+        s.gateways.begin(), s.gateways.end(),
+        [&self](std::string const& it) { return it < self; });
+    return static_cast<double>(before) / static_cast<double>(s.gateways.size());
+}
+
 std::optional<overload_control_reason>
 overload_control_to_log(gateway_state& s, std::string_view service)
 {
--- a/src/gateway/overload_control.hpp
+++ b/src/gateway/overload_control.hpp
@@ -53,6 +53,11 @@
 // set of the services, so that it may be called several times per request.
 bool is_overload_controlled(gateway_state const& s, std::string_view service);
 
+// Returns the offset of this gateway's places in the return schedule: its index
+// among the registered gateways over their number, so that the places of the
+// gateways do not coincide. Zero if it is not registered.
+double return_phase(gateway_state const& s);
+
 // Returns the reason to log if `service` is under overload control and that has
 // not been logged; from then on it counts as logged.
 std::optional<overload_control_reason>
--- a/src/gateway/overload_control_test.cpp
+++ b/src/gateway/overload_control_test.cpp
@@ -89,3 +89,16 @@
     CHECK(
         parse_overload_control_mode("ON") == overload_control_mode::automatic);
 }
+
+// Guards against gateways whose refused callers all come back at the same
+// places.
+TEST_CASE("the places of registered gateways are spread")
+{
+    gateway_state s;
+    s.settings.instance = "g2";
+    CHECK(return_phase(s) == 0);
+    s.gateways = {"g3", "g1", "g2", "g4"};
+    CHECK(return_phase(s) == 0.25);
+    s.settings.instance = "g5";
+    CHECK(return_phase(s) == 0);
+}
--- a/src/gateway/proxied_request.cpp
+++ b/src/gateway/proxied_request.cpp
@@ -491,14 +491,15 @@
         refuse(kind, retry_after_for(kind, now), now);
 }
 
-duration
-proxied_request::retry_after_for(error_kind kind, steady_time now) const
+duration proxied_request::retry_after_for(error_kind kind, steady_time now)
 {
     std::uint64_t const hash = hash_ >> 8U;
     if (kind == error_kind::no_upstream)
         return spread(retry_when_listed, hash);
     if (room_at_)
         return *room_at_;
+    if (std::optional<duration> const place = place_after(kind, now))
+        return *place;
     duration const base_delay =
         spread(std::max(route_.target / 4, min_retry_after), hash);
     if (kind == error_kind::upstream_paused && last_selection_.resumes_at > now)
--- a/src/gateway/proxied_request.hpp
+++ b/src/gateway/proxied_request.hpp
@@ -195,6 +195,10 @@
     bool has_overload_refusal(steady_time now);
     steady_time latest_wait(steady_time now) const;
     bool is_early_return(steady_time now) const;
+    duration until_notice_ends(error_kind kind, steady_time now) const;
+    duration take_place(
+        double rate, duration until_room, duration expected, steady_time now);
+    std::optional<duration> place_after(error_kind kind, steady_time now);
     void predict_attempt(steady_time now);
     void record_service_response(upstream_response const& a, steady_time now);
     void record_start_error(steady_time now);
@@ -202,7 +206,7 @@
     steady_time take_limit_slot(steady_time next);
     void queue_or_refuse(steady_time now);
     duration max_queue_time(steady_time now) const;
-    duration retry_after_for(error_kind kind, steady_time now) const;
+    duration retry_after_for(error_kind kind, steady_time now);
     void release();
     void release_work(double part);
     void on_head(http_response_head&& head);
--- a/src/gateway/proxied_request_overload.cpp
+++ b/src/gateway/proxied_request_overload.cpp
@@ -11,6 +11,18 @@
 
 namespace marjorambeam
 {
+namespace
+{
+
+// Starts at all upstreams of a service; 0 if unknown.
+double starts_per_second(room_estimate const& room)
+{
+    return room.start_interval > duration{0}
+               ? 1 / to_seconds(room.start_interval)
+               : 0;
+}
+
+} // namespace
 
 bool proxied_request::is_overload_controlled() const
 {
@@ -155,19 +167,8 @@
     if (record_refusal(s.admissions, room.has_free_slot))
         s.counters.count("refused_with_room_total", "", scope());
     s.counters.count("overload_refusals_total", to_string(a.reason), scope());
-    room_at_ = place_for(
-        s.returns,
-        {.service = service_,
-         .priority = priority_,
-         .rate = room.start_interval > duration{0}
-                     ? 1 / to_seconds(room.start_interval)
-                     : 0,
-         .gateways = std::max<std::size_t>(s.limit_view.live, 1),
-         .until_room = a.until_room,
-         .remaining = remaining(now),
-         .expected = room.service_time,
-         .is_early = is_early_return(now)},
-        now);
+    room_at_ = take_place(
+        starts_per_second(room), a.until_room, room.service_time, now);
     context_.log.write(
         log_event::overload_refused,
         {{"request_id", request_.attempt_id},
@@ -182,6 +183,76 @@
     return true;
 }
 
+// Returns when the refused caller is to come back, see place_for().
+duration proxied_request::take_place(
+    double rate, duration until_room, duration expected, steady_time now)
+{
+    gateway_state& s = context_.state;
+    s.returns.phase = return_phase(s);
+    return place_for(
+        s.returns,
+        {.service = service_,
+         .priority = priority_,
+         .rate = rate,
+         .gateways = std::max<std::size_t>(s.limit_view.live, 1),
+         .until_room = until_room,
+         .remaining = remaining(now),
+         .expected = expected,
+         .is_early = is_early_return(now)},
+        now);
+}
+
+// Returns how long the notices of the upstreams that refused the request for
+// `kind` stay in force.
+duration
+proxied_request::until_notice_ends(error_kind kind, steady_time now) const
+{
+    if (kind != error_kind::upstream_paused &&
+        kind != error_kind::upstream_limited)
+        return duration{0};
+    steady_time at = last_selection_.resumes_at;
+    // After a refusal that ended the attempts there was no selection.
+    upstream_table const& b = context_.state.upstreams;
+    auto const last = attempts_.tried.empty()
+                          ? b.by_id.end()
+                          : b.by_id.find(attempts_.tried.back());
+    if (at == steady_time{} && last != b.by_id.end())
+    {
+        upstream_notice const* const n = find_notice(b, *last->second);
+        at = n != nullptr ? n->resumes_at : at;
+    }
+    return std::max(at - now, duration{0});
+}
+
+// Returns the place of a caller that is refused for `kind`, no earlier than the
+// notices of the upstreams say; nothing without overload control, or if it is
+// not known how fast the service takes requests.
+std::optional<duration>
+proxied_request::place_after(error_kind kind, steady_time now)
+{
+    bool const has_places = kind == error_kind::queue_full ||
+                            kind == error_kind::upstream_cold ||
+                            kind == error_kind::upstream_paused ||
+                            kind == error_kind::upstream_limited;
+    if (!has_places || !is_overload_controlled())
+        return std::nullopt;
+    gateway_state& s = context_.state;
+    room_estimate room;
+    if (!is_engine())
+        room = cached_room(
+            s.rooms, s.upstreams, service_, s.service_times_by_name[service_],
+            now);
+    double rate = starts_per_second(room);
+    if (double const limit = last_selection_.limit_per_second;
+        kind == error_kind::upstream_limited && limit > 0)
+        rate = rate > 0 ? std::min(rate, limit) : limit;
+    if (rate <= 0)
+        return std::nullopt;
+    return take_place(
+        rate, std::max(room.until_start, until_notice_ends(kind, now)),
+        room.service_time, now);
+}
+
 // Whether the caller was refused before and does not wait as it was told.
 bool proxied_request::is_early_return(steady_time now) const
 {
