--- a/src/gateway/proxied_request_overload.cpp
+++ b/src/gateway/proxied_request_overload.cpp
@@ -11,6 +11,18 @@
 
 namespace marjorambeam
 {
+namespace
+{
+
+// Starts at all upstreams of a service; 0 if unknown.
+double starts_per_second(room_estimate const& room)
+{
+    return room.start_interval > duration{0}
+               ? 1 / to_seconds(room.start_interval)
+               : 0;
+}
+
+} // namespace
 
 bool proxied_request::is_overload_controlled() const
 {
@@ -70,6 +82,7 @@
     if (!is_engine())
     {
         upstream_->room.sent_at = now;
+        record_start(s.intervals[service_]);
         upstream_view const v = view_of(*upstream_, now);
         predicted_start_ = estimate_room(
             std::span(&v, 1), s.service_times_by_name[service_], now);
@@ -107,18 +120,66 @@
         started_ + route_.target - now - inputs_.expected, route_.target);
 }
 
-// Whether the request can't start and end in time by the estimate of the room,
-// as of its last selection, which found none.
+// Returns how many of the requests that wait for the service go before this
+// one.
+std::size_t proxied_request::count_waiting_before(steady_time now) const
+{
+    if (waiting_before_)
+        return *waiting_before_;
+    std::vector<waiting_request> all{waiting_inputs(now)};
+    for (auto const& it : context_.waiting)
+    {
+        if (it.get() != this && it->service_ == service_)
+            all.push_back(it->waiting_inputs(now));
+    }
+    std::vector<std::uint32_t> const order =
+        order_waiting(all, context_.state.shares, now);
+    return static_cast<std::size_t>(
+        std::find(order.begin(), order.end(), 0U) - order.begin());
+}
+
+// Returns when the request starts and ends behind `before` others.
+admission_times proxied_request::admission_times_of(
+    room_estimate const& room, std::size_t before, steady_time now) const
+{
+    gateway_state& s = context_.state;
+    return plain_times(
+        room, s.start_errors[service_], static_cast<double>(before),
+        expected_interval(
+            start_interval_of(s.intervals[service_]), room,
+            std::max<std::size_t>(s.limit_view.live, 1)),
+        now);
+}
+
+// Returns until when the request may wait. While the upstreams are full and the
+// estimate is known, it is as long as it could still end in time.
+steady_time proxied_request::latest_wait(steady_time now) const
+{
+    bool const is_full = last_selection_.failure == selection_failure::full &&
+                         ran_ == run_state::not_run;
+    duration const expected = is_full && is_overload_controlled()
+                                  ? expected_service_time(now)
+                                  : duration{0};
+    return expected > duration{0} ? std::max(wait_until_, deadline_ - expected)
+                                  : wait_until_;
+}
+
+// Whether the request can't start and end in time by the estimate of the room
+// and its place among those that wait, as of its last selection, which found no
+// room.
 bool proxied_request::has_overload_refusal(steady_time now)
 {
     if (is_engine() || !is_overload_controlled() ||
-        last_selection_.failure != selection_failure::full)
+        last_selection_.failure != selection_failure::full ||
+        ran_ != run_state::not_run)
         return false;
     gateway_state& s = context_.state;
-    room_estimate const& room = cached_room(
+    room_estimate const room = cached_room(
         s.rooms, s.upstreams, service_, s.service_times_by_name[service_], now);
-    admission_times const times =
-        plain_times(room, s.start_errors[service_], 0, duration{0}, now);
+    std::size_t const before = room.is_known ? count_waiting_before(now) : 0;
+    admission_times const times = admission_times_of(room, before, now);
+    if (room.is_known && !wait_prediction_)
+        wait_prediction_ = {.at = now, .times = times};
     admission_result const a = decide_admission(
         {.is_known = room.is_known,
          .has_free_slot = room.has_free_slot,
@@ -130,19 +191,8 @@
     if (record_refusal(s.admissions, room.has_free_slot))
         s.counters.count("refused_with_room_total", "", scope());
     s.counters.count("overload_refusals_total", to_string(a.reason), scope());
-    room_at_ = place_for(
-        s.returns,
-        {.service = service_,
-         .priority = priority_,
-         .rate = room.start_interval > duration{0}
-                     ? 1 / to_seconds(room.start_interval)
-                     : 0,
-         .gateways = std::max<std::size_t>(s.limit_view.live, 1),
-         .until_room = a.until_room,
-         .remaining = remaining(now),
-         .expected = room.service_time,
-         .is_early = is_early_return(now)},
-        now);
+    room_at_ = take_place(
+        starts_per_second(room), a.until_room, room.service_time, now);
     context_.log.write(
         log_event::overload_refused,
         {{"request_id", request_.attempt_id},
@@ -157,6 +207,76 @@
     return true;
 }
 
+// Returns when the refused caller is to come back, see place_for().
+duration proxied_request::take_place(
+    double rate, duration until_room, duration expected, steady_time now)
+{
+    gateway_state& s = context_.state;
+    s.returns.phase = return_phase(s);
+    return place_for(
+        s.returns,
+        {.service = service_,
+         .priority = priority_,
+         .rate = rate,
+         .gateways = std::max<std::size_t>(s.limit_view.live, 1),
+         .until_room = until_room,
+         .remaining = remaining(now),
+         .expected = expected,
+         .is_early = is_early_return(now)},
+        now);
+}
+
+// Returns how long the notices of the upstreams that refused the request for
+// `kind` stay in force.
+duration
+proxied_request::until_notice_ends(error_kind kind, steady_time now) const
+{
+    if (kind != error_kind::upstream_paused &&
+        kind != error_kind::upstream_limited)
+        return duration{0};
+    steady_time at = last_selection_.resumes_at;
+    // After a refusal that ended the attempts there was no selection.
+    upstream_table const& b = context_.state.upstreams;
+    auto const last = attempts_.tried.empty()
+                          ? b.by_id.end()
+                          : b.by_id.find(attempts_.tried.back());
+    if (at == steady_time{} && last != b.by_id.end())
+    {
+        upstream_notice const* const n = find_notice(b, *last->second);
+        at = n != nullptr ? n->resumes_at : at;
+    }
+    return std::max(at - now, duration{0});
+}
+
+// Returns the place of a caller that is refused for `kind`, no earlier than the
+// notices of the upstreams say; nothing without overload control, or if it is
+// not known how fast the service takes requests.
+std::optional<duration>
+proxied_request::place_after(error_kind kind, steady_time now)
+{
+    bool const has_places = kind == error_kind::queue_full ||
+                            kind == error_kind::upstream_cold ||
+                            kind == error_kind::upstream_paused ||
+                            kind == error_kind::upstream_limited;
+    if (!has_places || !is_overload_controlled())
+        return std::nullopt;
+    gateway_state& s = context_.state;
+    room_estimate room;
+    if (!is_engine())
+        room = cached_room(
+            s.rooms, s.upstreams, service_, s.service_times_by_name[service_],
+            now);
+    double rate = starts_per_second(room);
+    if (double const limit = last_selection_.limit_per_second;
+        kind == error_kind::upstream_limited && limit > 0)
+        rate = rate > 0 ? std::min(rate, limit) : limit;
+    if (rate <= 0)
+        return std::nullopt;
+    return take_place(
+        rate, std::max(room.until_start, until_notice_ends(kind, now)),
+        room.service_time, now);
+}
+
 // Whether the caller was refused before and does not wait as it was told.
 bool proxied_request::is_early_return(steady_time now) const
 {
@@ -200,11 +320,7 @@
             now);
         return;
     }
-    if (predicted_start_.is_known)
-        record_error(
-            context_.state.start_errors[service_], predicted_start_.until_start,
-            std::max(now - sent_ - predicted_start_.service_time, duration{0}),
-            predicted_start_.service_time, now);
+    record_start_error(now);
     record_service_time(
         upstream_->room, prior,
         {.took = now - sent_,
@@ -215,6 +331,28 @@
         now);
 }
 
+// Learns the error of the prediction of the start: from when the request had to
+// wait at the gateway, or else from when it was sent.
+void proxied_request::record_start_error(steady_time now)
+{
+    if (!predicted_start_.is_known || attempts_.runs > 0)
+        return;
+    duration const service_time = predicted_start_.service_time;
+    duration seen = std::max(now - sent_ - service_time, duration{0});
+    duration predicted = predicted_start_.until_start;
+    if (wait_prediction_)
+    {
+        seen += sent_ - wait_prediction_->at;
+        predicted = wait_prediction_->times.predicted;
+    }
+    // Starts without a wait, of which there are many before an overload, say
+    // nothing about the error of a long one.
+    if (std::max(seen, predicted) > service_time)
+        record_error(
+            context_.state.start_errors[service_], predicted, seen,
+            service_time, now);
+}
+
 // Keeps the connection of a refusal for reuse: a full upstream resets new ones,
 // which would leave the outcome of the next request unknown.
 void proxied_request::recycle_connection(http_response_head const& head)
