Select engines at which a response ends in time

Most were placed at engines that answered early and then took too long, as engines were chosen by the time until the first event alone.

Change: under overload control, a query for a stream has a forecast (events left, time per event, time left). Engines at which the response likely ends too late are selected only if there is no other, and then the one where it ends first. The choice of a larger model uses the pace of its engine.

Ruled out: the earliest end for all requests, which sends them to the same few engines.

--- a/src/gateway/engine_pace.cpp
+++ b/src/gateway/engine_pace.cpp
@@ -1,5 +1,7 @@
 #include "gateway/engine_pace.hpp"
 
+#include "gateway/model_choice.hpp"
+
 #include <algorithm>
 #include <cmath>
 
@@ -70,4 +72,31 @@
     return (p.seen_s * left + prior) / (p.expected_s * left + prior);
 }
 
+std::optional<response_forecast> forecast_response(
+    completion_estimates const& all, completion_query const& q,
+    std::uint64_t received, duration left)
+{
+    auto const line = expected_event_line(all, q);
+    auto const events = expected_events(all, q);
+    if (!line || !events)
+        return std::nullopt;
+    return response_forecast{
+        .events = std::max(*events - static_cast<double>(received) - 1, 0.0),
+        .line = *line,
+        .left_s = to_seconds(left)};
+}
+
+double expected_end(
+    response_forecast const& f, double first_event_s, double requests,
+    double pace)
+{
+    return std::max(first_event_s, 0.0) +
+           f.events * (f.line.idle + f.line.per_request * requests) * pace;
+}
+
+bool ends_in_time(response_forecast const& f, double end_s)
+{
+    return end_s * end_margin <= f.left_s;
+}
+
 } // namespace marjorambeam
--- a/src/gateway/engine_pace.hpp
+++ b/src/gateway/engine_pace.hpp
@@ -9,6 +9,11 @@
 //                         events, now);
 //   query.pace = event_pace_of(u.event_pace, now);
 //
+//   auto const forecast = forecast_response(estimates, query, 0, left);
+//   ...                                     // for each engine
+//   double const end_s = expected_end(*forecast, first_event_s, requests,
+//   pace); if (ends_in_time(*forecast, end_s)) consider(engine);
+//
 // Engines share their machines with other work, so that one engine may be some
 // times slower than the others for a few seconds. Plain data and free functions
 // without I/O. Not thread-safe, except where a function says so.
@@ -62,4 +67,31 @@
 // returns to 1 without samples. Thread-safe while no function records.
 double event_pace_of(engine_event_pace const& p, steady_time now);
 
+// What the end of a response depends on, but for the engine.
+struct response_forecast
+{
+    double events = 0; // after the next one
+    event_time_line line;
+    double left_s = 0; // until the deadline
+};
+
+// Returns the forecast of a response of which `received` events are there, or
+// nothing if its length or the time per event are unknown. Reads what
+// expected_event_line() and expected_events() read of the query. Thread-safe
+// while no function records.
+std::optional<response_forecast> forecast_response(
+    completion_estimates const& all, completion_query const& q,
+    std::uint64_t received, duration left);
+
+// Returns the likely time until the end at an engine, in seconds. It is a
+// multiplication, as it is asked for each engine of a selection. `requests` are
+// those at the engine, this one included. Thread-safe.
+double expected_end(
+    response_forecast const& f, double first_event_s, double requests,
+    double pace);
+
+// Returns whether an end after `end_s` is in time, with end_margin.
+// Thread-safe.
+bool ends_in_time(response_forecast const& f, double end_s);
+
 } // namespace marjorambeam
--- a/src/gateway/proxied_request.cpp
+++ b/src/gateway/proxied_request.cpp
@@ -194,7 +194,10 @@
     if (is_overload_controlled())
     {
         if (q.is_engine)
+        {
             q.mix = &context_.state.prompt_mixes[service_];
+            q.forecast = response_forecast_now(now);
+        }
         else
             q.room_prior = &context_.state.service_times_by_name[service_];
     }
--- a/src/gateway/proxied_request.hpp
+++ b/src/gateway/proxied_request.hpp
@@ -213,6 +213,8 @@
     void record_version_outcome(attempt_outcome outcome);
     void record_timing(timing_kind kind, duration took, steady_time now);
     void record_event_gap(std::uint64_t events, steady_time now);
+    std::optional<response_forecast>
+    response_forecast_now(steady_time now) const;
     void record_engine_pace(std::uint64_t events, steady_time now);
     void refuse(error_kind kind, duration retry_after, steady_time now);
     void give_up(error_kind kind, run_state ran, steady_time now);
--- a/src/gateway/proxied_request_overload.cpp
+++ b/src/gateway/proxied_request_overload.cpp
@@ -83,6 +83,20 @@
     event_line_ = expected_event_line(s.completions, q);
 }
 
+// What the end of the response at an engine is predicted from. Only for
+// streams, as others have no events that correct the prediction. A stream that
+// the caller resumes has an unknown part left.
+std::optional<response_forecast>
+proxied_request::response_forecast_now(steady_time now) const
+{
+    if (route_.kind != route_kind::streaming || request_.resume_after)
+        return std::nullopt;
+    return forecast_response(
+        context_.state.completions,
+        completion_query_for(model_, 1, duration{0}, now), events_.events(),
+        remaining(now));
+}
+
 // Learns how long events take at the engine of the current attempt relative to
 // the others.
 void proxied_request::record_engine_pace(std::uint64_t events, steady_time now)
@@ -216,12 +230,13 @@
     if (!is_overload_controlled())
         return is_worth_escalating(q, t);
     double const requests = estimated_requests(*c.chosen, now);
+    completion_query at =
+        completion_query_for(model_, requests + 1, c.expected, now);
+    at.pace = event_pace_of(c.chosen->event_pace, now);
     std::array const candidates{model_candidate{
         .model = model_,
         .delay = t,
-        .completion = predict_completion(
-            s.completions,
-            completion_query_for(model_, requests + 1, c.expected, now)),
+        .completion = predict_completion(s.completions, at),
         .own_time = c.expected - c.queued,
         .requests = requests}};
     model_choice const choice = choose_model(
--- a/src/gateway/upstream_table.cpp
+++ b/src/gateway/upstream_table.cpp
@@ -60,6 +60,7 @@
     std::shared_ptr<upstream_state> upstream;
     double cost = 0;
     double work = 0;         // until the first event
+    double end_s = 0;        // likely end of the response, with a forecast
     bool is_holder = false;  // expected to have the shared prefix
     std::uint64_t order = 0; // by which candidates are kept
 };
@@ -140,7 +141,31 @@
     }
 }
 
-void set_engine_costs(
+// Keeps the engines at which the response likely ends in time, if there are
+// any. Returns whether there are. Before the sample is drawn: four random
+// engines of which half are slow are all slow in one case of sixteen.
+bool keep_those_in_time(
+    upstream_table const& b, std::vector<candidate>& all,
+    response_forecast const& f, steady_time now)
+{
+    double const common_s = per_work(b.pace) / 1e6;
+    for (candidate& it : all)
+    {
+        upstream_state const& u = *it.upstream;
+        it.end_s = expected_end(
+            f, it.work * common_s * relative_pace(b, u),
+            estimated_requests(u, now) + 1, event_pace_of(u.event_pace, now));
+    }
+    auto const is_late = [&f](candidate const& it)
+    { return !ends_in_time(f, it.end_s); };
+    if (std::all_of(all.begin(), all.end(), is_late))
+        return false;
+    all.erase(std::remove_if(all.begin(), all.end(), is_late), all.end());
+    return true;
+}
+
+// Returns whether the response likely ends in time at the candidates.
+bool set_engine_costs(
     upstream_table const& b, std::vector<candidate>& all,
     upstream_query const& q, steady_time now)
 {
@@ -151,13 +176,21 @@
     }
     if (!q.affinity.empty())
         credit_affinity(all, q);
+    bool const is_in_time =
+        !q.forecast || keep_those_in_time(b, all, *q.forecast, now);
     sample_candidates(all, q);
     for (candidate& it : all)
     {
+        if (!is_in_time)
+        {
+            it.cost = it.end_s * (1 + failure_rate(*it.upstream, now));
+            continue;
+        }
         double const pace = relative_pace(b, *it.upstream);
         it.cost = it.cost > 0 ? it.cost * pace : it.cost / pace;
         it.cost += failure_rate(*it.upstream, now) * engine_failure_cost;
     }
+    return is_in_time;
 }
 
 void set_plain_costs(
@@ -406,14 +439,18 @@
         consolidate(all);
     if (q.is_engine && q.mix != nullptr)
         separate_prompts(all, q, now);
+    bool is_in_time = true;
     if (q.is_engine)
-        set_engine_costs(b, all, q, now);
+        is_in_time = set_engine_costs(b, all, q, now);
     else
         set_plain_costs(all, q, now);
     auto const best = std::min_element(
         all.begin(), all.end(),
         [](candidate const& a, candidate const& b) { return a.cost < b.cost; });
-    upstream_selection c{.chosen = best->upstream, .work = best->work};
+    upstream_selection c{
+        .chosen = best->upstream,
+        .work = best->work,
+        .ends_in_time = is_in_time};
     if (q.is_engine)
     {
         double const pace =
--- a/src/gateway/upstream_table.hpp
+++ b/src/gateway/upstream_table.hpp
@@ -20,6 +20,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <span>
 #include <string>
@@ -187,6 +188,8 @@
     bool is_engine = false;
     // Keeps long prompts from short ones by this mix; null: does not.
     prompt_mix const* mix = nullptr;
+    // Prefers engines at which the response ends in time; empty: does not.
+    std::optional<response_forecast> forecast;
     // Keeps requests from upstreams without room, by the service time of the
     // service; null: does not. `affordable_wait` is until the request starts.
     service_time const* room_prior = nullptr;
@@ -213,9 +216,10 @@
 struct upstream_selection
 {
     std::shared_ptr<upstream_state> chosen;
-    duration expected{0}; // until the first event; engines only
-    duration queued{0};   // part of it due to other requests
-    double work = 0;      // expected before it, see record_first_event()
+    duration expected{0};     // until the first event; engines only
+    duration queued{0};       // part of it due to other requests
+    double work = 0;          // expected before it, see record_first_event()
+    bool ends_in_time = true; // likely, by the forecast
     selection_failure failure = selection_failure::none;
     steady_time resumes_at{}; // the earliest one, if all are paused or limited
     // If all are limited: the sums of their limits and of the shares of this
@@ -228,7 +232,10 @@
 
 // Returns the best upstream: for engines the one expected to begin its response
 // first, assuming that the upstreams ranked first for the affinity key have its
-// shared prefix cached; otherwise the least loaded one. Not thread-safe.
+// shared prefix cached; otherwise the least loaded one. With a forecast,
+// engines at which the response likely ends after its deadline are selected
+// only if there is no other, and then the one at which it ends first. Not
+// thread-safe.
 upstream_selection
 select_upstream(upstream_table& b, upstream_query const& q, steady_time now);
 
