--- a/src/gateway/gateway_config.hpp
+++ b/src/gateway/gateway_config.hpp
@@ -59,9 +59,6 @@
     duration cold_start{0};
     double cold_per_second = 0; // limit for a cold upstream; 0: unlimited
     bool is_engine = false;     // runs models
-    // Tokens that the requests and cached parts at one engine may hold
-    // together; 0: unknown.
-    std::uint64_t kv_capacity_tokens = 0;
 };
 
 struct organisation
--- a/src/gateway/service_room.cpp
+++ b/src/gateway/service_room.cpp
@@ -26,9 +26,6 @@
 constexpr duration longest_wait = std::chrono::hours(1);
 // From the shortest pause after a refusal beyond the longest one.
 constexpr std::uint32_t max_doublings = 4;
-// Part of an engine's memory that requests may take. The lengths of outputs are
-// not known exactly, and an engine that exceeds its memory crashes.
-constexpr double usable_memory = 0.9;
 
 double pace_factor(machine_pace const& p)
 {
@@ -254,9 +251,4 @@
            to_seconds(affordable);
 }
 
-bool fits_in_memory(double held, double tokens, double capacity)
-{
-    return capacity <= 0 || held + tokens <= usable_memory * capacity;
-}
-
 } // namespace marjorambeam
--- a/src/gateway/service_room.hpp
+++ b/src/gateway/service_room.hpp
@@ -160,9 +160,4 @@
     upstream_view const& v, service_time const& prior, duration affordable,
     steady_time now);
 
-// Returns whether an engine can hold a request of `tokens` beside the `held`
-// ones within 0.9 of its capacity. A capacity of 0 is unknown and always fits.
-// Thread-safe.
-bool fits_in_memory(double held, double tokens, double capacity);
-
 } // namespace marjorambeam
--- a/src/gateway/service_room_test.cpp
+++ b/src/gateway/service_room_test.cpp
@@ -222,14 +222,6 @@
     CHECK_FALSE(can_afford_wait(v, prior, seconds(9), start));
 }
 
-// Guards against an engine that crashes because it holds more than its memory.
-TEST_CASE("An engine gets no request beyond nine tenths of its memory")
-{
-    CHECK(fits_in_memory(89'000, 1000, 100'000));
-    CHECK_FALSE(fits_in_memory(89'001, 1000, 100'000));
-    CHECK(fits_in_memory(1e12, 1000, 0));
-}
-
 namespace
 {
 
