--- a/src/gateway/service_room.cpp
+++ b/src/gateway/service_room.cpp
@@ -26,9 +26,6 @@
 constexpr duration longest_wait = std::chrono::hours(1);
 // From the shortest pause after a refusal beyond the longest one.
 constexpr std::uint32_t max_doublings = 4;
-// Part of an engine's memory that requests may take. The lengths of outputs are
-// not known exactly, and an engine that exceeds its memory crashes.
-constexpr double usable_memory = 0.9;
 
 double pace_factor(machine_pace const& p)
 {
@@ -264,9 +261,4 @@
            (q.has_refused || now - v.reported_at <= max_offer_report_age);
 }
 
-bool fits_in_memory(double held, double tokens, double capacity)
-{
-    return capacity <= 0 || held + tokens <= usable_memory * capacity;
-}
-
 } // namespace marjorambeam
