Let the selection of an upstream say what it decided about each one

Operators are to see why an upstream was excluded, by the selection itself and not by a copy of its rules. select_upstream() fills a trace if it is given one: a verdict for each upstream of the service, and the cost and expected time of those that it considered. The conditions are the same in the same order; they are in exclusion_of(), so that each has a name. The data path passes no trace.

The table was mutable because counting the sends to a cold upstream removed the expired ones. rate_window::peek() counts without that, add() removes, and the table is const.

Ruled out: a second function that derives the reasons from the state; it would be wrong after the first change of a rule.

--- a/src/gateway/rate_window.hpp
+++ b/src/gateway/rate_window.hpp
@@ -9,6 +9,7 @@
 
 #include "base/time.hpp"
 
+#include <algorithm>
 #include <cstddef>
 #include <deque>
 
@@ -24,9 +25,11 @@
     {
     }
 
-    // Records one event. Precondition: `now` never decreases.
+    // Records one event, and removes those that have expired. Precondition:
+    // `now` never decreases.
     void add(steady_time now)
     {
+        expire(now);
         times_.push_back(now);
     }
 
@@ -40,11 +43,18 @@
     // removes those that have expired. Precondition: `now` never decreases.
     std::size_t count(steady_time now)
     {
-        while (!times_.empty() && times_.front() + length_ <= now)
-            times_.pop_front();
+        expire(now);
         return times_.size();
     }
 
+    // Returns the same as count(), and changes nothing.
+    std::size_t peek(steady_time now) const
+    {
+        auto const first =
+            std::upper_bound(times_.begin(), times_.end(), now - length_);
+        return static_cast<std::size_t>(times_.end() - first);
+    }
+
     // Returns when the oldest event expires, or `now` if there is none.
     // Precondition: `now` never decreases.
     steady_time next_free(steady_time now)
@@ -53,6 +63,12 @@
     }
 
 private:
+    void expire(steady_time now)
+    {
+        while (!times_.empty() && times_.front() + length_ <= now)
+            times_.pop_front();
+    }
+
     duration length_;
     std::deque<steady_time> times_;
 };
--- a/src/gateway/upstream_table.cpp
+++ b/src/gateway/upstream_table.cpp
@@ -6,6 +6,8 @@
 #include <array>
 #include <cmath>
 #include <optional>
+#include <unordered_map>
+#include <unordered_set>
 #include <utility>
 
 namespace marjorambeam
@@ -84,6 +86,14 @@
     return std::clamp(own / common, 1 / most_pace_ratio, most_pace_ratio);
 }
 
+// Expected time for work at an engine.
+duration
+time_of_work(upstream_table const& b, upstream_state const& u, double work)
+{
+    double const pace = relative_pace(b, u) * per_work(b.pace);
+    return duration(static_cast<duration::rep>(work * pace));
+}
+
 void add_sample(work_pace& p, double decay, double work, double took_us)
 {
     p.took_us = p.took_us * decay + took_us;
@@ -175,11 +185,11 @@
 }
 
 bool has_cold_capacity(
-    upstream_state& u, upstream_query const& q, steady_time now)
+    upstream_state const& u, upstream_query const& q, steady_time now)
 {
     if (now >= u.cold_until || q.cold_share == nullptr)
         return true;
-    return u.cold_sends.count(now) < q.cold_share(q.context, u);
+    return u.cold_sends.peek(now) < q.cold_share(q.context, u);
 }
 
 bool has_version(upstream_state const& u, upstream_query const& q)
@@ -344,70 +354,163 @@
         none.claimable = id;
 }
 
+// Why the upstream is not a candidate; more_costly if it is one.
+selection_verdict exclusion_of(
+    upstream_table const& b, upstream_state const& u, upstream_query const& q,
+    upstream_notice const* notice, steady_time now)
+{
+    if (!has_version(u, q))
+        return selection_verdict::other_version;
+    if (is_draining(b, u))
+        return selection_verdict::draining;
+    if (b.evacuated_zones.contains(u.info.zone))
+        return selection_verdict::evacuated;
+    // A paused upstream that refused a request is worth waiting for.
+    if (notice != nullptr && now < notice->resumes_at)
+        return selection_verdict::paused;
+    if (std::find(q.tried.begin(), q.tried.end(), u.info.id) != q.tried.end())
+        return selection_verdict::tried;
+    if (now < u.ejected_until)
+        return selection_verdict::unreachable;
+    if (!has_cold_capacity(u, q, now))
+        return selection_verdict::cold;
+    limit_gate const* const gate = gate_of(notice);
+    if (gate != nullptr && !has_token(*gate, now))
+        return selection_verdict::limited;
+    if (notice != nullptr &&
+        u.requests >= allowed_requests(*notice, u.info.slots, now))
+        return selection_verdict::ramping;
+    if (lacks_room(u, q, now) ||
+        (q.max_requests > 0 && estimated_requests(u, now) >= q.max_requests))
+        return selection_verdict::full;
+    if (failure_rate(u, now) > max_healthy_failure_rate)
+        return selection_verdict::unhealthy;
+    return selection_verdict::more_costly;
+}
+
+// Adds an excluded upstream to the reasons why none is available.
+void add_exclusion(
+    upstream_selection& none, selection_verdict why, upstream_state const& u,
+    upstream_notice const* notice, steady_time now)
+{
+    auto at_least = [&](selection_failure f)
+    { none.failure = std::min(none.failure, f); };
+    switch (why)
+    {
+    case selection_verdict::draining:
+        at_least(selection_failure::draining);
+        break;
+    case selection_verdict::paused:
+        at_least(selection_failure::paused);
+        resume_at(none, notice->resumes_at);
+        break;
+    case selection_verdict::unreachable:
+        at_least(selection_failure::unreachable);
+        break;
+    case selection_verdict::cold:
+        at_least(selection_failure::cold);
+        break;
+    case selection_verdict::limited:
+        at_least(selection_failure::limited);
+        add_limited(none, u.info.id, *notice, now);
+        break;
+    case selection_verdict::ramping:
+    case selection_verdict::full:
+        at_least(selection_failure::full);
+        break;
+    default:
+        break;
+    }
+}
+
+// Sets the verdict of the upstreams that a step of the selection dropped.
+void trace_dropped(
+    selection_trace* trace, std::span<candidate const> kept,
+    selection_verdict why)
+{
+    if (trace == nullptr)
+        return;
+    std::unordered_set<upstream_state const*> kept_states;
+    for (candidate const& it : kept)
+        kept_states.insert(it.upstream.get());
+    for (traced_upstream& it : *trace)
+    {
+        if (it.verdict == selection_verdict::more_costly &&
+            !kept_states.contains(it.upstream))
+            it.verdict = why;
+    }
+}
+
+// Sets the verdict and the inputs of the upstreams that were considered.
+void trace_considered(
+    selection_trace* trace, upstream_table const& b,
+    std::span<candidate const> considered, upstream_selection const& c,
+    bool is_engine)
+{
+    if (trace == nullptr)
+        return;
+    std::unordered_map<upstream_state const*, candidate const*> by_state;
+    for (candidate const& it : considered)
+        by_state[it.upstream.get()] = &it;
+    for (traced_upstream& it : *trace)
+    {
+        auto const found = by_state.find(it.upstream);
+        if (found == by_state.end())
+            continue;
+        it.verdict = it.upstream == c.chosen.get()
+                         ? selection_verdict::chosen
+                         : selection_verdict::more_costly;
+        it.cost = found->second->cost;
+        if (is_engine)
+            it.expected = time_of_work(b, *it.upstream, found->second->work);
+    }
+}
+
 } // namespace
 
-upstream_selection
-select_upstream(upstream_table& b, upstream_query const& q, steady_time now)
+upstream_selection select_upstream(
+    upstream_table const& b, upstream_query const& q, steady_time now,
+    selection_trace* trace)
 {
     std::vector<candidate> all;
     std::vector<candidate> unhealthy;
     upstream_selection none{.failure = selection_failure::no_upstream};
-    auto at_least = [&](selection_failure f)
-    { none.failure = std::min(none.failure, f); };
+    if (trace != nullptr)
+        trace->clear();
     for (auto const& [id, u] : b.by_id)
     {
-        if (u->info.service != q.service || !has_version(*u, q))
-            continue;
-        if (!is_usable(b, *u))
-        {
-            if (is_draining(b, *u))
-                at_least(selection_failure::draining);
+        if (u->info.service != q.service)
             continue;
-        }
-        // A paused upstream that refused a request is worth waiting for.
         upstream_notice const* const notice = find_notice(b, *u);
-        if (notice != nullptr && now < notice->resumes_at)
-        {
-            at_least(selection_failure::paused);
-            resume_at(none, notice->resumes_at);
-            continue;
-        }
-        if (std::find(q.tried.begin(), q.tried.end(), id) != q.tried.end())
-            continue;
-        limit_gate const* const gate = gate_of(notice);
-        bool const is_ramping =
-            notice != nullptr &&
-            u->requests >= allowed_requests(*notice, u->info.slots, now);
-        bool const has_no_room = lacks_room(*u, q, now);
-        bool const is_full =
-            has_no_room || (q.max_requests > 0 &&
-                            estimated_requests(*u, now) >= q.max_requests);
-        if (now < u->ejected_until)
-            at_least(selection_failure::unreachable);
-        else if (!has_cold_capacity(*u, q, now))
-            at_least(selection_failure::cold);
-        else if (gate != nullptr && !has_token(*gate, now))
-        {
-            at_least(selection_failure::limited);
-            add_limited(none, id, *notice, now);
-        }
-        else if (is_ramping || is_full)
-            at_least(selection_failure::full);
-        else if (failure_rate(*u, now) > max_healthy_failure_rate)
+        selection_verdict const why = exclusion_of(b, *u, q, notice, now);
+        if (trace != nullptr)
+            trace->push_back({.upstream = u.get(), .verdict = why});
+        if (why == selection_verdict::more_costly)
+            all.push_back({u});
+        else if (why == selection_verdict::unhealthy)
             unhealthy.push_back({u});
         else
-            all.push_back({u});
+            add_exclusion(none, why, *u, notice, now);
     }
     if (all.empty())
         all = std::move(unhealthy);
     if (all.empty())
         return none;
     if (q.prefers_consolidation)
+    {
         consolidate(all);
+        trace_dropped(trace, all, selection_verdict::consolidated);
+    }
     if (q.is_engine && q.mix != nullptr)
+    {
         separate_prompts(all, q, now);
+        trace_dropped(trace, all, selection_verdict::other_prompts);
+    }
     if (q.is_engine)
+    {
         set_engine_costs(b, all, q, now);
+        trace_dropped(trace, all, selection_verdict::not_sampled);
+    }
     else
         set_plain_costs(all, q, now);
     auto const best = std::min_element(
@@ -416,13 +519,10 @@
     upstream_selection c{.chosen = best->upstream, .work = best->work};
     if (q.is_engine)
     {
-        double const pace =
-            relative_pace(b, *best->upstream) * per_work(b.pace);
-        auto to_time = [pace](double work)
-        { return duration(static_cast<duration::rep>(work * pace)); };
-        c.expected = to_time(best->work);
-        c.queued = to_time(work_of(*best->upstream));
+        c.expected = time_of_work(b, *best->upstream, best->work);
+        c.queued = time_of_work(b, *best->upstream, work_of(*best->upstream));
     }
+    trace_considered(trace, b, all, c, q.is_engine);
     return c;
 }
 
--- a/src/gateway/upstream_table.hpp
+++ b/src/gateway/upstream_table.hpp
@@ -224,11 +224,46 @@
     bool is_contended = false; // other gateways compete for a share
 };
 
+// What a selection made of one upstream of the service.
+enum class selection_verdict : std::uint8_t
+{
+    chosen,
+    more_costly,   // considered, another one costs less
+    not_sampled,   // usable, but not among the engines that were considered
+    other_prompts, // keeps to prompts of another length
+    consolidated,  // usable, but requests are concentrated on others
+    unhealthy,     // fails most of its attempts while others are healthy
+    full,          // no room by the estimate, or at the limit of the query
+    ramping,       // resumes gradually after a pause
+    limited,       // at the request limit that it names
+    cold,          // at its rate while it is cold
+    unreachable,   // failed recently
+    tried,         // the request was sent there before
+    paused,        // has requested a pause
+    evacuated,     // its zone is not used
+    draining,
+    other_version // the query does not allow its version
+};
+
+struct traced_upstream
+{
+    upstream_state const* upstream = nullptr; // not null
+    selection_verdict verdict = selection_verdict::more_costly;
+    double cost = 0;      // of a considered one; the least is chosen
+    duration expected{0}; // until the first event; considered engines only
+};
+
+// All upstreams of the service, ordered by id. Valid as long as the table.
+using selection_trace = std::vector<traced_upstream>;
+
 // Returns the best upstream: for engines the one expected to begin its response
 // first, assuming that the upstreams ranked first for the affinity key have its
-// shared prefix cached; otherwise the least loaded one. Not thread-safe.
-upstream_selection
-select_upstream(upstream_table& b, upstream_query const& q, steady_time now);
+// shared prefix cached; otherwise the least loaded one. `trace`, unless null,
+// is replaced by what was decided about each upstream. Changes nothing in the
+// table. Not thread-safe.
+upstream_selection select_upstream(
+    upstream_table const& b, upstream_query const& q, steady_time now,
+    selection_trace* trace = nullptr);
 
 // Returns what the estimates of service_room.hpp use of the upstream. Valid as
 // long as `u`. Not thread-safe.
