Move what decides where a request goes out of proxied_request

An explanation for operators has to make the same decisions on the same state without a request. Route and organisation (request_controller::serve), priority, work, the query of the selection, the wait at the gateway, the refusal and its time to come back are now functions over a constant state in request_placement; proxied_request and request_controller call them and keep what changes the state: tokens, places, counts and logs.

Two differences without effect: a service without samples is looked up instead of being inserted empty, and a request that is refused because other gateways compete for a limit takes its place among the waiters until the refusal, in the same call.

--- a/src/gateway/proxied_request.cpp
+++ b/src/gateway/proxied_request.cpp
@@ -1,9 +1,6 @@
 #include "gateway/proxied_request.hpp"
 
-#include "base/hash.hpp"
-#include "gateway/local_response.hpp"
 #include "gateway/model_escalation.hpp"
-#include "gateway/overload_control.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -27,61 +24,6 @@
 // that it is not offered to all of them in turn.
 constexpr std::uint32_t max_full_refusals = 2;
 
-// Upstreams that start, or whose entries expired, are listed within a second
-// or two.
-constexpr duration retry_when_listed = std::chrono::seconds(1);
-
-// Prefix affinity: the last part of a prompt is specific to the request, so the
-// part before it identifies the shared prefix.
-std::string affinity_key(gateway_request const& r)
-{
-    if (r.prompt.size() < 2)
-        return {};
-    return r.prompt[r.prompt.size() - 2].id;
-}
-
-request_traits
-traits_of(gateway_request const& r, std::string_view organisation)
-{
-    request_traits t;
-    std::vector<std::string_view> ids;
-    ids.reserve(r.prompt.size());
-    for (prompt_part const& it : r.prompt)
-        ids.emplace_back(it.id);
-    t.request = request_fingerprint(
-        {.target = r.target,
-         .organisation = organisation,
-         .body = r.body,
-         .prompt = ids});
-    if (!organisation.empty())
-        t.organisation = part_key(organisation);
-    // The last part is the request's own.
-    std::size_t const shared = r.prompt.empty() ? 0 : r.prompt.size() - 1;
-    for (std::size_t i = shared - std::min(shared, max_judged_parts);
-         i < shared; ++i)
-        t.parts.push_back(part_key(r.prompt[i].id));
-    return t;
-}
-
-error_kind to_error_kind(selection_failure f)
-{
-    switch (f)
-    {
-    case selection_failure::full:
-        return error_kind::queue_full;
-    case selection_failure::cold:
-        return error_kind::upstream_cold;
-    case selection_failure::paused:
-        return error_kind::upstream_paused;
-    case selection_failure::limited:
-        return error_kind::upstream_limited;
-    case selection_failure::unreachable:
-        return error_kind::connection_lost;
-    default:
-        return error_kind::no_upstream;
-    }
-}
-
 } // namespace
 
 proxied_request::proxied_request(
@@ -96,20 +38,17 @@
     , organisation_(owner == nullptr ? std::string() : owner->name)
     , organisation_class_(class_of(owner))
     , request_(std::move(request))
-    , priority_(
-          owner != nullptr && owner->priority >= 0 ? owner->priority
-                                                   : route.priority)
+    , priority_(priority_of(route, owner))
     , unread_(unread)
     , started_(now - unread)
     , deadline_(started_ + route.timeout)
-    , hash_(hash64(
-          request_.session.empty() ? request_.attempt_id : request_.session))
+    , hash_(placement_hash(request_))
     , deadline_timer_(context.loop, [this] { on_deadline(); })
     , attempt_timer_(context.loop, [this] { on_attempt_timeout(); })
 {
     if (request_.remaining)
         deadline_ = std::min(deadline_, started_ + *request_.remaining);
-    service_ = pick_service(route_, hash_ >> 20U);
+    service_ = service_of(route_, hash_);
     affinity_ = affinity_key(request_);
     traits_ = traits_of(request_, organisation_);
     if (request_.resume_after)
@@ -175,53 +114,21 @@
         queue_or_refuse(now);
 }
 
-upstream_query
-proxied_request::make_query(version_rule const& rule, steady_time now) const
-{
-    gateway_service const* const s = service();
-    upstream_query q;
-    q.service = service_;
-    q.only_version = rule.only;
-    q.never_version = rule.never;
-    q.zone = context_.state.settings.zone;
-    q.work = work_;
-    q.affordable_wait = affordable_wait(now);
-    q.needs_free_slot = attempts_.refusals >= max_full_refusals;
-    q.prefers_consolidation = rule.prefers_consolidation;
-    q.is_engine = s != nullptr && s->is_engine;
-    if (q.is_engine)
-        q.affinity = affinity_;
-    if (is_overload_controlled())
-    {
-        if (q.is_engine)
-            q.mix = &context_.state.prompt_mixes[service_];
-        else
-            q.room_prior = &context_.state.service_times_by_name[service_];
-    }
-    q.seed = hash64(request_.attempt_id, attempts_.sends);
-    q.cold_share = [](void const* state, upstream_state const& u)
-    { return cold_share_of(*static_cast<gateway_state const*>(state), u); };
-    q.context = &context_.state;
-    return q;
-}
-
 upstream_selection proxied_request::select_except(
     std::span<std::string const> excluded, steady_time now)
 {
-    version_rule const rule =
-        version_rule_of(context_.state, service_, request_.session, hash_, now);
-    upstream_query q = make_query(rule, now);
-    q.tried = excluded;
-    upstream_selection c = select_upstream(context_.state.upstreams, q, now);
-    if (!c.chosen && rule.may_fall_back)
-    {
-        // The new version has no free upstream; the other versions serve its
-        // share.
-        q = make_query({.never = rule.only}, now);
-        q.tried = excluded;
-        c = select_upstream(context_.state.upstreams, q, now);
-    }
-    return c;
+    return select_for_request(
+        context_.state,
+        {.service = service_,
+         .affinity = affinity_,
+         .session = &request_.session,
+         .hash = hash_,
+         .seed = selection_seed(request_, attempts_.sends),
+         .work = work_,
+         .affordable_wait = affordable_wait(now),
+         .needs_free_slot = attempts_.refusals >= max_full_refusals,
+         .is_engine = is_engine()},
+        excluded, now);
 }
 
 // Prefers upstreams that were not tried, then those before the latest one.
@@ -400,25 +307,17 @@
 void proxied_request::set_model(std::size_t model)
 {
     model_ = model;
-    double const pace = model_pace(model_, route_.models.size());
-    double shared = 0;
-    for (std::size_t i = 0; i + 1 < request_.prompt.size(); ++i)
-        shared += request_.prompt[i].tokens;
-    work_.prefill = pace * request_.prompt_tokens;
-    work_.shared = pace * shared;
-    work_.decode = pace * output_token_work * request_.max_output_tokens;
+    work_ = work_of_request(request_, model_, route_.models.size());
 }
 
 duration proxied_request::max_queue_time(steady_time now) const
 {
-    // With a known service time, what can't end in time is refused by the
-    // estimate. The rest waits for half of its time at most, so that its caller
-    // has the other half for coming back.
-    if (!has_response_head_ && expected_service_time(now) > duration{0})
-        return std::max((deadline_ - started_) / 2, route_.target / 2);
-    duration const target =
-        has_response_head_ ? route_.gap_target : route_.target;
-    return std::min(target / 2, (deadline_ - started_) / 4);
+    bool const has_estimate =
+        !has_response_head_ && expected_service_time(now) > duration{0};
+    return marjorambeam::max_queue_time(
+        {.target = has_response_head_ ? route_.gap_target : route_.target,
+         .time = deadline_ - started_,
+         .is_refused_by_estimate = has_estimate});
 }
 
 // Returns whether no upstream can become available before the request is
@@ -426,34 +325,28 @@
 bool proxied_request::cannot_succeed(steady_time now)
 {
     upstream_selection const& c = last_selection_;
-    if (c.failure == selection_failure::draining || has_overload_refusal(now))
+    if (has_overload_refusal(now))
         return true;
-    steady_time available_at = c.resumes_at;
+    std::size_t waiters = 0;
     if (c.failure == selection_failure::limited)
     {
         if (!c.claimable.empty())
             context_.limits.claim_token(c.claimable, now);
-        if (c.is_contended && available_at > now)
-            return true;
-        available_at = take_limit_slot(available_at);
+        waiters = take_limit_slot();
     }
-    else if (c.failure != selection_failure::paused)
-    {
-        return false;
-    }
-    return available_at > std::min(wait_until_, deadline_);
+    return is_wait_futile(c, waiters, std::min(wait_until_, deadline_), now);
 }
 
 // Puts the request behind those that wait for the same shares of limits, and
-// returns when its token is expected; `next` is when the next one is.
-steady_time proxied_request::take_limit_slot(steady_time next)
+// returns how many these are; 0 if it has waited before.
+std::size_t proxied_request::take_limit_slot()
 {
     if (limit_slot_ || last_selection_.share_per_second <= 0)
-        return next;
+        return 0;
     std::size_t& waiters = context_.limit_waiters[service_];
-    auto const ahead = static_cast<double>(waiters);
+    std::size_t const ahead = waiters;
     limit_slot_ = std::make_unique<counted_waiter>(waiters);
-    return next + from_seconds(ahead / last_selection_.share_per_second);
+    return ahead;
 }
 
 void proxied_request::queue_or_refuse(steady_time now)
@@ -474,13 +367,7 @@
     }
     is_waiting_ = false;
     limit_slot_.reset();
-    bool const has_specific_failure =
-        attempts_.last_failure == error_kind::queue_full ||
-        attempts_.last_failure == error_kind::upstream_cold ||
-        attempts_.last_failure == error_kind::upstream_limited ||
-        attempts_.last_failure == error_kind::upstream_paused;
-    error_kind const kind =
-        has_specific_failure ? attempts_.last_failure : error_kind::no_upstream;
+    error_kind const kind = refusal_for(attempts_.last_failure);
     if (kind == error_kind::upstream_limited)
         context_.state.limited_refusals.add(now);
     if (has_response_head_ || ran_ != run_state::not_run)
@@ -492,24 +379,14 @@
 duration
 proxied_request::retry_after_for(error_kind kind, steady_time now) const
 {
-    std::uint64_t const hash = hash_ >> 8U;
-    if (kind == error_kind::no_upstream)
-        return spread(retry_when_listed, hash);
-    if (room_at_)
-        return *room_at_;
-    duration const base_delay =
-        spread(std::max(route_.target / 4, min_retry_after), hash);
-    if (kind == error_kind::upstream_paused && last_selection_.resumes_at > now)
-        return last_selection_.resumes_at - now + base_delay;
-    if (kind == error_kind::upstream_limited)
-        return base_delay +
-               limit_backoff(
-                   {.until_next = last_selection_.resumes_at - now,
-                    .limits_per_second = last_selection_.limit_per_second,
-                    .gateways = context_.state.limit_view.live,
-                    .refused = context_.state.limited_refusals.count(now)},
-                   hash_ >> 24U);
-    return base_delay;
+    return retry_after_refusal(
+        context_.state, last_selection_,
+        {.kind = kind,
+         .target = route_.target,
+         .hash = hash_,
+         .place = room_at_,
+         .limited_refusals = context_.state.limited_refusals.peek(now)},
+        now);
 }
 
 bool proxied_request::retry_selection(steady_time now)
--- a/src/gateway/proxied_request.hpp
+++ b/src/gateway/proxied_request.hpp
@@ -15,6 +15,7 @@
 #include "gateway/limit_controller.hpp"
 #include "gateway/model_choice.hpp"
 #include "gateway/quarantine_controller.hpp"
+#include "gateway/request_placement.hpp"
 #include "gateway/upstream_pool.hpp"
 #include "http_stream/event_stream.hpp"
 #include "log/log.hpp"
@@ -34,8 +35,6 @@
 
 // Minimum time before the deadline at which another attempt is worthwhile.
 constexpr duration min_attempt_time = std::chrono::milliseconds(20);
-// Minimum period over which the retries of refused callers are spread.
-constexpr duration min_retry_after = std::chrono::milliseconds(100);
 
 class proxied_request;
 
@@ -117,6 +116,11 @@
     {
         return priority_;
     }
+    // The service that its route picked for it.
+    std::string const& service_name() const
+    {
+        return service_;
+    }
     // Whether its service is under overload control.
     bool is_overload_controlled() const;
     // The inputs of its place among those that wait. The views are valid as
@@ -166,7 +170,6 @@
     upstream_selection
     select_except(std::span<std::string const> excluded, steady_time now);
     void set_model(std::size_t model);
-    upstream_query make_query(version_rule const& rule, steady_time now) const;
     std::shared_ptr<upstream_connection>
     take_connection(upstream_selection const& c, steady_time now);
     void dispatch(
@@ -181,7 +184,7 @@
     void predict_attempt(steady_time now);
     void record_service_response(upstream_response const& a, steady_time now);
     void recycle_connection(http_response_head const& head);
-    steady_time take_limit_slot(steady_time next);
+    std::size_t take_limit_slot();
     void queue_or_refuse(steady_time now);
     duration max_queue_time(steady_time now) const;
     duration retry_after_for(error_kind kind, steady_time now) const;
--- a/src/gateway/proxied_request_overload.cpp
+++ b/src/gateway/proxied_request_overload.cpp
@@ -27,20 +27,14 @@
         .shortest_service_time;
 }
 
-// How long the request may wait at an upstream for a slot. One that can meet
-// its target has until then. One that can't leaves the queue to those that can
-// and takes a free slot, until it must start to end before its deadline.
+// How long the request may wait at an upstream for a slot.
 duration proxied_request::affordable_wait(steady_time now) const
 {
     if (is_engine() || !is_overload_controlled())
         return duration{0};
     duration const expected = expected_service_time(now);
-    duration const to_target = started_ + route_.target - now - expected;
-    if (to_target > duration{0})
-        return to_target;
-    duration const to_deadline = remaining(now) - expected;
-    return to_deadline < 2 * expected ? std::max(to_deadline, duration{0})
-                                      : duration{0};
+    return marjorambeam::affordable_wait(
+        expected, started_ + route_.target - now, remaining(now));
 }
 
 waiting_request proxied_request::waiting_inputs(steady_time now) const
@@ -91,41 +85,26 @@
         last_selection_.failure != selection_failure::full)
         return false;
     gateway_state& s = context_.state;
-    room_estimate const room = room_of_service(
-        s.upstreams, service_, s.service_times_by_name[service_], now);
-    admission_times const times =
-        plain_times(room, s.start_errors[service_], 0, duration{0}, now);
-    admission_result const a = decide_admission(
-        {.is_known = room.is_known,
-         .has_free_slot = room.has_free_slot,
-         .times = times,
-         .until_deadline = remaining(now),
-         .until_target = started_ + route_.target - now});
-    if (a.outcome != admission_outcome::refuse)
+    plain_admission const a = decide_plain_admission(
+        s, service_, remaining(now), started_ + route_.target - now, now);
+    if (a.result.outcome != admission_outcome::refuse)
         return false;
-    if (record_refusal(s.admissions, room.has_free_slot))
+    if (record_refusal(s.admissions, a.room.has_free_slot))
         s.counters.count("refused_with_room_total", "", scope());
-    s.counters.count("overload_refusals_total", to_string(a.reason), scope());
-    room_at_ = place_for(
-        s.returns,
-        {.service = service_,
-         .priority = priority_,
-         .rate = room.start_interval > duration{0}
-                     ? 1 / to_seconds(room.start_interval)
-                     : 0,
-         .gateways = std::max<std::size_t>(s.limit_view.live, 1),
-         .until_room = a.until_room,
-         .remaining = remaining(now),
-         .expected = room.service_time,
-         .is_early = is_early_return(now)},
-        now);
+    s.counters.count(
+        "overload_refusals_total", to_string(a.result.reason), scope());
+    return_query q = return_query_of(s, service_, a);
+    q.priority = priority_;
+    q.remaining = remaining(now);
+    q.is_early = is_early_return(now);
+    room_at_ = place_for(s.returns, q, now);
     context_.log.write(
         log_event::overload_refused,
         {{"request_id", request_.attempt_id},
          {"service", service_},
-         {"reason", std::string(to_string(a.reason))},
-         {"early_ms", in_ms(times.end.early)},
-         {"likely_ms", in_ms(times.end.likely)},
+         {"reason", std::string(to_string(a.result.reason))},
+         {"early_ms", in_ms(a.times.end.early)},
+         {"likely_ms", in_ms(a.times.end.likely)},
          {"left_ms", in_ms(remaining(now))},
          {"priority", std::to_string(priority_)},
          {"returned", waiting_inputs(now).came_back ? "yes" : "no"},
@@ -227,16 +206,11 @@
     std::size_t model, double requests, duration first_event,
     steady_time now) const
 {
-    return {
-        .service = service_,
-        .route = route_.name,
-        .model = model,
-        .models = route_.models.size(),
-        .hinted_tokens = static_cast<double>(std::min(
-            request_.hinted_output_tokens, request_.max_output_tokens)),
-        .requests = requests,
-        .first_event = first_event,
-        .now = now};
+    completion_query q = completion_query_of(request_, route_, service_, model);
+    q.requests = requests;
+    q.first_event = first_event;
+    q.now = now;
+    return q;
 }
 
 // Learns how long the responses of the current attempt take and how long they
--- a/src/gateway/request_controller.cpp
+++ b/src/gateway/request_controller.cpp
@@ -22,8 +22,6 @@
     .receive_buffer_bytes = 16 << 10};
 // A request that waited longer before it was read has less time left.
 constexpr duration max_prompt_read = milliseconds(10);
-constexpr duration retry_elsewhere = milliseconds(100);
-constexpr duration retry_when_ready = milliseconds(400);
 // Requests that hold the buffers end within a second or so.
 constexpr duration retry_when_full = milliseconds(1000);
 // Connections beyond the limit that are refused with a response, as a part of
@@ -191,57 +189,15 @@
     duration unread, steady_time now)
 {
     std::string const id = request.attempt_id;
-    if (!state_.config || !state_.has_upstreams)
+    arrival_decision const d = decide_arrival(state_, request, now);
+    if (d.refusal)
     {
-        refuse(client, id, error_kind::not_ready, retry_when_ready, now);
-        return;
-    }
-    std::optional<stop_plan> const stop = plan();
-    if (stop && now > stop->serve_until)
-    {
-        refuse(client, id, error_kind::shutting_down, retry_elsewhere, now);
-        return;
-    }
-    std::shared_ptr<gateway_config const> const config = state_.config;
-    gateway_route const* const route =
-        find_route(*config, request.host, path_of(request.target));
-    organisation const* owner = nullptr;
-    bool const requires_key = route != nullptr && !route->is_anonymous &&
-                              !config->organisations.empty();
-    // An old configuration may lack the route or hold a removed key.
-    bool const needs_fresh_config = route == nullptr || requires_key;
-    if (needs_fresh_config && !are_keys_fresh(state_, now))
-    {
-        refuse(client, id, error_kind::isolated, retry_when_ready, now);
-        return;
-    }
-    if (route == nullptr)
-    {
-        refuse(client, id, error_kind::not_found, duration{0}, now);
-        return;
-    }
-    duration const time_left =
-        std::min(route->timeout, request.remaining.value_or(route->timeout));
-    if (stop && !can_end_in_time(
-                    *stop,
-                    {.remaining = time_left,
-                     .target = route->target,
-                     .may_repeat = route->kind != route_kind::non_idempotent},
-                    now))
-    {
-        refuse(client, id, error_kind::shutting_down, retry_elsewhere, now);
-        return;
-    }
-    if (requires_key)
-        owner = find_organisation(*config, request.key);
-    if (requires_key && owner == nullptr)
-    {
-        refuse(client, id, error_kind::unauthorized, duration{0}, now);
+        refuse(client, id, *d.refusal, d.retry_after, now);
         return;
     }
     auto const run = std::make_shared<proxied_request>(
-        context_, client, config, *route, owner, std::move(request), unread,
-        now);
+        context_, client, state_.config, *d.route, d.owner, std::move(request),
+        unread, now);
     active_requests_.push_back(run);
     run->start(now);
 }
@@ -252,7 +208,7 @@
     client_limits const l = limits();
     std::erase_if(
         active_requests_, [](auto const& it) { return it->is_done(); });
-    std::optional<stop_plan> const stop = plan();
+    std::optional<stop_plan> const stop = stop_plan_of(state_);
     bool const closes_idle = stop && now > stop->serve_until;
     std::vector<std::shared_ptr<client_connection>> const all(
         clients_.begin(), clients_.end());
@@ -316,7 +272,7 @@
     bool const is_busy = std::any_of(
         active_requests_.begin(), active_requests_.end(),
         [](auto const& it) { return !it->is_done(); });
-    std::optional<stop_plan> const stop = plan();
+    std::optional<stop_plan> const stop = stop_plan_of(state_);
     return !is_busy && !has_callers() && stop &&
            now > stop->serve_until + sweep_period;
 }
@@ -328,13 +284,6 @@
         [](auto const& it) { return !it->has_ended(); });
 }
 
-std::optional<stop_plan> request_controller::plan() const
-{
-    if (!state_.drain_started)
-        return std::nullopt;
-    return make_stop_plan(*state_.drain_started, state_.settings.drain_time);
-}
-
 void request_controller::set_gauges()
 {
     metrics& m = state_.counters;
--- a/src/gateway/request_controller.hpp
+++ b/src/gateway/request_controller.hpp
@@ -12,7 +12,6 @@
 #include "event_loop/loop_monitor.hpp"
 #include "gateway/client_connection.hpp"
 #include "gateway/gateway_state.hpp"
-#include "gateway/planned_stop.hpp"
 #include "gateway/proxied_request.hpp"
 #include "log/log.hpp"
 
@@ -98,7 +97,6 @@
         std::vector<std::shared_ptr<proxied_request>>& all,
         steady_time now) const;
     client_limits limits() const;
-    std::optional<stop_plan> plan() const; // of a stop that has begun
 
     ev::loop_ref loop_;
     gateway_state& state_;
