Say at a gateway where a request would go

Operators could see only afterwards, from logs, why a request went where it did. GET /where on the operators' port takes the path, key, model, lengths, shared part and session of a request and answers with its route, service, organisation and priority, the verdict on each upstream, the choice or the refusal with its reason and retry time, and the predicted end.

The readiness port does not serve it, since the page tells whether a key is valid.

Ruled out: sending the query through proxied_request with a switch for "do not send"; each of its side effects would need the switch.

--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -1,6 +1,7 @@
 #include "gateway/gateway_daemon.hpp"
 
 #include "gateway/overload_control.hpp"
+#include "gateway/placement_page.hpp"
 #include "gateway/reader_election.hpp"
 #include "log/guarded_call.hpp"
 
@@ -64,7 +65,8 @@
     if (!settings.metrics_address.empty())
         metrics_ = std::make_unique<http_server>(
             loop, admin_settings(settings.metrics_address),
-            [this](std::shared_ptr<http_exchange> const& ex) { on_admin(ex); });
+            [this](std::shared_ptr<http_exchange> const& ex)
+            { on_operator(ex); });
     log_.write(
         log_event::started, {{"instance", settings.instance},
                              {"zone", settings.zone},
@@ -92,6 +94,30 @@
     exchange->respond(404, {}, "");
 }
 
+// The operators' port also says where a request would go; the readiness port,
+// which others may reach, does not tell about organisations and keys.
+void gateway_daemon::on_operator(std::shared_ptr<http_exchange> const& exchange)
+{
+    if (exchange->request().path != "/where")
+    {
+        on_admin(exchange);
+        return;
+    }
+    timed_part const part(monitor_, "where");
+    if (exchange->request().method != "GET")
+    {
+        respond_error(
+            *exchange, make_error(error_kind::method_not_allowed, "use GET"),
+            {});
+        return;
+    }
+    placement_page const page = make_placement_page(
+        state_, requests_.queued(), exchange->request(), boot_now(),
+        to_unix_ms(wall_now()));
+    exchange->respond(
+        page.status, {{"Content-Type", "application/json"}}, page.body);
+}
+
 std::string gateway_daemon::metrics_page()
 {
     metrics& m = state_.counters;
--- a/src/gateway/gateway_daemon.hpp
+++ b/src/gateway/gateway_daemon.hpp
@@ -61,6 +61,11 @@
     {
         return exit_code_;
     }
+    // Address of the operators' port; empty if there is none.
+    std::string metrics_address() const
+    {
+        return metrics_ ? metrics_->address() : std::string();
+    }
     // Shared state, valid as long as the daemon.
     gateway_state const& state() const
     {
@@ -72,6 +77,7 @@
     void send_reports(steady_time now);
     void on_message(message&& m);
     void on_admin(std::shared_ptr<http_exchange> const& exchange);
+    void on_operator(std::shared_ptr<http_exchange> const& exchange);
     void continue_shutdown(steady_time now);
     void log_changes(steady_time now);
     void on_turn(loop_turn const& t);
--- a/src/gateway/request_controller.cpp
+++ b/src/gateway/request_controller.cpp
@@ -284,6 +284,16 @@
         [](auto const& it) { return !it->has_ended(); });
 }
 
+queued_by_service request_controller::queued() const
+{
+    queued_by_service all;
+    for (auto const& it : waiting_)
+        ++all[it->service_name()].waiting;
+    for (auto const& [service, n] : limit_waiters_)
+        all[service].limit_waiters = n;
+    return all;
+}
+
 void request_controller::set_gauges()
 {
     metrics& m = state_.counters;
--- a/src/gateway/request_controller.hpp
+++ b/src/gateway/request_controller.hpp
@@ -12,6 +12,7 @@
 #include "event_loop/loop_monitor.hpp"
 #include "gateway/client_connection.hpp"
 #include "gateway/gateway_state.hpp"
+#include "gateway/placement_explanation.hpp"
 #include "gateway/proxied_request.hpp"
 #include "log/log.hpp"
 
@@ -56,6 +57,8 @@
     void abort_quarantined(steady_time now);
     // Sets the gauges of what is held for requests and responses.
     void set_gauges();
+    // Returns the requests that wait, by service.
+    queued_by_service queued() const;
     // Number of active requests.
     std::size_t active() const
     {
