Add the command where to marjorambeam-ctl

It asks a gateway's operators' port where a request would go and prints the answer as a table, or as JSON. The key is sent in a header and may come from standard input.

Ruled out: arguments of the command itself in place of settings; the tool has one table of flags, from which the help and the page are made.

--- a/src/ctl/commands.cpp
+++ b/src/ctl/commands.cpp
@@ -2,6 +2,7 @@
 #include "ctl/bill_command.hpp"
 #include "ctl/ctl.hpp"
 #include "ctl/entry_commands.hpp"
+#include "ctl/where_command.hpp"
 #include "log/log_events.hpp"
 
 #include "base/hash.hpp"
@@ -404,6 +405,8 @@
     ctl_command{"events", "", 0, 0, false, run_events},
     ctl_command{"status", "", 0, 0, true, run_status},
     ctl_command{"explain", "REQUEST_ID", 1, 1, false, run_explain},
+    ctl_command{
+        "where", "--gateway HOST:PORT --route PATH", 0, 0, false, run_where},
     ctl_command{"bill", "CUSTOMER", 1, 1, true, run_bill}};
 
 } // namespace
--- a/src/ctl/ctl.cpp
+++ b/src/ctl/ctl.cpp
@@ -4,8 +4,10 @@
 
 #include <algorithm>
 #include <istream>
+#include <iterator>
 #include <nlohmann/json.hpp>
 #include <ostream>
+#include <utility>
 
 namespace marjorambeam
 {
@@ -53,6 +55,45 @@
     return nullptr;
 }
 
+// The settings of the command where.
+std::vector<setting> where_setting_table(where_settings& w)
+{
+    constexpr std::int64_t max_tokens = 10'000'000;
+    return {
+        text_setting(
+            "gateway", "",
+            "HOST:PORT of the operators' port of the gateway that where asks",
+            w.gateway),
+        text_setting("route", "", "Path of the request, for where", w.route),
+        text_setting(
+            "host", "",
+            "Host of the request, for where; needed if several have the route",
+            w.host),
+        text_setting(
+            "key", "",
+            "Key of the request's organisation, for where; - for standard "
+            "input",
+            w.key),
+        text_setting(
+            "model", "",
+            "Model of the request, for where; one of the route's models "
+            "instead of the first",
+            w.model),
+        number_setting(
+            "prompt-tokens", 0, 0, max_tokens, "Prompt tokens, for where",
+            w.prompt_tokens),
+        text_setting(
+            "shared-part", "",
+            "Part of the prompt that other requests share, as ID or "
+            "ID:TOKENS, for where; without TOKENS, the whole prompt",
+            w.shared_part),
+        number_setting(
+            "output-tokens", 0, 0, max_tokens,
+            "Output tokens, expected and at most, for where", w.output_tokens),
+        text_setting(
+            "session", "", "Session of the request, for where", w.session)};
+}
+
 exit_code usage_error(std::ostream& err, std::string const& message)
 {
     err << binary << ": " << message << "\n";
@@ -84,7 +125,7 @@
 
 std::vector<setting> ctl_setting_table(ctl_settings& s)
 {
-    return {
+    std::vector<setting> table{
         url_setting("store", "", "URL of the object API", s.store, true),
         url_list_setting(
             "entries", "",
@@ -107,6 +148,9 @@
         duration_setting(
             "timeout-ms", 10000, 100, 600000,
             "Time to settle a change, and the bound of each call", s.timeout)};
+    std::vector<setting> where = where_setting_table(s.where);
+    std::move(where.begin(), where.end(), std::back_inserter(table));
+    return table;
 }
 
 exit_code report_error(ctl_context& c, error const& e, generation const* other)
--- a/src/ctl/ctl.hpp
+++ b/src/ctl/ctl.hpp
@@ -38,6 +38,20 @@
 // The exit code of an error. Thread-safe.
 exit_code exit_code_for(error_kind kind);
 
+// What the command where asks about.
+struct where_settings
+{
+    std::string gateway; // HOST:PORT
+    std::string route;   // path of the request
+    std::string host;
+    std::string key;
+    std::string model;
+    std::int64_t prompt_tokens = 0;
+    std::string shared_part;
+    std::int64_t output_tokens = 0;
+    std::string session;
+};
+
 // The tool's settings.
 struct ctl_settings
 {
@@ -48,6 +62,7 @@
     std::int64_t limit = 100;
     std::string log; // file that explain reads; "-": standard input
     duration timeout = std::chrono::seconds(10);
+    where_settings where;
 };
 
 // The table of settings that fill `s`.
