--- a/src/gateway/proxied_request.hpp
+++ b/src/gateway/proxied_request.hpp
@@ -15,6 +15,7 @@
 #include "gateway/limit_controller.hpp"
 #include "gateway/model_choice.hpp"
 #include "gateway/quarantine_controller.hpp"
+#include "gateway/request_placement.hpp"
 #include "gateway/upstream_pool.hpp"
 #include "http_stream/event_stream.hpp"
 #include "log/log.hpp"
@@ -34,8 +35,6 @@
 
 // Minimum time before the deadline at which another attempt is worthwhile.
 constexpr duration min_attempt_time = std::chrono::milliseconds(20);
-// Minimum period over which the retries of refused callers are spread.
-constexpr duration min_retry_after = std::chrono::milliseconds(100);
 
 class proxied_request;
 
@@ -118,8 +117,8 @@
     {
         return priority_;
     }
-    // The service that it goes to. Valid as long as the request.
-    std::string_view service_name() const
+    // The service that its route picked for it.
+    std::string const& service_name() const
     {
         return service_;
     }
@@ -179,7 +178,6 @@
     upstream_selection
     select_except(std::span<std::string const> excluded, steady_time now);
     void set_model(std::size_t model);
-    upstream_query make_query(version_rule const& rule, steady_time now) const;
     std::shared_ptr<upstream_connection>
     take_connection(upstream_selection const& c, steady_time now);
     void dispatch(
@@ -190,8 +188,6 @@
     duration expected_service_time(steady_time now) const;
     duration affordable_wait(steady_time now) const;
     std::size_t count_waiting_before(steady_time now) const;
-    admission_times admission_times_of(
-        room_estimate const& room, std::size_t before, steady_time now) const;
     bool has_overload_refusal(steady_time now);
     steady_time latest_wait(steady_time now) const;
     bool is_early_return(steady_time now) const;
@@ -204,7 +200,7 @@
     void record_service_response(upstream_response const& a, steady_time now);
     void record_start_error(steady_time now);
     void recycle_connection(http_response_head const& head);
-    steady_time take_limit_slot(steady_time next);
+    std::size_t take_limit_slot();
     void queue_or_refuse(steady_time now);
     duration max_queue_time(steady_time now) const;
     duration retry_after_for(error_kind kind, steady_time now);
--- a/src/gateway/proxied_request_overload.cpp
+++ b/src/gateway/proxied_request_overload.cpp
@@ -11,19 +11,6 @@
 
 namespace marjorambeam
 {
-namespace
-{
-
-// Starts at all upstreams of a service; 0 if unknown.
-double starts_per_second(room_estimate const& room)
-{
-    return room.start_interval > duration{0}
-               ? 1 / to_seconds(room.start_interval)
-               : 0;
-}
-
-} // namespace
-
 bool proxied_request::is_overload_controlled() const
 {
     return marjorambeam::is_overload_controlled(context_.state, service_);
@@ -39,20 +26,14 @@
     return cached_service_time(s.rooms, s.upstreams, service_, it->second, now);
 }
 
-// How long the request may wait at an upstream for a slot. One that can meet
-// its target has until then. One that can't leaves the queue to those that can
-// and takes a free slot, until it must start to end before its deadline.
+// How long the request may wait at an upstream for a slot.
 duration proxied_request::affordable_wait(steady_time now) const
 {
     if (is_engine() || !is_overload_controlled())
         return duration{0};
     duration const expected = expected_service_time(now);
-    duration const to_target = started_ + route_.target - now - expected;
-    if (to_target > duration{0})
-        return to_target;
-    duration const to_deadline = remaining(now) - expected;
-    return to_deadline < 2 * expected ? std::max(to_deadline, duration{0})
-                                      : duration{0};
+    return marjorambeam::affordable_wait(
+        expected, started_ + route_.target - now, remaining(now));
 }
 
 waiting_request proxied_request::waiting_inputs(steady_time now) const
@@ -98,16 +79,12 @@
     event_line_ = expected_event_line(s.completions, q);
 }
 
-// What the end of the response at an engine is predicted from. Only for
-// streams, as others have no events that correct the prediction. A stream that
-// the caller resumes has an unknown part left.
+// What the end of the response at an engine is predicted from.
 std::optional<response_forecast>
 proxied_request::response_forecast_now(steady_time now) const
 {
-    if (route_.kind != route_kind::streaming || request_.resume_after)
-        return std::nullopt;
-    return forecast_response(
-        context_.state.completions,
+    return forecast_of_request(
+        context_.state, request_, route_,
         completion_query_for(model_, 1, duration{0}, now), events_.events(),
         remaining(now));
 }
@@ -152,19 +129,6 @@
         std::find(order.begin(), order.end(), 0U) - order.begin());
 }
 
-// Returns when the request starts and ends behind `before` others.
-admission_times proxied_request::admission_times_of(
-    room_estimate const& room, std::size_t before, steady_time now) const
-{
-    gateway_state& s = context_.state;
-    return plain_times(
-        room, s.start_errors[service_], static_cast<double>(before),
-        expected_interval(
-            start_interval_of(s.intervals[service_]), room,
-            std::max<std::size_t>(s.limit_view.live, 1)),
-        now);
-}
-
 // Returns until when the request may wait. While the upstreams are full and the
 // estimate is known, it is as long as it could still end in time.
 steady_time proxied_request::latest_wait(steady_time now) const
@@ -191,29 +155,29 @@
     room_estimate const room = cached_room(
         s.rooms, s.upstreams, service_, s.service_times_by_name[service_], now);
     std::size_t const before = room.is_known ? count_waiting_before(now) : 0;
-    admission_times const times = admission_times_of(room, before, now);
-    if (room.is_known && !wait_prediction_)
-        wait_prediction_ = {.at = now, .times = times};
-    admission_result const a = decide_admission(
-        {.is_known = room.is_known,
-         .has_free_slot = room.has_free_slot,
-         .times = times,
+    plain_admission const a = decide_plain_admission(
+        s, service_, room,
+        {.before = before,
          .until_deadline = remaining(now),
-         .until_target = started_ + route_.target - now});
-    if (a.outcome != admission_outcome::refuse)
+         .until_target = started_ + route_.target - now},
+        now);
+    if (room.is_known && !wait_prediction_)
+        wait_prediction_ = {.at = now, .times = a.times};
+    if (a.result.outcome != admission_outcome::refuse)
         return false;
-    if (record_refusal(s.admissions, room.has_free_slot))
+    if (record_refusal(s.admissions, a.room.has_free_slot))
         s.counters.count("refused_with_room_total", "", scope());
-    s.counters.count("overload_refusals_total", to_string(a.reason), scope());
+    s.counters.count(
+        "overload_refusals_total", to_string(a.result.reason), scope());
     room_at_ = take_place(
-        starts_per_second(room), a.until_room, room.service_time, now);
+        starts_per_second(room), a.result.until_room, room.service_time, now);
     context_.log.write(
         log_event::overload_refused,
         {{"request_id", request_.attempt_id},
          {"service", service_},
-         {"reason", std::string(to_string(a.reason))},
-         {"early_ms", in_ms(times.end.early)},
-         {"likely_ms", in_ms(times.end.likely)},
+         {"reason", std::string(to_string(a.result.reason))},
+         {"early_ms", in_ms(a.times.end.early)},
+         {"likely_ms", in_ms(a.times.end.likely)},
          {"left_ms", in_ms(remaining(now))},
          {"priority", std::to_string(priority_)},
          {"returned", waiting_inputs(now).came_back ? "yes" : "no"},
@@ -410,16 +374,11 @@
     std::size_t model, double requests, duration first_event,
     steady_time now) const
 {
-    return {
-        .service = service_,
-        .route = route_.name,
-        .model = model,
-        .models = route_.models.size(),
-        .hinted_tokens = static_cast<double>(std::min(
-            request_.hinted_output_tokens, request_.max_output_tokens)),
-        .requests = requests,
-        .first_event = first_event,
-        .now = now};
+    completion_query q = completion_query_of(request_, route_, service_, model);
+    q.requests = requests;
+    q.first_event = first_event;
+    q.now = now;
+    return q;
 }
 
 // Learns how long the responses of the current attempt take and how long they
--- a/src/gateway/request_controller.hpp
+++ b/src/gateway/request_controller.hpp
@@ -12,7 +12,7 @@
 #include "event_loop/loop_monitor.hpp"
 #include "gateway/client_connection.hpp"
 #include "gateway/gateway_state.hpp"
-#include "gateway/planned_stop.hpp"
+#include "gateway/placement_explanation.hpp"
 #include "gateway/proxied_request.hpp"
 #include "log/log.hpp"
 
@@ -58,6 +58,8 @@
     void abort_quarantined(steady_time now);
     // Sets the gauges of what is held for requests and responses.
     void set_gauges();
+    // Returns the requests that wait, by service.
+    queued_by_service queued() const;
     // Number of active requests.
     std::size_t active() const
     {
@@ -102,7 +104,6 @@
         std::vector<std::shared_ptr<proxied_request>>& all,
         steady_time now) const;
     client_limits limits() const;
-    std::optional<stop_plan> plan() const; // of a stop that has begun
 
     ev::loop_ref loop_;
     gateway_state& state_;
