State in the log what admitted or refused a request

Cause: the line of a refusal did not say whether there was room, nor what its estimate rested on; that of an admitted request had no prediction to compare its times with.

Change: overload_refused has room, until_start_ms, service_ms, before and interval_ms. No new lines.

No test covers the fields, and the tests with sockets were not run on it.

--- a/src/gateway/proxied_request.hpp
+++ b/src/gateway/proxied_request.hpp
@@ -150,6 +150,13 @@
         std::int64_t started_unix_ms = 0; // incarnation of the upstream
     };
 
+    // After the request's arrival.
+    struct predicted_response
+    {
+        duration start{0};
+        duration end{0};
+    };
+
     // When the request would start and end, as predicted when it had to wait.
     struct wait_prediction
     {
@@ -201,6 +208,7 @@
     std::optional<duration> place_after(error_kind kind, steady_time now);
     void predict_attempt(steady_time now);
     void record_service_response(upstream_response const& a, steady_time now);
+    std::optional<predicted_response> predicted_times() const;
     void record_start_error(steady_time now);
     void recycle_connection(http_response_head const& head);
     steady_time take_limit_slot(steady_time next);
--- a/src/gateway/proxied_request_failure.cpp
+++ b/src/gateway/proxied_request_failure.cpp
@@ -423,6 +423,9 @@
     log_event event, std::string_view kind, int status, steady_time now)
 {
     bool const has_first = first_event_ != steady_time{};
+    std::optional<predicted_response> predicted;
+    if (attempts_.sends > 0 && is_overload_controlled())
+        predicted = predicted_times();
     context_.log.write(
         event,
         {{"request_id", request_.attempt_id},
@@ -441,6 +444,9 @@
          {"load", to_integer_text(inputs_.load)},
          {"load_age_ms", in_ms(inputs_.load_age)},
          {"expected_ms", in_ms(inputs_.expected)},
+         {"sent_ms", attempts_.sends > 0 ? in_ms(sent_ - started_) : "-"},
+         {"predicted_start_ms", predicted ? in_ms(predicted->start) : "-"},
+         {"predicted_end_ms", predicted ? in_ms(predicted->end) : "-"},
          {"started_ms", std::to_string(inputs_.started_unix_ms)},
          {"extras", std::to_string(budget().extras.count(now))},
          {"requests", std::to_string(budget().requests.count(now))},
--- a/src/gateway/proxied_request_overload.cpp
+++ b/src/gateway/proxied_request_overload.cpp
@@ -164,7 +164,8 @@
          .until_target = started_ + route_.target - now});
     if (a.outcome != admission_outcome::refuse)
         return false;
-    if (record_refusal(s.admissions, room.has_free_slot))
+    bool const has_room = record_refusal(s.admissions, room.has_free_slot);
+    if (has_room)
         s.counters.count("refused_with_room_total", "", scope());
     s.counters.count("overload_refusals_total", to_string(a.reason), scope());
     room_at_ = take_place(
@@ -174,6 +175,11 @@
         {{"request_id", request_.attempt_id},
          {"service", service_},
          {"reason", std::string(to_string(a.reason))},
+         {"room", has_room ? "yes" : "no"},
+         {"until_start_ms", in_ms(room.until_start)},
+         {"service_ms", in_ms(room.shortest_service_time)},
+         {"before", std::to_string(before)},
+         {"interval_ms", in_ms(start_interval_of(s.intervals[service_]))},
          {"early_ms", in_ms(times.end.early)},
          {"likely_ms", in_ms(times.end.likely)},
          {"left_ms", in_ms(remaining(now))},
@@ -307,6 +313,32 @@
         now);
 }
 
+// Returns when the response was predicted to start and end, after the request's
+// arrival, for the log. Precondition: the request was sent.
+std::optional<proxied_request::predicted_response>
+proxied_request::predicted_times() const
+{
+    duration const until_sent = sent_ - started_;
+    if (is_engine())
+    {
+        if (predicted_end_ <= duration{0})
+            return std::nullopt;
+        return predicted_response{
+            until_sent + inputs_.expected, until_sent + predicted_end_};
+    }
+    if (wait_prediction_)
+    {
+        duration const until_wait = wait_prediction_->at - started_;
+        admission_times const& t = wait_prediction_->times;
+        return predicted_response{
+            until_wait + t.start.likely, until_wait + t.end.likely};
+    }
+    if (!predicted_start_.is_known)
+        return std::nullopt;
+    duration const start = until_sent + predicted_start_.until_start;
+    return predicted_response{start, start + predicted_start_.service_time};
+}
+
 // Learns the error of the prediction of the start: from when the request had to
 // wait at the gateway, or else from when it was sent.
 void proxied_request::record_start_error(steady_time now)
--- a/src/log/log_events.cpp
+++ b/src/log/log_events.cpp
@@ -248,9 +248,13 @@
         overload_refused, "overload_refused", log_level::warning,
         "No room for the request before its deadline.",
         "Overload control refuses it at once; it has not run. `service`, "
-        "`reason`, `early_ms` and `likely_ms` until it would end, `left_ms` "
-        "until its deadline, `priority`, `returned` (it was refused before), "
-        "`retry_after_ms`: when there is room for it."},
+        "`reason`; `room`: whether an upstream had reported a free slot, which "
+        "must be `no`. What decided: `until_start_ms` until an upstream can "
+        "start a request, `service_ms` that one takes at least, `before` "
+        "requests that wait here and go first, `interval_ms` between the "
+        "starts of such (0: unknown), `early_ms` and `likely_ms` until it "
+        "would end, `left_ms` until its deadline. `priority`, `returned` (it "
+        "was refused before), `retry_after_ms`: when there is room for it."},
     log_event_row{
         larger_model_asked, "larger_model_asked", log_level::info,
         "Larger model asked.",
@@ -276,7 +280,10 @@
         "Refused an attempt.", "By an agent, for `reason`; it has not run."},
     log_event_row{
         request_served, "request_served", log_level::info, "Request served.",
-        "The caller has its whole answer."},
+        "The caller has its whole answer. `predicted_start_ms` and "
+        "`predicted_end_ms`, after its arrival, are what admitted it under "
+        "overload control; `sent_ms` is when it was last sent, `first_ms` and "
+        "`ms` what came of it."},
     log_event_row{
         request_left, "request_left", log_level::info,
         "The caller left its request.",
@@ -286,7 +293,8 @@
         request_failed, "request_failed", log_level::warning, "Request failed.",
         "`kind` and `run` say why and whether it may have run; `status` 0 is a "
         "stream that was cut. The last choice of an upstream is in the fields "
-        "that attempt_failed has; `extras` of `requests` are the share of the "
+        "that attempt_failed has, what admitted it in those that "
+        "request_served has; `extras` of `requests` are the share of the "
         "budget used."},
     log_event_row{
         request_cut, "request_cut", log_level::warning,
