--- a/src/gateway/proxied_request.hpp
+++ b/src/gateway/proxied_request.hpp
@@ -149,6 +149,13 @@
         std::int64_t started_unix_ms = 0; // incarnation of the upstream
     };
 
+    // After the request's arrival.
+    struct predicted_response
+    {
+        duration start{0};
+        duration end{0};
+    };
+
     // When the request would start and end, as predicted when it had to wait.
     struct wait_prediction
     {
@@ -198,6 +205,7 @@
     void predict_attempt(steady_time now);
     int urgency(steady_time now) const;
     void record_service_response(upstream_response const& a, steady_time now);
+    std::optional<predicted_response> predicted_times() const;
     void record_start_error(steady_time now);
     void recycle_connection(http_response_head const& head);
     std::size_t take_limit_slot();
