Do not revert a rollout for less than a millisecond

What was seen: a good version of a plain service was reverted on a busy machine (test "a good version is completed, also with lost answers"). Cause: times are compared as logarithms, also those of some 50 us. Once the target has all requests, the other version gets none and its baseline stays as it was; from then on any change of the machine's load counts as the target's. Such services have no event gaps, so that they take this step late and decide by these samples. Change: a millisecond is added to both times before the logarithm. A version is found slow if it takes half as long again and half a millisecond more, so that one that is slower by less is no longer found. Ruled out: failed answers (every answer of the test is 200); the load in the class (always none here); a share of the other version as a control while the target has all requests (sessions must not go back).

--- a/src/gateway/version_timing.cpp
+++ b/src/gateway/version_timing.cpp
@@ -33,6 +33,10 @@
 // Larger ratios count as this one: a cache miss delays a first event by more
 // than a slow version does.
 constexpr double max_log_ratio = 1.2;
+// Added to both times of a comparison. Times below it vary with the load of the
+// machine and with how recently a connection was used, and no caller notices: a
+// good version was reverted for 150 us more.
+constexpr duration timing_resolution = std::chrono::milliseconds(1);
 
 // Squared standard error of the mean.
 double squared_error(timing_sums const& s)
@@ -83,7 +87,7 @@
 
 double log_of(duration took)
 {
-    return std::log(static_cast<double>(took.count()));
+    return std::log(static_cast<double>((took + timing_resolution).count()));
 }
 
 // Mean of the class at a load level; nothing if it has too few samples.
--- a/src/gateway/version_timing.hpp
+++ b/src/gateway/version_timing.hpp
@@ -8,9 +8,10 @@
 //   if (is_slow(timing)) revert();
 //
 // Times are compared as logarithms within a class of similar attempts: the same
-// route, model and load of the upstream. A version that is slow for a part of
-// its requests raises the mean. Sums of several gateways add up. Plain data and
-// free functions without I/O. Not thread-safe, except where a function says so.
+// route, model and load of the upstream. Differences well below a millisecond
+// do not count. A version that is slow for a part of its requests raises the
+// mean. Sums of several gateways add up. Plain data and free functions without
+// I/O. Not thread-safe, except where a function says so.
 #pragma once
 
 #include "base/time.hpp"
@@ -89,8 +90,9 @@
     timing_baselines& all, timing_class const& c, duration took);
 
 // Returns the logarithm of the ratio of `took` to the baseline of the class, or
-// to the middle of those of the next lower and higher load; nothing if these
-// have too few samples. Precondition: `took` is positive. Thread-safe.
+// to the middle of those of the next lower and higher load, each with a
+// millisecond added; nothing if these have too few samples. Precondition:
+// `took` is positive. Thread-safe.
 std::optional<double> compare_with_baseline(
     timing_baselines const& all, timing_class const& c, duration took);
 
