Refuse requests that cannot end in time at any engine

Cause: under overload, a request whose response cannot end before its deadline takes engine time until it is cut off, and its caller learns of it at the deadline.

Change: before the first send, if the response likely ends too late at the selected engine and something is queued there, the gateway looks for the engine at which it would end first. If even the early end is after the deadline there, the request is refused (queue_full, cannot_end) with a place from the return schedule, at the rate of completions of the last 5 s times the live gateways. Not refused: requests with an unknown estimate, those that are not streams, those that an engine has begun or that their caller resumes.

Ruled out: to refuse by the engines that this request may use now, as versions, limits and cold shares change within its time; no refusal while any engine has a free slot, as a slow engine has one as well as a fast one; a retry time of zero where nothing is queued and no rate is known.

The gateway's calls are compiled and linted, and no test here runs them end to end.

--- a/src/gateway/engine_selection_test.cpp
+++ b/src/gateway/engine_selection_test.cpp
@@ -1,4 +1,5 @@
 #include "gateway/engine_pace.hpp"
+#include "gateway/load_admission.hpp"
 #include "gateway/upstream_table.hpp"
 
 #include <algorithm>
@@ -214,3 +215,65 @@
     CHECK(before > 0.15);
     CHECK(now < 0.85 * before);
 }
+
+// Guards against a refusal of a request that one of the engines could serve,
+// also where it may not be sent now, while all of them have long queues.
+TEST_CASE("A request is refused only if it ends too late at each engine")
+{
+    constexpr steady_time now{seconds(100)};
+    upstream_table b;
+    upstream_query q{.service = "pool", .is_engine = true};
+    q.work = {.prefill = 8000, .decode = 50, .shared = 3000};
+    q.forecast =
+        response_forecast{.events = 50, .line = {.idle = 0.04}, .left_s = 5};
+    CHECK_FALSE(earliest_engine_end(b, q, now));
+    for (int i = 0; i < 40; ++i)
+        add(b, std::to_string(i)).work = 1e6;
+    upstream_state& best = add(b, "best");
+    best.work = 400'000;
+    best.info.version = "v2";
+    add(b, "gone").ejected_until = now + seconds(1);
+    q.never_version = "v2";
+    auto const e = earliest_engine_end(b, q, now);
+    REQUIRE(e);
+    CHECK(e->queued == seconds(4));
+    CHECK(e->first_event == milliseconds(4050)); // the shared part is cached
+    CHECK(e->pace == 1);
+    completion_prediction end{
+        .is_known = true,
+        .likely = milliseconds(6050),
+        .early = milliseconds(4900),
+        .late = seconds(9)};
+    admission_query a{
+        .is_known = true,
+        .times = engine_times(e->queued, end),
+        .until_deadline = seconds(5)};
+    CHECK(decide_admission(a).outcome == admission_outcome::wait);
+    a.times.end.early = milliseconds(5100);
+    CHECK(decide_admission(a).outcome == admission_outcome::refuse);
+    CHECK(decide_admission(a).until_room == seconds(4));
+    a.is_known = false;
+    CHECK(decide_admission(a).outcome == admission_outcome::admit);
+}
+
+// Guards against a refusal beside an engine without a queue: reports of 24
+// gateways are late, so that the engine's own report decides while it is fresh.
+TEST_CASE("An engine has a queue by its report, or else by the requests there")
+{
+    constexpr steady_time now{seconds(100)};
+    upstream_table b;
+    upstream_state& u = add(b, "u");
+    CHECK_FALSE(has_queue(u, now));
+    u.peers.requests = 17;
+    CHECK(has_queue(u, now));
+    u.own_load = {.running = 12, .waiting = 0, .slots = 16};
+    u.load_reported_at = now - milliseconds(300);
+    CHECK_FALSE(has_queue(u, now));
+    CHECK(has_queue(u, now + milliseconds(1)));
+    u.own_load.waiting = 1;
+    u.peers.requests = 0;
+    CHECK(has_queue(u, now));
+    u = {};
+    u.peers.requests = 100; // it did not register its slots
+    CHECK_FALSE(has_queue(u, now));
+}
--- a/src/gateway/gateway_state.hpp
+++ b/src/gateway/gateway_state.hpp
@@ -19,6 +19,7 @@
 #include "gateway/part_quarantine.hpp"
 #include "gateway/peer_clock.hpp"
 #include "gateway/prediction_error.hpp"
+#include "gateway/rate_window.hpp"
 #include "gateway/return_schedule.hpp"
 #include "gateway/session_pins.hpp"
 #include "gateway/shared_limits.hpp"
@@ -240,6 +241,8 @@
     service_shares shares; // of organisations
     return_schedule returns;
     admission_counts admissions;
+    // Completed requests of engine services under overload control.
+    std::map<std::string, rate_window, std::less<>> engine_completions;
     // Prompts sent to the engines of services under overload control.
     std::map<std::string, prompt_mix, std::less<>> prompt_mixes;
     std::optional<steady_time> drain_started;
--- a/src/gateway/load_admission.cpp
+++ b/src/gateway/load_admission.cpp
@@ -58,6 +58,15 @@
         .service_time = room.service_time};
 }
 
+admission_times engine_times(duration queued, completion_prediction const& end)
+{
+    return {
+        .start = {.early = queued, .likely = queued, .late = queued},
+        .end = {.early = end.early, .likely = end.likely, .late = end.late},
+        .predicted = queued,
+        .service_time = std::max(end.likely - queued, duration{0})};
+}
+
 admission_result decide_admission(admission_query const& q)
 {
     admission_result r{
--- a/src/gateway/load_admission.hpp
+++ b/src/gateway/load_admission.hpp
@@ -19,6 +19,7 @@
 #pragma once
 
 #include "base/time.hpp"
+#include "gateway/completion_estimate.hpp"
 #include "gateway/prediction_error.hpp"
 #include "gateway/service_room.hpp"
 
@@ -54,6 +55,10 @@
     room_estimate const& room, prediction_error const& error,
     double waiting_before, duration waiting_interval, steady_time now);
 
+// Returns the times of a request to an engine that starts after `queued` and
+// ends by the prediction, whose error is that of the end. Thread-safe.
+admission_times engine_times(duration queued, completion_prediction const& end);
+
 enum class admission_outcome : std::uint8_t
 {
     admit,
--- a/src/gateway/proxied_request.cpp
+++ b/src/gateway/proxied_request.cpp
@@ -254,6 +254,8 @@
             last_selection_ = c;
             return send_outcome::none;
         }
+        if (is_refused_by_engines(c, now))
+            return send_outcome::finished;
         // One that can't be reached is avoided by the next selection.
         auto connection = take_connection(c, now);
         if (connection)
--- a/src/gateway/proxied_request.hpp
+++ b/src/gateway/proxied_request.hpp
@@ -215,6 +215,11 @@
     void record_event_gap(std::uint64_t events, steady_time now);
     std::optional<response_forecast>
     response_forecast_now(steady_time now) const;
+    bool is_refused_by_engines(upstream_selection const& c, steady_time now);
+    void refuse_by_engines(
+        admission_times const& times, duration until_room, steady_time now);
+    double engine_return_rate(steady_time now) const;
+    void record_engine_completion(steady_time now);
     void record_engine_pace(std::uint64_t events, steady_time now);
     void refuse(error_kind kind, duration retry_after, steady_time now);
     void give_up(error_kind kind, run_state ran, steady_time now);
--- a/src/gateway/proxied_request_failure.cpp
+++ b/src/gateway/proxied_request_failure.cpp
@@ -397,6 +397,7 @@
         count_admission(event == log_event::request_served, now);
     if (event == log_event::request_served)
     {
+        record_engine_completion(now);
         m.histogram("whole_seconds", scope()).add(to_seconds(now - started_));
         if (first_event_ != steady_time{})
             m.histogram("first_event_seconds", scope())
--- a/src/gateway/proxied_request_overload.cpp
+++ b/src/gateway/proxied_request_overload.cpp
@@ -11,6 +11,14 @@
 
 namespace marjorambeam
 {
+namespace
+{
+
+// The rate at which callers may come back to engines is that of the requests
+// that were completed in this time.
+constexpr duration completion_window = std::chrono::seconds(5);
+
+} // namespace
 
 bool proxied_request::is_overload_controlled() const
 {
@@ -97,6 +105,96 @@
         remaining(now));
 }
 
+// Refuses a request that was not sent yet if its response can't end before its
+// deadline at any engine. Returns whether it did. Not while nothing is queued
+// at the selected engine, which would serve it at no one's cost.
+bool proxied_request::is_refused_by_engines(
+    upstream_selection const& c, steady_time now)
+{
+    if (c.ends_in_time || attempts_.sends > 0 || has_response_head_ ||
+        ran_ != run_state::not_run)
+        return false;
+    gateway_state& s = context_.state;
+    upstream_query const q = make_query({}, now);
+    auto const earliest =
+        q.forecast ? earliest_engine_end(s.upstreams, q, now) : std::nullopt;
+    if (!earliest)
+        return false;
+    completion_query at = completion_query_for(
+        model_, earliest->requests, earliest->first_event, now);
+    at.pace = earliest->pace;
+    completion_prediction const end = predict_completion(s.completions, at);
+    admission_times const times = engine_times(earliest->queued, end);
+    bool const has_room = !has_queue(*c.chosen, now);
+    admission_result const a = decide_admission(
+        {.is_known = end.is_known,
+         .has_free_slot = has_room,
+         .times = times,
+         .until_deadline = remaining(now),
+         .until_target = started_ + route_.target - now});
+    if (a.outcome != admission_outcome::refuse)
+        return false;
+    if (record_refusal(s.admissions, has_room))
+        s.counters.count("refused_with_room_total", "", scope());
+    s.counters.count("overload_refusals_total", to_string(a.reason), scope());
+    // Where nothing is queued, only the pace of the engines can change.
+    refuse_by_engines(times, std::max(a.until_room, min_retry_after), now);
+    return true;
+}
+
+void proxied_request::refuse_by_engines(
+    admission_times const& times, duration until_room, steady_time now)
+{
+    room_at_ = place_for(
+        context_.state.returns,
+        {.service = service_,
+         .priority = priority_,
+         .rate = engine_return_rate(now),
+         .gateways = std::max<std::size_t>(context_.state.limit_view.live, 1),
+         .until_room = until_room,
+         .remaining = remaining(now),
+         .expected = times.service_time,
+         .is_early = is_early_return(now)},
+        now);
+    context_.log.write(
+        log_event::overload_refused,
+        {{"request_id", request_.attempt_id},
+         {"service", service_},
+         {"reason", std::string(to_string(admission_reason::cannot_end))},
+         {"early_ms", in_ms(times.end.early)},
+         {"likely_ms", in_ms(times.end.likely)},
+         {"left_ms", in_ms(remaining(now))},
+         {"priority", std::to_string(priority_)},
+         {"returned", waiting_inputs(now).came_back ? "yes" : "no"},
+         {"retry_after_ms", in_ms(*room_at_)}});
+    refuse(error_kind::queue_full, *room_at_, now);
+}
+
+// Requests per second that the engines of the service take over all gateways,
+// by those that this one completed; 0 if there were none.
+double proxied_request::engine_return_rate(steady_time now) const
+{
+    auto& all = context_.state.engine_completions;
+    auto const it = all.find(service_);
+    if (it == all.end())
+        return 0;
+    std::size_t const live =
+        std::max<std::size_t>(context_.state.limit_view.live, 1);
+    return static_cast<double>(it->second.count(now) * live) /
+           to_seconds(completion_window);
+}
+
+void proxied_request::record_engine_completion(steady_time now)
+{
+    if (!is_engine() || !is_overload_controlled())
+        return;
+    rate_window& w = context_.state.engine_completions
+                         .try_emplace(service_, completion_window)
+                         .first->second;
+    w.add(now);
+    w.count(now); // removes those that have expired
+}
+
 // Learns how long events take at the engine of the current attempt relative to
 // the others.
 void proxied_request::record_engine_pace(std::uint64_t events, steady_time now)
--- a/src/gateway/upstream_table.cpp
+++ b/src/gateway/upstream_table.cpp
@@ -347,6 +347,43 @@
     return estimate_room(views, prior, now);
 }
 
+std::optional<engine_end> earliest_engine_end(
+    upstream_table const& b, upstream_query const& q, steady_time now)
+{
+    std::optional<engine_end> best;
+    double best_s = 0;
+    double const own = q.work.prefill - q.work.shared;
+    for (auto const& [id, u] : b.by_id)
+    {
+        if (u->info.service != q.service || !is_usable(b, *u) ||
+            now < u->ejected_until)
+            continue;
+        double const s_per_work = relative_pace(b, *u) * per_work(b.pace) / 1e6;
+        double const requests = estimated_requests(*u, now) + 1;
+        double const pace = event_pace_of(u->event_pace, now);
+        double const first_s = (work_of(*u) + own) * s_per_work;
+        double const end_s = expected_end(*q.forecast, first_s, requests, pace);
+        if (best && end_s >= best_s)
+            continue;
+        best_s = end_s;
+        best = engine_end{
+            .first_event = from_seconds(first_s),
+            .queued = from_seconds(work_of(*u) * s_per_work),
+            .requests = requests,
+            .pace = pace};
+    }
+    return best;
+}
+
+bool has_queue(upstream_state const& u, steady_time now)
+{
+    bool const is_fresh = u.load_reported_at != steady_time{} &&
+                          now - u.load_reported_at <= max_room_report_age;
+    if (is_fresh)
+        return u.own_load.waiting > 0;
+    return u.info.slots > 0 && u.requests + u.peers.requests > u.info.slots;
+}
+
 double estimated_requests(upstream_state const& u, steady_time now)
 {
     double const counted = u.requests + u.peers.requests;
--- a/src/gateway/upstream_table.hpp
+++ b/src/gateway/upstream_table.hpp
@@ -249,6 +249,28 @@
     upstream_table const& b, std::string_view service,
     service_time const& prior, steady_time now);
 
+// An engine at which a response would end.
+struct engine_end
+{
+    duration first_event{0}; // until then
+    duration queued{0};      // part of it due to other requests
+    double requests = 0;     // there, this one included
+    double pace = 1;         // see event_pace_of()
+};
+
+// Returns the engine of the service at which the response likely ends first, or
+// nothing without one. It counts all usable engines that can be reached, also
+// those that this request may not be sent to now, and takes the shared parts of
+// its prompt as cached, so that the end is not later than at any of them.
+// Precondition: the query has a forecast. Not thread-safe.
+std::optional<engine_end> earliest_engine_end(
+    upstream_table const& b, upstream_query const& q, steady_time now);
+
+// Returns whether requests wait at the engine, by its own report of at most
+// max_room_report_age ago, otherwise by the requests that are counted there. An
+// engine without either has none. Not thread-safe.
+bool has_queue(upstream_state const& u, steady_time now);
+
 // Estimates the requests at the upstream from this gateway's count, those of
 // its peers, and the upstream's own recent report. Not thread-safe.
 double estimated_requests(upstream_state const& u, steady_time now);
