--- a/src/gateway/placement_explanation.cpp
+++ b/src/gateway/placement_explanation.cpp
@@ -59,6 +59,15 @@
          .is_resumed = r.resume_after.has_value()});
 }
 
+// The room of a plain service, without the cache of the requests.
+room_estimate
+room_at(gateway_state const& s, std::string_view service, steady_time now)
+{
+    room_cache none;
+    return cached_room(
+        none, s.upstreams, service, service_time_of(s, service), now);
+}
+
 known_request describe(
     gateway_state const& s, gateway_request const& r,
     gateway_route const& route, steady_time now)
@@ -72,10 +81,7 @@
     k.is_overload_controlled = is_overload_controlled(s, k.service);
     k.time = std::min(route.timeout, r.remaining.value_or(route.timeout));
     if (!k.is_engine)
-        k.expected =
-            room_of_service(
-                s.upstreams, k.service, service_time_of(s, k.service), now)
-                .shortest_service_time;
+        k.expected = room_at(s, k.service, now).shortest_service_time;
     return k;
 }
 
@@ -201,9 +207,7 @@
         none.failure != selection_failure::full)
         return std::nullopt;
     plain_admission const a = decide_plain_admission(
-        s, k.service,
-        room_of_service(
-            s.upstreams, k.service, service_time_of(s, k.service), now),
+        s, k.service, room_at(s, k.service, now),
         {.before = before,
          .until_deadline = k.time,
          .until_target = k.route.target},
