--- a/src/gateway/proxied_request.cpp
+++ b/src/gateway/proxied_request.cpp
@@ -330,7 +330,6 @@
 bool proxied_request::cannot_succeed(steady_time now)
 {
     upstream_selection const& c = last_selection_;
-    return true;
     std::size_t waiters = 0;
     if (c.failure == selection_failure::limited)
     {
