End a suspicion when its upstream accepts a connection afterwards

Cause: a request whose connection breaks is suspected for 6 s. Connections were reset from 17 to 21 s without a crash; at 23.0 s 13 engines of a zone ended at once. That confirmed the suspicions too, each at the time of its own reset, so that one event looked like several crashes apart from each other and convicted popular parts. In the logs, three quarters of the confirmed suspicions were 2.2 to 5.9 s old, and nearly all were confirmed within 40 ms.

Change: the gateway already opens a connection to the upstream after each break. If that is accepted, the upstream did not crash, and its suspicions from before are dropped. Where it is refused, nothing changes.

Ruled out: a shorter time for suspicions, which only makes it rarer; grouping crashes by the time at which they are confirmed, which all gateways would have to exchange.

--- a/src/gateway/crash_evidence.cpp
+++ b/src/gateway/crash_evidence.cpp
@@ -352,6 +352,20 @@
         });
 }
 
+void record_accepted_connection(
+    crash_evidence& e, std::string_view upstream, std::int64_t started_ms,
+    steady_time begun)
+{
+    std::erase_if(
+        e.suspicions,
+        [&](crash_suspicion const& it)
+        {
+            return it.at <= begun && !it.was_dropped &&
+                   it.upstream_started_ms == started_ms &&
+                   it.upstream == upstream;
+        });
+}
+
 std::vector<crash_suspicion>
 confirm_crash(crash_evidence& e, std::string_view upstream, steady_time now)
 {
--- a/src/gateway/crash_evidence_test.cpp
+++ b/src/gateway/crash_evidence_test.cpp
@@ -1,6 +1,7 @@
 #include "gateway/crash_evidence.hpp"
 
 #include <algorithm>
+#include <array>
 #include <catch2/catch.hpp>
 #include <random>
 #include <rapidcheck.h>
@@ -140,6 +141,31 @@
     CHECK(confirm_crash(e, "b", later).size() == 1);
 }
 
+// Guards against sound parts that are refused when a zone ends whose upstreams
+// had reset connections before: each reset counted as a crash of its own.
+TEST_CASE("A connection that is accepted after a break ends the suspicion")
+{
+    bool const is_accepted = GENERATE(false, true);
+    CAPTURE(is_accepted);
+    crash_evidence e;
+    std::array<char const*, 5> const zone{"a", "b", "c", "d", "e"};
+    steady_time at = start;
+    std::uint64_t request = 0;
+    for (char const* const it : zone)
+    {
+        request_traits const r{.request = ++request, .parts = {9}};
+        record_suspicion(e, {{.traits = r}, it, 5, at});
+        record_accepted_connection(e, it, 4, at); // another incarnation
+        if (is_accepted)
+            record_accepted_connection(e, it, 5, at);
+        at += milliseconds(500);
+    }
+    for (char const* const it : zone)
+        confirm_crash(e, it, at);
+    part_findings const found = judge_parts(e, {}, at + seconds(3));
+    CHECK(found.guilty.size() == (is_accepted ? 0 : 1));
+}
+
 // Guards against a deadly part that goes unseen because the gateway drops the
 // answer, to ask a larger model, before the upstream crashes on it, and against
 // blame for answers that were dropped long before.
--- a/src/gateway/quarantine_controller.cpp
+++ b/src/gateway/quarantine_controller.cpp
@@ -65,11 +65,14 @@
     record_suspicion(state_.crashes, {suspect, u.id, u.started_unix_ms, now});
     pool_.probe(
         upstream,
-        [this, id = u.id](bool is_reachable)
+        [this, id = u.id, started_ms = u.started_unix_ms,
+         now](bool is_reachable)
         {
             state_.counters.count(
                 "crash_probes_total", is_reachable ? "reachable" : "crashed");
-            if (!is_reachable)
+            if (is_reachable)
+                record_accepted_connection(state_.crashes, id, started_ms, now);
+            else
                 record_crash_of(id, boot_now());
         });
 }
