--- a/src/base/base_test.cpp
+++ b/src/base/base_test.cpp
@@ -1,5 +1,6 @@
 #include "base/hash.hpp"
 #include "base/id.hpp"
+#include "base/percent_encoding.hpp"
 #include "base/time.hpp"
 
 #include <catch2/catch.hpp>
@@ -41,3 +42,14 @@
     REQUIRE(secret_hash("key-1") != secret_hash("key-2"));
     REQUIRE(secret_hash("key-1").size() == 64);
 }
+
+// Guards against text that ends a part of a URL, or is another text to the
+// reader of the URL.
+TEST_CASE("text is one part of a URL")
+{
+    CHECK(percent_encode("Az09-._~") == "Az09-._~");
+    CHECK(percent_encode("a b&c+d#e%f") == "a%20b%26c%2Bd%23e%25f");
+    CHECK(percent_encode("/?;=\r\n\x7f") == "%2F%3F%3B%3D%0D%0A%7F");
+    CHECK(percent_encode("\xc3\xbc\xff") == "%C3%BC%FF");
+    CHECK(percent_encode(std::string_view("a\0b", 3)) == "a%00b");
+}
--- a/src/ctl/where_command.cpp
+++ b/src/ctl/where_command.cpp
@@ -1,5 +1,7 @@
 #include "ctl/where_command.hpp"
 
+#include "base/percent_encoding.hpp"
+
 #include <algorithm>
 #include <array>
 #include <cstdio>
@@ -19,29 +21,6 @@
 
 constexpr int status_ok = 200;
 
-bool is_unreserved(char ch)
-{
-    constexpr std::string_view others = "-._~/";
-    return (ch >= 'a' && ch <= 'z') || (ch >= 'A' && ch <= 'Z') ||
-           (ch >= '0' && ch <= '9') ||
-           others.find(ch) != std::string_view::npos;
-}
-
-std::string percent_encode(std::string_view text)
-{
-    constexpr std::string_view digits = "0123456789ABCDEF";
-    std::string out;
-    for (char const ch : text)
-    {
-        auto const byte = static_cast<unsigned char>(ch);
-        if (is_unreserved(ch))
-            out.push_back(ch);
-        else
-            out.append({'%', digits[byte >> 4U], digits[byte & 15U]});
-    }
-    return out;
-}
-
 // The member as text; "-" if it is missing or null. Whole numbers have no
 // fraction.
 std::string text_of(json const& object, char const* name)
--- a/src/object_store/object_store.cpp
+++ b/src/object_store/object_store.cpp
@@ -1,5 +1,7 @@
 #include "object_store/object_store.hpp"
 
+#include "base/percent_encoding.hpp"
+
 #include <charconv>
 #include <nlohmann/json.hpp>
 
@@ -24,34 +26,11 @@
 // A page holds up to 4 MB of values; escaping in JSON can multiply that by 6.
 constexpr std::size_t max_page_bytes = std::size_t{32} << 20U;
 
-std::string escape(std::string_view text)
-{
-    constexpr std::string_view digits = "0123456789ABCDEF";
-    constexpr std::string_view plain = "-_.~";
-    std::string out;
-    out.reserve(text.size());
-    for (char const c : text)
-    {
-        auto const byte = static_cast<unsigned char>(c);
-        bool const is_plain =
-            (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') ||
-            (c >= '0' && c <= '9') || plain.find(c) != std::string_view::npos;
-        if (is_plain)
-        {
-            out += c;
-            continue;
-        }
-        out += '%';
-        out += digits[byte >> 4U];
-        out += digits[byte & 15U];
-    }
-    return out;
-}
-
 std::string object_url(
     std::string const& base, std::string_view kind, std::string_view name)
 {
-    return base + "/v1/objects/" + escape(kind) + "/" + escape(name);
+    return base + "/v1/objects/" + percent_encode(kind) + "/" +
+           percent_encode(name);
 }
 
 std::uint64_t parse_revision(std::string_view text)
@@ -266,8 +245,8 @@
 {
     ++reads_;
     http_call call{
-        .url = url_ + "/v1/objects/" + escape(kind) +
-               "?after=" + escape(after) + "&limit=" + std::to_string(limit),
+        .url = url_ + "/v1/objects/" + percent_encode(kind) + "?after=" +
+               percent_encode(after) + "&limit=" + std::to_string(limit),
         .timeout = timeout_,
         .max_body_bytes = max_page_bytes};
     client_.send(
@@ -283,7 +262,7 @@
     auto const ms =
         std::chrono::duration_cast<std::chrono::milliseconds>(timeout).count();
     http_call call{
-        .url = url_ + "/v1/watch/" + escape(kind) + "?after=" +
+        .url = url_ + "/v1/watch/" + percent_encode(kind) + "?after=" +
                std::to_string(revision) + "&timeout_ms=" + std::to_string(ms),
         .timeout = timeout + watch_grace,
         .max_body_bytes = max_page_bytes};
