Continue a list behind a page that ends with an unusable name

What callers saw: as in the report (503, a gateway that never becomes ready), for an entry whose name the store can't write as it sorts it, or that has none.

Cause: a list went on after the last name of each page, whatever that was. A name that is empty starts the list again; one that was replaced on the way (U+FFFD, a lone surrogate, NUL) may sort before the page, which then comes again. Either ended with "a list without end" and began anew, for ever.

Change: the list goes on after the last name of the page after which it has not gone on yet, so that a page that comes again is passed by the name before. It is given up when a page has no such name or the list is too long, as before.

Ruled out: judging names by their characters, as a store may have others that it can't write; using the part that was read, as upstreams, zones and rollouts that are missing from it would look removed.

--- a/src/gateway/object_watch.cpp
+++ b/src/gateway/object_watch.cpp
@@ -93,8 +93,7 @@
 {
     list_freshness_ = freshness;
     is_listing_ = true;
-    after_.clear();
-    listed_.clear();
+    reset_list();
     loader_.cancel();
     retry_timer_.stop();
     send();
@@ -263,10 +262,12 @@
         retry(objects.error());
         return;
     }
-    if (is_listing_ && !continues_list(*objects))
+    bool const goes_on = is_listing_ && objects->has_more;
+    std::string next_after =
+        goes_on ? name_to_continue_after(*objects) : std::string();
+    if (goes_on && next_after.empty())
     {
-        after_.clear();
-        listed_.clear();
+        reset_list();
         retry(make_error(
             error_kind::answer_corrupt, "a list of " + kind_ + " without end"));
         return;
@@ -280,7 +281,7 @@
         has_waited ? wait - timing_.max_missed_event_time : duration{0};
     bool const may_be_stale =
         is_listing_ && list_freshness_ == read_freshness::may_be_stale;
-    on_objects(std::move(*objects));
+    on_objects(std::move(*objects), std::move(next_after));
     bool const has_more = !after_.empty();
     handlers_.on_contact(
         may_be_stale ? std::nullopt : std::optional(sent + confirmed));
@@ -293,16 +294,28 @@
                            : timing_.initial_delay);
 }
 
-// Whether a page ends the list, or brings it forward within what a list may
-// hold.
-bool object_watch::continues_list(platform_objects const& page) const
+// Returns the name after which the next page begins; empty if there is none, or
+// if the list would exceed its limit. It is the last one on the page after
+// which none has begun yet: an object may have no name, or one that can't be
+// written as the store sorts it, so that the same page would come again.
+std::string
+object_watch::name_to_continue_after(platform_objects const& page) const
 {
-    if (!page.has_more)
-        return true;
-    bool const is_progress =
-        !page.objects.empty() && page.objects.back().name != after_;
-    return is_progress &&
-           listed_.size() + page.objects.size() <= max_listed_objects;
+    if (listed_.size() + page.objects.size() > max_listed_objects)
+        return {};
+    auto const it = std::find_if(
+        page.objects.rbegin(), page.objects.rend(),
+        [this](platform_object const& o)
+        { return !o.name.empty() && !earlier_after_.contains(o.name); });
+    return it == page.objects.rend() ? std::string() : it->name;
+}
+
+// Drops the pages of a list that were read.
+void object_watch::reset_list()
+{
+    after_.clear();
+    earlier_after_.clear();
+    listed_.clear();
 }
 
 void object_watch::send_after(duration pause)
@@ -313,7 +326,8 @@
         retry_timer_.start(pause);
 }
 
-void object_watch::on_objects(platform_objects&& objects)
+void object_watch::on_objects(
+    platform_objects&& objects, std::string&& next_after)
 {
     copy_state const before{digest_, position_};
     if (!is_listing_)
@@ -342,14 +356,15 @@
         std::move(
             objects.objects.begin(), objects.objects.end(),
             std::back_inserter(listed_));
-    if (objects.has_more && !listed_.empty())
+    after_ = std::move(next_after);
+    if (!after_.empty())
     {
-        after_ = listed_.back().name;
+        earlier_after_.insert(after_);
         return;
     }
     is_listed_ = true;
     is_listing_ = false;
-    after_.clear();
+    earlier_after_.clear();
     store_position const listed{era_, first_page_revision_};
     bool const is_overtaken = listed < position_;
     if (is_overtaken && list_freshness_ == read_freshness::may_be_stale)
--- a/src/gateway/object_watch.hpp
+++ b/src/gateway/object_watch.hpp
@@ -18,6 +18,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -159,7 +160,7 @@
     void on_reply(steady_time sent, duration wait, result<http_reply> reply);
     void
     on_page(steady_time sent, duration wait, result<platform_objects> objects);
-    void on_objects(platform_objects&& objects);
+    void on_objects(platform_objects&& objects, std::string&& next_after);
     // A copy as of a position of the store.
     struct copy_state
     {
@@ -172,7 +173,8 @@
     void retry(error const& why);
     void send_after(duration pause);
     std::optional<relayed_object> update_copy(platform_object& o);
-    bool continues_list(platform_objects const& page) const;
+    std::string name_to_continue_after(platform_objects const& page) const;
+    void reset_list();
     std::vector<std::string>
     names_not_in(std::vector<platform_object> const& all) const;
     void report_copy_change(
@@ -188,7 +190,9 @@
     loop_timer retry_timer_;
     page_loader loader_;                  // of the response that is being read
     std::vector<platform_object> listed_; // pages read so far
-    std::string after_;
+    std::string after_; // the page that is read begins after this name
+    // Names after which pages of this list began.
+    std::set<std::string, std::less<>> earlier_after_;
     std::map<std::string, std::uint64_t, std::less<>> signatures_; // by name
     std::uint64_t digest_ = 0; // of signatures_
     bool is_listed_ = false;
