--- a/src/http_stream/http_reader.cpp
+++ b/src/http_stream/http_reader.cpp
@@ -196,6 +196,18 @@
         [&](std::string_view it) { return is_same_header(it, name); });
 }
 
+bool is_header_value(std::string_view text)
+{
+    auto is_blank = [](char c) { return c == ' ' || c == '\t'; };
+    auto is_control = [](char c)
+    {
+        auto const byte = static_cast<unsigned char>(c);
+        return (byte < 0x20U && c != '\t') || byte == 0x7FU;
+    };
+    return !text.empty() && !is_blank(text.front()) && !is_blank(text.back()) &&
+           std::none_of(text.begin(), text.end(), is_control);
+}
+
 std::string_view status_text(int status)
 {
     auto const s = http::obsolete_reason(
--- a/src/http_stream/http_reader.hpp
+++ b/src/http_stream/http_reader.hpp
@@ -36,6 +36,11 @@
 // Thread-safe.
 bool is_connection_header(std::string_view name);
 
+// Whether the text, which is not empty, is the same once it is read from a
+// header (RFC 9110, 5.5): it has no control characters but tabs, and no blank
+// or tab at either end. Thread-safe.
+bool is_header_value(std::string_view text);
+
 // Returns the reason phrase of a status. Thread-safe.
 std::string_view status_text(int status);
 
