Take no answer with an invalid status

What callers saw: an upstream in trouble answered with status 000, and the caller got that ("HTTP/1.1 0 <unknown-status>"); work that may be repeated was not sent to another upstream.

Cause: the parser takes any three digits for a status, and response_reader took what the parser did.

Change: a status outside 100 to 599 (RFC 9110, 15) is answer_corrupt: 502 for work that may run once, another upstream for the rest. The check is in the reader, so that all that reads answers with it has it.

Evidence: "an answer whose status is none reaches no caller" failed before for 000, 001, 099, 600 and 999 and passes. "an unusual status is passed on as it is" held before and holds for eight from 200 to 599.

--- a/src/http_stream/http_reader.cpp
+++ b/src/http_stream/http_reader.cpp
@@ -21,6 +21,10 @@
 // Interim answers before the final one; more come from a faulty upstream.
 constexpr int max_interim_answers = 16;
 
+// Range of valid statuses (RFC 9110, 15). The parser takes any three digits.
+constexpr unsigned min_status = 100;
+constexpr unsigned max_status = 599;
+
 // A body that grows with what arrives. The library's own reserves what a length
 // announces.
 struct growing_body
@@ -314,9 +318,14 @@
         used += feed(*impl_->parser, bytes.substr(used), ec);
         if (ec)
             return fail(error_kind::answer_corrupt, ec.message());
-        bool const is_interim = impl_->parser->is_header_done() &&
-                                impl_->parser->get().result_int() / 100 == 1;
-        if (!is_interim)
+        if (!impl_->parser->is_header_done())
+            return used;
+        unsigned const status = impl_->parser->get().result_int();
+        if (status < min_status || status > max_status)
+            return fail(
+                error_kind::answer_corrupt,
+                "invalid status " + std::to_string(status));
+        if (status / 100 != 1)
             return used;
         if (++interim_ > max_interim_answers)
             return fail(
