Take no answer with an unknown transfer coding

What callers saw: an answer with "Transfer-Encoding: gzip, chunked" came as a 200 whose body had never been decoded, without the header that says so, as that concerns one connection. With other codings the request waited until its deadline (504) while the upstream kept the connection.

Cause: the coding was checked for requests only. The parser removes the chunks when they are the last coding and leaves the rest; with another last coding it takes the body to end with the connection.

Change: response_reader makes the check of request_reader; such an answer is answer_corrupt. The gateway asks for no coding, so that no sound upstream sends one.

Evidence: "an answer with an unknown transfer coding reaches no caller" failed before for all seven codings and passes.

--- a/src/http_stream/http_reader.cpp
+++ b/src/http_stream/http_reader.cpp
@@ -115,7 +115,7 @@
 
 // Whether the body is framed by its length or by chunks. The library takes a
 // request with any other coding for one without a body, and what follows for
-// the next request.
+// the next request, and leaves the body of such an answer as it is.
 template <class Fields>
 bool has_known_coding(Fields const& fields)
 {
@@ -325,6 +325,8 @@
             return fail(
                 error_kind::answer_corrupt,
                 "invalid status " + std::to_string(status));
+        if (!has_known_coding(impl_->parser->get()))
+            return fail(error_kind::answer_corrupt, "unknown transfer coding");
         if (status / 100 != 1)
             return used;
         if (++interim_ > max_interim_answers)
