--- a/src/gateway/request_protocol.hpp
+++ b/src/gateway/request_protocol.hpp
@@ -103,7 +103,7 @@
     std::string (*encode_request)(
         gateway_request const& request, upstream_request_options const& call);
     upstream_response (*decode_response)(http_response_head const& head);
-    // Headers of a response that the gateway generates itself.
+    // Headers that the protocol adds to a response of the gateway's own.
     header_list (*local_response_headers)(std::string_view attempt_id);
 };
 
