Wait for the end of the upload before an answer without a length is whole

What callers saw: an upstream answered a long upload at once, with a 200 that had no length, sent a part of its body, ended its sending side and reset the connection while the upload was still being written. The caller got the part as a whole answer.

Cause: an orderly end of the upstream's sending side ended such a body, whatever became of the connection after it. The kernel reports a reset behind that end only as an error of the socket, as reading returns the end again.

Change: while the body of an answer ends with its connection, tcp_stream reports an orderly end only once the peer's kernel has all output, and a reset as a reset. It looks every 5 ms, as the kernel reports no event of either; the attempt's deadline and the limit on unacknowledged output hold meanwhile. All other connections notice an end at once, as before.

Ruled out: taking each end with output left for a cut answer. An upstream may end its sending side first and read the rest then; it is served.

Left: of a request that the upstream's kernel has all of, a reset that comes after the orderly end can't be told from a late close.

--- a/src/gateway/upstream_pool.cpp
+++ b/src/gateway/upstream_pool.cpp
@@ -61,6 +61,7 @@
     // A response that ended while its reader held it back leaves the connection
     // paused.
     stream_->pause(false);
+    stream_->report_end_after_delivery(false);
     attempt_id_ = std::move(attempt_id);
     decode_ = decode;
     handlers_ = std::move(handlers);
@@ -167,6 +168,9 @@
         return true;
     }
     has_head_ = true;
+    // Such an answer is whole if the upstream ends it in order and takes all of
+    // the request; one that resets the connection instead has cut it.
+    stream_->report_end_after_delivery(reader_->ends_with_connection());
     keep_alive_ = keep_alive_ && head.keep_alive;
     idle_seconds_ = head.keep_alive_seconds;
     if (handlers_.on_head)
--- a/src/http_stream/http_reader.cpp
+++ b/src/http_stream/http_reader.cpp
@@ -357,6 +357,11 @@
     return impl_->parser->is_done();
 }
 
+bool response_reader::ends_with_connection() const
+{
+    return !impl_->parser->is_done() && impl_->parser->need_eof();
+}
+
 http_response_head response_reader::head() const
 {
     auto const& message = impl_->parser->get();
--- a/src/http_stream/http_reader.hpp
+++ b/src/http_stream/http_reader.hpp
@@ -123,6 +123,9 @@
     result<void> put_end();
     bool is_head_done() const;
     bool is_done() const;
+    // Whether only the end of the connection ends the body. Precondition:
+    // is_head_done().
+    bool ends_with_connection() const;
     // Precondition: is_head_done().
     http_response_head head() const;
     // Body bytes received since the last call.
--- a/src/http_stream/tcp_stream.cpp
+++ b/src/http_stream/tcp_stream.cpp
@@ -27,6 +27,8 @@
 // A buffer that has grown past this is given back when it is empty.
 constexpr std::size_t kept_capacity = std::size_t{4} << 10U;
 constexpr int listen_backlog = 1024;
+// Between checks for what the kernel reports no event of.
+constexpr ev_tstamp delivery_check_s = 0.005;
 
 result<sockaddr_in> parse_address(std::string_view text)
 {
@@ -78,6 +80,15 @@
     return ::ioctl(fd, SIOCOUTQNSD, &n) == 0 ? n : 0;
 }
 
+// Whether the kernel has recorded an error, such as a reset, since it was last
+// asked.
+bool has_socket_error(int fd)
+{
+    int code = 0;
+    socklen_t n = sizeof code;
+    return ::getsockopt(fd, SOL_SOCKET, SO_ERROR, &code, &n) != 0 || code != 0;
+}
+
 // Gives back what was taken from the front of a buffer: all of it when nothing
 // is left, else when it is more than what is left, so that each byte is moved
 // once at most. A buffer that is never empty would grow for ever otherwise.
@@ -144,10 +155,12 @@
     , unacknowledged_(limits.unacknowledged)
     , is_connecting_(is_connecting)
     , io_(loop)
+    , delivery_timer_(loop)
 {
     watch_path(fd, limits);
     set_unacknowledged_limit(unacknowledged_);
     io_.set<tcp_stream, &tcp_stream::on_ready>(this);
+    delivery_timer_.set<tcp_stream, &tcp_stream::on_delivery_timer>(this);
     watch();
 }
 
@@ -161,6 +174,7 @@
     if (fd_ < 0)
         return;
     io_.stop();
+    delivery_timer_.stop();
     ::close(fd_);
     fd_ = -1;
 }
@@ -245,7 +259,7 @@
     int events = 0;
     if (is_connecting_ || unsent() > 0)
         events |= ev::WRITE;
-    if (!is_connecting_ && !is_paused_)
+    if (!is_connecting_ && !is_paused_ && !is_input_done_)
         events |= ev::READ;
     if (io_.is_active() && io_.events == events)
         return;
@@ -339,9 +353,7 @@
 
 void tcp_stream::finish_connecting()
 {
-    int code = 0;
-    socklen_t n = sizeof code;
-    if (getsockopt(fd_, SOL_SOCKET, SO_ERROR, &code, &n) != 0 || code != 0)
+    if (has_socket_error(fd_))
     {
         end(stream_end::not_reached);
         return;
@@ -364,10 +376,34 @@
     }
     if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR))
         return false;
+    if (n == 0 && delays_end_)
+    {
+        is_input_done_ = true;
+        end_after_delivery();
+        return false;
+    }
     end(n == 0 ? stream_end::closed : stream_end::reset);
     return false;
 }
 
+void tcp_stream::on_delivery_timer(ev::timer&, int)
+{
+    auto const self = shared_from_this(); // a callback may drop the owner
+    guarded_call("end of a connection", [&] { end_after_delivery(); });
+}
+
+// Precondition: is_input_done_.
+void tcp_stream::end_after_delivery()
+{
+    // A reset that follows the end leaves the input as it is.
+    if (has_socket_error(fd_))
+        end(stream_end::reset);
+    else if (unsent() == 0 && undelivered_bytes(fd_) == 0)
+        end(stream_end::closed);
+    else
+        delivery_timer_.start(delivery_check_s);
+}
+
 void tcp_stream::on_ready(ev::io&, int events)
 {
     auto const self = shared_from_this(); // a callback may drop the owner
--- a/src/http_stream/tcp_stream.hpp
+++ b/src/http_stream/tcp_stream.hpp
@@ -82,6 +82,13 @@
     {
         on_end_ = std::move(callback);
     }
+    // Whether an orderly end of the peer is reported only once the peer's
+    // kernel has all output, or has reset the connection. A peer may end its
+    // sending side before it reads the rest, and may never do so.
+    void report_end_after_delivery(bool is_delayed)
+    {
+        delays_end_ = is_delayed;
+    }
     // Called when all output has been taken by the socket after some had to
     // wait.
     void on_drained(std::function<void()> callback)
@@ -170,6 +177,8 @@
     bool read_available();
     void flush();
     void watch();
+    void on_delivery_timer(ev::timer&, int);
+    void end_after_delivery();
     void end(stream_end why);
 
     int fd_ = -1;
@@ -180,7 +189,10 @@
     bool is_extended_ = false;     // for a full window
     bool is_closing_ = false;      // after the output has left
     bool is_shut_ = false;         // the sending side was ended
+    bool delays_end_ = false;      // see report_end_after_delivery()
+    bool is_input_done_ = false;   // the peer has ended its sending side
     ev::io io_;
+    ev::timer delivery_timer_;
     std::string input_;
     std::size_t input_start_ = 0;
     std::string output_;
