Take no answer that is none by the protocol from libcurl

The store's answers and those that marjorambeam-entry and -ctl read come through the same client.

Cause: libcurl takes any status from 100 on and any line with a colon for a header, and http_client took what libcurl did.

Change: http_client refuses a status outside 100 to 599 and a name that is no token (RFC 9110, 5.6.2) as answer_corrupt, and names what libcurl refuses by itself so, too. The agent fails the attempt with that kind and takes the upstream for no crashed one.

Evidence: "a call fails when the status of its answer is none" failed before for all five (the first three as connection_lost), "... the head of its answer has a malformed field" for 9 of 10, "a corrupt answer fails its attempt and is no crash" for all three; they pass. Unknown transfer codings were refused before (kept as a test).

--- a/src/agent/agent_failure_test.cpp
+++ b/src/agent/agent_failure_test.cpp
@@ -1,5 +1,6 @@
 // Failures of upstreams and connections while work is in flight.
 #include "agent/agent_test_support.hpp"
+#include "http_client/http_client_test_support.hpp"
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
@@ -101,6 +102,26 @@
     CHECK(f.engine.counts().max_running_cold <= 2);
 }
 
+// Guards against an answer that is none by the protocol reaching a caller, and
+// against an upstream that is taken for crashed because it sent one.
+TEST_CASE("a corrupt answer fails its attempt and is no crash")
+{
+    std::string const head = GENERATE(
+        as<std::string>{}, "HTTP/1.1 000 X\r\n", "HTTP/1.1 600 X\r\n",
+        "HTTP/1.1 200 OK\r\nX Odd: 1\r\n");
+    CAPTURE(head);
+    agent_fixture f({}, true);
+    raw_server const upstream(
+        f.loop, raw_server::answering(head + "Content-Length: 2\r\n\r\nok"));
+    f.state->settings.upstream_url = upstream.url();
+    work_request r = service_request("r-1", "");
+    r.is_idempotent = true;
+    seen_answer const& a = f.ask(r);
+    REQUIRE(a.failed);
+    CHECK(a.failed->kind == error_kind::answer_corrupt);
+    CHECK(a.bytes.empty());
+}
+
 // Guards against a crash that is not attributed, and against an engine that is
 // loaded as before when it returns.
 TEST_CASE("a crash marks the attempts in flight and resets the limit")
--- a/src/agent/agent_run.cpp
+++ b/src/agent/agent_run.cpp
@@ -100,9 +100,12 @@
     {
         error e = r.error();
         bool const is_unreached = e.run == run_state::not_run;
-        e.kind = is_unreached ? error_kind::no_upstream
-                              : error_kind::upstream_crashed;
-        bool const is_crash = !is_unreached;
+        bool const is_crash =
+            !is_unreached && e.kind != error_kind::answer_corrupt;
+        if (is_unreached)
+            e.kind = error_kind::no_upstream;
+        else if (is_crash)
+            e.kind = error_kind::upstream_crashed;
         if (is_crash)
             note_crash();
         fail_attempt(a, e, is_crash);
--- a/src/http_client/http_client.cpp
+++ b/src/http_client/http_client.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cctype>
+#include <charconv>
 #include <curl/curl.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -26,6 +27,7 @@
     http_client::data_handler on_data;
     bool is_too_large = false;
     bool is_stopped = false;
+    std::string_view invalid_part; // of the answer; static text
 
     transfer() = default;
     transfer(transfer const&) = delete;
@@ -68,22 +70,70 @@
     return n;
 }
 
+// Range of valid statuses (RFC 9110, 15). libcurl takes any from 100 on.
+constexpr int min_status = 100;
+constexpr int max_status = 599;
+
+// Whether a line of the head has a valid status, such as "HTTP/1.1 200 OK".
+bool has_valid_status(std::string_view line)
+{
+    std::size_t const blank = line.find(' ');
+    if (blank == std::string_view::npos)
+        return false;
+    int status = 0;
+    std::from_chars(line.data() + blank + 1, line.data() + line.size(), status);
+    return status >= min_status && status <= max_status;
+}
+
+// Whether it is a token, as names of fields are (RFC 9110, 5.6.2).
+bool is_token(std::string_view text)
+{
+    static constexpr std::string_view marks = "!#$%&'*+-.^_`|~";
+    return !text.empty() && std::all_of(
+                                text.begin(), text.end(),
+                                [](unsigned char c)
+                                {
+                                    return (c >= 'a' && c <= 'z') ||
+                                           (c >= 'A' && c <= 'Z') ||
+                                           (c >= '0' && c <= '9') ||
+                                           marks.find(static_cast<char>(c)) !=
+                                               std::string_view::npos;
+                                });
+}
+
+std::string_view trimmed(std::string_view text)
+{
+    auto is_space = [](char c)
+    { return std::isspace(static_cast<unsigned char>(c)) != 0; };
+    while (!text.empty() && is_space(text.front()))
+        text.remove_prefix(1);
+    while (!text.empty() && is_space(text.back()))
+        text.remove_suffix(1);
+    return text;
+}
+
+// Takes a line of a head. Sets `invalid_part` if it is none by the protocol.
 void take_header_line(transfer& t, std::string_view line)
 {
-    std::size_t const colon = line.find(':');
-    if (colon == std::string_view::npos)
+    if (line.starts_with("HTTP/"))
+    {
+        if (!has_valid_status(line))
+            t.invalid_part = "status";
+        return;
+    }
+    if (trimmed(line).empty())
         return;
+    std::size_t const colon = line.find(':');
     std::string name(line.substr(0, colon));
+    if (colon == std::string_view::npos || !is_token(name))
+    {
+        t.invalid_part = "header";
+        return;
+    }
     std::transform(
         name.begin(), name.end(), name.begin(),
         [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
-    line.remove_prefix(colon + 1);
-    while (!line.empty() && std::isspace(static_cast<unsigned char>(line[0])))
-        line.remove_prefix(1);
-    while (!line.empty() &&
-           std::isspace(static_cast<unsigned char>(line.back())))
-        line.remove_suffix(1);
-    t.reply.headers[std::move(name)] = line;
+    t.reply.headers[std::move(name)] = trimmed(line.substr(colon + 1));
 }
 
 // An exception must not pass through libcurl; the call ends with an error.
@@ -103,7 +153,15 @@
         [&] {
             take_header_line(t, {data, n});
         });
-    return is_taken ? n : 0;
+    return is_taken && t.invalid_part.empty() ? n : 0;
+}
+
+// Whether libcurl found the answer to be none by the protocol.
+bool is_corrupt(CURLcode code)
+{
+    return code == CURLE_WEIRD_SERVER_REPLY ||
+           code == CURLE_UNSUPPORTED_PROTOCOL ||
+           code == CURLE_BAD_CONTENT_ENCODING;
 }
 
 result<http_reply> outcome(transfer& t, CURLcode code)
@@ -115,6 +173,12 @@
         t.reply.status = static_cast<int>(status);
         return std::move(t.reply);
     }
+    if (!t.invalid_part.empty())
+        return fail(
+            error_kind::answer_corrupt,
+            "the response has an invalid " + std::string(t.invalid_part));
+    if (is_corrupt(code))
+        return fail(error_kind::answer_corrupt, curl_easy_strerror(code));
     if (t.is_too_large)
         return fail(error_kind::body_too_large, "the response is too long");
     if (t.is_stopped)
--- /dev/null
+++ b/src/http_client/http_client_answer_test.cpp
@@ -0,0 +1,92 @@
+// Answers that are none by the protocol, or not whole.
+#include "event_loop/event_loop.hpp"
+#include "http_client/http_client.hpp"
+#include "http_client/http_client_test_support.hpp"
+
+#include <catch2/catch.hpp>
+#include <string>
+
+using namespace marjorambeam;
+using namespace marjorambeam::test;
+
+namespace
+{
+
+struct call_result
+{
+    result<http_reply> reply;
+    std::string streamed; // what a data handler was given
+};
+
+call_result call(ev::loop_ref loop, std::string const& url, std::string body)
+{
+    http_client client(loop);
+    call_result r{.reply = fail(error_kind::internal, "no reply")};
+    client.send(
+        {.method = "POST",
+         .url = url,
+         .body = std::move(body),
+         .timeout = std::chrono::seconds(3)},
+        [&](result<http_reply> reply)
+        {
+            r.reply = std::move(reply);
+            loop.break_loop(ev::ALL);
+        },
+        [&](int, std::string_view bytes)
+        {
+            r.streamed += bytes;
+            return true;
+        });
+    loop.run();
+    return r;
+}
+
+call_result
+answer_to_call(std::string const& answer, std::string const& body = "b")
+{
+    ev::dynamic_loop loop;
+    raw_server const server(loop, raw_server::answering(answer));
+    return call(loop, server.url(), body);
+}
+
+} // namespace
+
+// Guards against an answer whose status is none being taken for a success.
+TEST_CASE("a call fails when the status of its answer is none")
+{
+    std::string const status =
+        GENERATE(as<std::string>{}, "000", "001", "099", "600", "999");
+    CAPTURE(status);
+    call_result const r = answer_to_call(
+        "HTTP/1.1 " + status + " X\r\nContent-Length: 2\r\n\r\nok");
+    REQUIRE_FALSE(r.reply);
+    CHECK(r.reply.error().kind == error_kind::answer_corrupt);
+    CHECK(r.streamed.empty());
+}
+
+// Guards against a head that is taken with a line that names no field.
+TEST_CASE("a call fails when the head of its answer has a malformed field")
+{
+    std::string const field = GENERATE(
+        as<std::string>{}, "X Odd: 1", "X\tOdd: 1", "X\x01Odd: 1",
+        "X\x7fOdd: 1", "X-Odd : 1", ": 1", "X-Odd", "Content Length: 1",
+        "Content-Length : 1", "X(Odd): 1");
+    CAPTURE(field);
+    call_result const r = answer_to_call(
+        "HTTP/1.1 200 OK\r\n" + field + "\r\nContent-Length: 2\r\n\r\nok");
+    REQUIRE_FALSE(r.reply);
+    CHECK(r.streamed.empty());
+}
+
+// Guards against a body that was never decoded.
+TEST_CASE("a call fails when its answer has an unknown transfer coding")
+{
+    std::string const coding =
+        GENERATE(as<std::string>{}, "gzip, chunked", "xchunked", "chunked, x");
+    CAPTURE(coding);
+    call_result const r = answer_to_call(
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: " + coding +
+        "\r\n\r\n2\r\nok\r\n0\r\n\r\n");
+    CHECK_FALSE(r.reply);
+    CHECK(r.streamed.empty());
+}
