Take the headers of an answer from its final head only

What callers saw: nothing reported. The headers of an interim answer and of a trailer counted as those of the answer, so that a content type, a time to come back or an era of the store could be one that the answer does not have.

Cause: libcurl hands all lines to one function, and http_client kept them all.

Change: a status line drops the headers before it, and what follows the end of the head is no header.

Evidence: "only the final head gives an answer its headers" failed before in four of its six checks and passes.

--- a/src/http_client/http_client.cpp
+++ b/src/http_client/http_client.cpp
@@ -27,6 +27,7 @@
     http_client::data_handler on_data;
     bool is_too_large = false;
     bool is_stopped = false;
+    bool is_head_done = false;     // what follows is the body, or a trailer
     std::string_view invalid_part; // of the answer; static text
 
     transfer() = default;
@@ -112,17 +113,25 @@
     return text;
 }
 
-// Takes a line of a head. Sets `invalid_part` if it is none by the protocol.
+// Takes a line of a head, of an interim answer's too, or of a trailer. Sets
+// `invalid_part` if it is none by the protocol.
 void take_header_line(transfer& t, std::string_view line)
 {
     if (line.starts_with("HTTP/"))
     {
+        t.reply.headers.clear(); // those of an interim answer
+        t.is_head_done = false;
         if (!has_valid_status(line))
             t.invalid_part = "status";
         return;
     }
+    if (t.is_head_done)
+        return;
     if (trimmed(line).empty())
+    {
+        t.is_head_done = true;
         return;
+    }
     std::size_t const colon = line.find(':');
     std::string name(line.substr(0, colon));
     if (colon == std::string_view::npos || !is_token(name))
--- a/src/http_client/http_client.hpp
+++ b/src/http_client/http_client.hpp
@@ -41,7 +41,8 @@
     bool use_fresh_connection = false;
 };
 
-// A complete response. Header names are in lower case.
+// A complete response. Header names are in lower case; those of interim
+// responses and trailers are left out.
 struct http_reply
 {
     int status = 0;
--- a/src/http_client/http_client_answer_test.cpp
+++ b/src/http_client/http_client_answer_test.cpp
@@ -90,3 +90,19 @@
     CHECK_FALSE(r.reply);
     CHECK(r.streamed.empty());
 }
+
+// Guards against the headers of an interim answer, or of a trailer, being taken
+// for those of the answer.
+TEST_CASE("only the final head gives an answer its headers")
+{
+    call_result const r = answer_to_call(
+        "HTTP/1.1 103 X\r\nX-Early: 1\r\nContent-Type: a\r\n\r\n"
+        "HTTP/1.1 200 OK\r\nX-Own: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "2\r\nok\r\n0\r\nX-Own: 2\r\nX-Late: 1\r\n\r\n");
+    REQUIRE(r.reply);
+    CHECK(r.streamed == "ok");
+    CHECK_FALSE(r.reply->headers.contains("x-early"));
+    CHECK_FALSE(r.reply->headers.contains("content-type"));
+    CHECK_FALSE(r.reply->headers.contains("x-late"));
+    CHECK(r.reply->headers.at("x-own") == "1");
+}
