Fail a call whose answer ends before its request was sent

The part of an answer without a length that an upstream sends before it ends its side during the upload was a whole answer to marjorambeam-agent.

Cause: libcurl takes the end of the connection for the end of such a body, stops sending and reports success.

Change: http_client reports connection_lost, with run state unknown, if the body had no other end and libcurl has not sent all of the request.

Evidence: "an answer without a length fails when the upload is cut" failed before for 400 kB, 1 MB and 16 MB where the upstream ended its side first, and passes, five times in a row; a reset alone was an error before.

Left: libcurl does not go on with the upload after such an end, so that an upstream that would read the rest fails too; and what the kernel had taken, but the upstream had not, counts as sent.

--- a/src/http_client/http_client.cpp
+++ b/src/http_client/http_client.cpp
@@ -9,6 +9,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
+#include <utility>
 
 namespace marjorambeam
 {
@@ -173,8 +174,23 @@
            code == CURLE_BAD_CONTENT_ENCODING;
 }
 
+// Whether the body ended with its connection, and that before all of the
+// request was sent. libcurl takes such a body to be whole.
+bool is_cut_by_end(transfer const& t)
+{
+    bool const has_end = t.reply.headers.contains("content-length") ||
+                         t.reply.headers.contains("transfer-encoding");
+    curl_off_t sent = 0;
+    curl_easy_getinfo(t.easy, CURLINFO_SIZE_UPLOAD_T, &sent);
+    return !has_end && std::cmp_less(sent, t.call.body.size());
+}
+
 result<http_reply> outcome(transfer& t, CURLcode code)
 {
+    if (code == CURLE_OK && is_cut_by_end(t))
+        return fail(
+            error_kind::connection_lost,
+            "the connection ended before all of the request was sent");
     if (code == CURLE_OK)
     {
         long status = 0;
--- a/src/http_client/http_client_answer_test.cpp
+++ b/src/http_client/http_client_answer_test.cpp
@@ -4,10 +4,12 @@
 #include "http_client/http_client_test_support.hpp"
 
 #include <catch2/catch.hpp>
+#include <optional>
 #include <string>
 
 using namespace marjorambeam;
 using namespace marjorambeam::test;
+using std::chrono::milliseconds;
 
 namespace
 {
@@ -106,3 +108,27 @@
     CHECK_FALSE(r.reply->headers.contains("x-late"));
     CHECK(r.reply->headers.at("x-own") == "1");
 }
+
+// Guards against a part of an answer that looks whole: the server ends the
+// connection while the request is being sent.
+TEST_CASE("an answer without a length fails when the upload is cut")
+{
+    std::size_t const bytes = GENERATE(400'000U, 1'000'000U, 16'000'000U);
+    bool const ends_first = GENERATE(true, false);
+    CAPTURE(bytes, ends_first);
+    ev::dynamic_loop loop;
+    std::optional<loop_timer> timer;
+    raw_server server(
+        loop,
+        [&](tcp_stream& s)
+        {
+            s.send("HTTP/1.1 200 OK\r\n\r\npart");
+            if (ends_first)
+                s.close_after_output();
+            timer.emplace(loop, [&s] { s.close(); });
+            timer->start(milliseconds(100));
+        });
+    call_result const r = call(loop, server.url(), std::string(bytes, 'b'));
+    REQUIRE_FALSE(r.reply);
+    CHECK(r.reply.error().run == run_state::unknown);
+}
