Take an upstream for sound only if it keeps a connection open

What callers saw: with real processes, a request was passed on to servers long after it had crashed its third one (BUDGET).

Cause, the one that real processes show here: a process that ends closes its connections first and its listener some ms later, or its kernel accepts connections until then. The gateway opens a connection as soon as another has broken; that was accepted, which since ends the suspicion, and the crash was attributed to nobody.

Change: a connection that is accepted after a break must stay open for 500 ms before the suspicion ends. If it does not, the upstream is tried again; a refused connection confirms the crash, as before.

Ruled out: a later first probe, as a crash would be known later everywhere; taking each end of an accepted connection for a crash, as upstreams reset connections beyond their limit.

--- a/src/gateway/crash_evidence.hpp
+++ b/src/gateway/crash_evidence.hpp
@@ -223,11 +223,11 @@
     steady_time now);
 
 // Drops suspicions from before `begun`, when a connection was begun that the
-// incarnation has accepted: what broke their connections was no crash. Without
-// this, a later crash, as of a whole zone, would count against each of them at
-// the time of its own break, so that it would look like several crashes. An
-// upstream that restarts at its address before the connection is begun is not
-// suspected either. Not thread-safe.
+// incarnation has accepted and kept open: what broke their connections was no
+// crash. Without this, a later crash, as of a whole zone, would count against
+// each of them at the time of its own break, so that it would look like several
+// crashes. An upstream that restarts at its address before the connection is
+// begun is not suspected either. Not thread-safe.
 void record_accepted_connection(
     crash_evidence& e, std::string_view upstream, std::int64_t started_ms,
     steady_time begun);
--- a/src/gateway/quarantine_controller.cpp
+++ b/src/gateway/quarantine_controller.cpp
@@ -3,6 +3,7 @@
 #include "base/id.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace marjorambeam
@@ -16,6 +17,8 @@
 constexpr duration write_retry_delay = milliseconds(500);
 constexpr duration write_timeout = seconds(2);
 constexpr int max_removal_tries = 20;
+// An upstream whose accepted connection stays open for this long goes on.
+constexpr duration min_open_time = milliseconds(500);
 // Longest list of parts in a log line, in bytes; callers choose the ids.
 constexpr std::size_t max_logged_parts = 200;
 
@@ -63,20 +66,55 @@
          {"parts", parts_text(request)},
          {"begun", suspect.has_begun ? "yes" : "no"}});
     record_suspicion(state_.crashes, {suspect, u.id, u.started_unix_ms, now});
+    probe(upstream, u.started_unix_ms, now);
+}
+
+void quarantine_controller::probe(
+    std::shared_ptr<upstream_state> const& upstream, std::int64_t started_ms,
+    steady_time broken)
+{
     pool_.probe(
         upstream,
-        [this, id = u.id, started_ms = u.started_unix_ms,
-         now](bool is_reachable)
+        [this, u = upstream, started_ms,
+         broken](std::shared_ptr<upstream_connection> const& accepted)
         {
-            state_.counters.count(
-                "crash_probes_total", is_reachable ? "reachable" : "crashed");
-            if (is_reachable)
-                record_accepted_connection(state_.crashes, id, started_ms, now);
-            else
-                record_crash_of(id, boot_now());
+            if (accepted)
+            {
+                accepted_probes_.push_back(
+                    {u, started_ms, broken, boot_now(), accepted});
+                return;
+            }
+            state_.counters.count("crash_probes_total", "crashed");
+            record_crash_of(u->info.id, boot_now());
         });
 }
 
+// An upstream that ends may accept connections for a moment after it has broken
+// others; the kernel does so for its process until the listener is closed.
+void quarantine_controller::judge_probes(steady_time now)
+{
+    std::vector<accepted_probe> due;
+    auto const first = std::stable_partition(
+        accepted_probes_.begin(), accepted_probes_.end(),
+        [&](accepted_probe const& it)
+        { return now - it.accepted < min_open_time; });
+    std::move(first, accepted_probes_.end(), std::back_inserter(due));
+    accepted_probes_.erase(first, accepted_probes_.end());
+    for (accepted_probe const& it : due)
+    {
+        auto const c = it.connection.lock();
+        bool const is_open = c && c->is_connected();
+        if (is_open)
+        {
+            state_.counters.count("crash_probes_total", "reachable");
+            record_accepted_connection(
+                state_.crashes, it.upstream->info.id, it.started_ms, it.broken);
+        }
+        else if (now - it.broken <= crash_suspicion_ttl)
+            probe(it.upstream, it.started_ms, it.broken);
+    }
+}
+
 void quarantine_controller::record_dropped_answer(
     upstream_info const& upstream, request_traits const& traits,
     steady_time now)
@@ -194,6 +232,7 @@
 void quarantine_controller::tick(steady_time now)
 {
     expire_crashes(state_.crashes, now);
+    judge_probes(now);
     refresh(now);
     send_reports(now);
     write_entries(now);
--- a/src/gateway/quarantine_controller.hpp
+++ b/src/gateway/quarantine_controller.hpp
@@ -24,6 +24,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace marjorambeam
 {
@@ -42,8 +43,8 @@
         std::function<void(steady_time)> on_added);
 
     // Records that the upstream's connection broke before the request had been
-    // answered for long, and tries at once whether it still accepts
-    // connections.
+    // answered for long, and tries at once whether it still accepts connections
+    // and keeps them open.
     void record_broken_attempt(
         std::shared_ptr<upstream_state> const& upstream,
         crash_suspect const& suspect, gateway_request const& request,
@@ -86,6 +87,20 @@
         bool is_done = false;
     };
 
+    // A connection that an upstream has accepted after others had broken.
+    struct accepted_probe
+    {
+        std::shared_ptr<upstream_state> upstream;
+        std::int64_t started_ms = 0; // of the incarnation that was probed
+        steady_time broken{};        // the others
+        steady_time accepted{};
+        std::weak_ptr<upstream_connection> connection;
+    };
+
+    void probe(
+        std::shared_ptr<upstream_state> const& upstream,
+        std::int64_t started_ms, steady_time broken);
+    void judge_probes(steady_time now);
     void log_confirmed(std::span<crash_suspicion const> confirmed);
     void log_entry(
         log_event event, quarantine_entry const& entry,
@@ -107,6 +122,7 @@
     std::function<void(steady_time)> on_added_;
     logger log_{"quarantine"};
     std::map<quarantine_key, pending_removal> removals_;
+    std::vector<accepted_probe> accepted_probes_;
 };
 
 } // namespace marjorambeam
--- a/src/gateway/upstream_pool.cpp
+++ b/src/gateway/upstream_pool.cpp
@@ -343,7 +343,7 @@
 
 void upstream_pool::probe(
     std::shared_ptr<upstream_state> const& upstream,
-    std::function<void(bool is_reachable)> done)
+    std::function<void(std::shared_ptr<upstream_connection> const&)> done)
 {
     std::string const id = upstream->info.id;
     if (probes_.contains(id))
@@ -355,7 +355,7 @@
     {
         // Lack of a descriptor says nothing about the upstream.
         if (stream.error().kind != error_kind::queue_full)
-            done(false);
+            done(nullptr);
         return;
     }
     auto const c =
@@ -370,7 +370,7 @@
             probes_.erase(it);
             if (is_connected)
                 put_back(self, boot_now());
-            done(is_connected);
+            done(is_connected ? self : nullptr);
         });
 }
 
--- a/src/gateway/upstream_pool.hpp
+++ b/src/gateway/upstream_pool.hpp
@@ -164,12 +164,12 @@
     recycle(std::shared_ptr<upstream_connection> const& c, steady_time now);
 
     // Opens a connection, unless one is being opened by this function, and
-    // keeps it for reuse. Calls `done` once, with whether the upstream accepts
-    // connections; not if a probe is under way. Precondition: what `done`
-    // refers to outlives the pool.
+    // keeps it for reuse. Calls `done` once, with the connection that the
+    // upstream has accepted or with null; not if a probe is under way.
+    // Precondition: what `done` refers to outlives the pool.
     void probe(
         std::shared_ptr<upstream_state> const& upstream,
-        std::function<void(bool is_reachable)> done);
+        std::function<void(std::shared_ptr<upstream_connection> const&)> done);
 
     // Closes connections that exceed the idle limit, and those to upstreams
     // that are no longer listed.
