Keep the records of requests that crash upstreams beside those of crashes

Cause: the crashes of a request were counted in the records of the last 64 crashes. With more requests than that holds, the crashes of the others displaced the first crash of a request before its third one came, and those of refused requests displaced each other.

Change: the record of a request outlives those of its crashes. When the record of a crash is dropped, what counted against its requests goes on to count. Bounds: 8192 requests, as many as before, of which the oldest below the limit goes first, and an hour.

Evidence: "Requests reach the crash limit among many that crash upstreams" failed before for all of 200 requests with three crashes each and passes.

--- a/src/gateway/crash_evidence.cpp
+++ b/src/gateway/crash_evidence.cpp
@@ -99,27 +99,59 @@
         auto const r = e.requests.find(t.request);
         if (r == e.requests.end())
             continue;
+        // Without the record of the crash, its entries are those that count.
         std::erase_if(
-            r->second, [&](crash_entry const& it) { return it.crash == c.id; });
-        if (r->second.empty())
+            r->second.crashes, [&](crash_entry const& it)
+            { return it.crash == c.id && !is_suspected_of(c, it); });
+        if (r->second.crashes.empty())
             e.requests.erase(r);
     }
 }
 
-std::size_t crashes_of(crash_evidence const& e, std::uint64_t request)
+std::size_t count_crashes(crash_evidence const& e, request_record const& r)
 {
-    auto const it = e.requests.find(request);
-    if (it == e.requests.end())
-        return 0;
     return static_cast<std::size_t>(std::count_if(
-        it->second.begin(), it->second.end(),
+        r.crashes.begin(), r.crashes.end(),
         [&](crash_entry const& c)
         {
             upstream_crash const* const crash = find_crash(e, c.crash);
-            return crash != nullptr && is_suspected_of(*crash, c);
+            return crash == nullptr || is_suspected_of(*crash, c);
         }));
 }
 
+// Drops a record to make room for another: the oldest of a request that is not
+// refused, or the oldest of all.
+void drop_request_record(crash_evidence& e)
+{
+    auto const order = [](auto const& it)
+    {
+        return std::pair(
+            it.second.crashes.size() >= crash_limit, it.second.latest);
+    };
+    e.requests.erase(std::min_element(
+        e.requests.begin(), e.requests.end(),
+        [&](auto const& a, auto const& b) { return order(a) < order(b); }));
+}
+
+void add_request_crash(
+    crash_evidence& e, std::uint64_t request, crash_entry const& added,
+    steady_time at)
+{
+    if (e.requests.size() >= max_request_records &&
+        !e.requests.contains(request))
+        drop_request_record(e);
+    request_record& r = e.requests[request];
+    std::uint32_t unused = 0;
+    add_crash(r.crashes, added, unused);
+    r.latest = std::max(r.latest, at);
+}
+
+std::size_t crashes_of(crash_evidence const& e, std::uint64_t request)
+{
+    auto const it = e.requests.find(request);
+    return it == e.requests.end() ? 0 : count_crashes(e, it->second);
+}
+
 // Whether a dropped answer may have crashed the upstream at `crashed`.
 bool is_near(crash_suspicion const& it, steady_time crashed)
 {
@@ -414,8 +446,7 @@
         c->has_begun = c->has_begun || it.has_begun;
         crash_entry const added{
             .crash = crash, .has_begun = it.has_begun, .request = t.request};
-        std::uint32_t unused = 0;
-        add_crash(e.requests[t.request], added, unused);
+        add_request_crash(e, t.request, added, at);
         std::size_t const n = std::min(t.parts.size(), max_judged_parts);
         for (std::size_t i = 0; i < n; ++i)
             add_part_crash(e, t.parts[i], added, i);
@@ -484,6 +515,9 @@
 {
     while (!e.crashes.empty() && now - e.crashes.front().at > crash_record_ttl)
         drop_oldest_crash(e);
+    std::erase_if(
+        e.requests, [&](auto const& it)
+        { return now - it.second.latest > crash_record_ttl; });
 }
 
 crash_baseline
--- a/src/gateway/crash_evidence.hpp
+++ b/src/gateway/crash_evidence.hpp
@@ -74,6 +74,7 @@
 constexpr std::size_t max_suspicions = 4096;
 constexpr std::size_t max_suspects = 128; // of one crash
 constexpr std::size_t max_part_records = 16'384;
+constexpr std::size_t max_request_records = 8192;
 // Crashes within this time may have one cause, such as a power failure.
 constexpr duration common_cause_window = std::chrono::milliseconds(200);
 // Requests of this time are the baseline for how often sound ones are lost, and
@@ -126,6 +127,14 @@
     std::uint32_t survivals = 0;
 };
 
+// The crashes of one request. They outlive the records of the crashes, as a
+// request that comes seldom still counts among many that crash upstreams.
+struct request_record
+{
+    std::vector<crash_entry> crashes;
+    steady_time latest{};
+};
+
 // The crashes of requests with one part, in the order in which they became
 // known, and the answers in between.
 struct part_record
@@ -141,7 +150,7 @@
     std::deque<upstream_crash> crashes; // in the order in which they were known
     std::unordered_map<std::uint64_t, part_record> parts;
     // Crashes of each request, by its `request_traits::request`.
-    std::unordered_map<std::uint64_t, std::vector<crash_entry>> requests;
+    std::unordered_map<std::uint64_t, request_record> requests;
     std::vector<crash_suspicion> suspicions;
     // Drained by the sender of reports.
     std::vector<upstream_crash> unreported_crashes;
@@ -267,7 +276,8 @@
 // to be tried anew. Not thread-safe.
 void forget_part(crash_evidence& e, std::uint64_t part);
 
-// Drops crashes that are older than `crash_record_ttl`. Not thread-safe.
+// Drops crashes, and records of requests, that are older than
+// `crash_record_ttl`. Not thread-safe.
 void expire_crashes(crash_evidence& e, steady_time now);
 
 // How often requests were lately lost in crashes. A deadly part's own crashes
--- a/src/gateway/crash_evidence_test.cpp
+++ b/src/gateway/crash_evidence_test.cpp
@@ -111,6 +111,32 @@
     CHECK(e.requests.empty());
 }
 
+// Guards against a request that crashes upstreams for ever, as the crashes of
+// others displace the record of its own.
+TEST_CASE("Requests reach the crash limit among many that crash upstreams")
+{
+    constexpr std::uint64_t requests = 200;
+    crash_evidence e;
+    std::uint64_t crash = 0;
+    for (std::size_t round = 0; round < crash_limit; ++round)
+    {
+        for (std::uint64_t r = 1; r <= requests; ++r)
+        {
+            CHECK_FALSE(reaches_crash_limit(e, r));
+            crash_suspect const s{{.request = r}, true};
+            // One that waits is no suspect beside it.
+            crash_suspect const waiting{{.request = requests + 1}, false};
+            record_crash(e, ++crash, start + seconds(crash), {&s, 1});
+            record_crash(e, crash, start + seconds(crash), {&waiting, 1});
+        }
+    }
+    for (std::uint64_t r = 1; r <= requests; ++r)
+        CHECK(reaches_crash_limit(e, r));
+    CHECK(may_repeat(e, {.request = requests + 1}));
+    expire_crashes(e, start + seconds(crash) + 2 * crash_record_ttl);
+    CHECK(e.requests.empty());
+}
+
 // Guards against refusing harmless requests because upstreams reset connections
 // without a crash.
 TEST_CASE("A broken connection without a crash is not attributed")
@@ -257,7 +283,7 @@
     CHECK(s.e.crashes.size() <= max_crash_records);
     CHECK(s.e.crashes.back().suspects.size() == max_suspects);
     CHECK(s.e.parts.size() <= max_part_records);
-    CHECK(s.e.requests.size() <= max_crash_records * max_suspects);
+    CHECK(s.e.requests.size() <= max_request_records);
     for (std::size_t i = 0; i < max_suspicions + 10; ++i)
         record_suspicion(s.e, {{.traits = {.request = i}}, "a", 5, start});
     CHECK(s.e.suspicions.size() == max_suspicions);
