Tell gateways that start which requests are refused

Cause: a crash is reported to the gateways that are there, within a second. One that starts later knows of none of it; only parts of prompts are kept in the store.

Change: the first three live gateways by name send one that has started, by its incarnation, the requests that are refused, with the ids of their crashes and the age of the last one: three times, 512 requests at most, in a message of its own, which gateways of earlier versions count and ignore. The ids keep a crash that is reported again from counting twice.

Ruled out: sending the records of crashes again, as the answers that speak for parts would be missing from them; an entry in the store for each refused request, whose removal would be one more thing to agree on.

Left: gateways that all start at once know of nothing; each request may then crash three more upstreams.

--- a/src/gateway/crash_evidence.cpp
+++ b/src/gateway/crash_evidence.cpp
@@ -99,7 +99,6 @@
         auto const r = e.requests.find(t.request);
         if (r == e.requests.end())
             continue;
-        // Without the record of the crash, its entries are those that count.
         std::erase_if(
             r->second.crashes, [&](crash_entry const& it)
             { return it.crash == c.id && !is_suspected_of(c, it); });
@@ -108,15 +107,19 @@
     }
 }
 
+// Whether the crash counts against its request. Of those whose records were
+// dropped, the entries that count are left.
+bool counts(crash_evidence const& e, crash_entry const& it)
+{
+    upstream_crash const* const crash = find_crash(e, it.crash);
+    return crash == nullptr || is_suspected_of(*crash, it);
+}
+
 std::size_t count_crashes(crash_evidence const& e, request_record const& r)
 {
     return static_cast<std::size_t>(std::count_if(
         r.crashes.begin(), r.crashes.end(),
-        [&](crash_entry const& c)
-        {
-            upstream_crash const* const crash = find_crash(e, c.crash);
-            return crash == nullptr || is_suspected_of(*crash, c);
-        }));
+        [&](crash_entry const& it) { return counts(e, it); }));
 }
 
 // Drops a record to make room for another: the oldest of a request that is not
@@ -499,6 +502,39 @@
     return crashes_of(e, request) >= crash_limit;
 }
 
+std::vector<refused_request>
+refused_requests(crash_evidence const& e, std::size_t max)
+{
+    std::vector<refused_request> all;
+    for (auto const& [request, r] : e.requests)
+    {
+        if (count_crashes(e, r) < crash_limit)
+            continue;
+        refused_request& added =
+            all.emplace_back(refused_request{.request = request});
+        added.latest = r.latest;
+        for (crash_entry const& it : r.crashes)
+        {
+            if (counts(e, it) && added.crashes.size() < crash_limit)
+                added.crashes.push_back(it.crash);
+        }
+    }
+    std::sort(
+        all.begin(), all.end(),
+        [](refused_request const& a, refused_request const& b)
+        { return a.latest > b.latest; });
+    all.resize(std::min(all.size(), max));
+    return all;
+}
+
+void record_refused_request(crash_evidence& e, refused_request const& r)
+{
+    for (std::uint64_t const it : r.crashes)
+        add_request_crash(
+            e, r.request,
+            {.crash = it, .has_begun = true, .request = r.request}, r.latest);
+}
+
 void forget_part(crash_evidence& e, std::uint64_t part)
 {
     e.parts.erase(part);
--- a/src/gateway/crash_evidence.hpp
+++ b/src/gateway/crash_evidence.hpp
@@ -272,6 +272,22 @@
 bool may_repeat(crash_evidence const& e, request_traits const& traits);
 bool reaches_crash_limit(crash_evidence const& e, std::uint64_t request);
 
+// A request that is refused because of its crashes.
+struct refused_request
+{
+    std::uint64_t request = 0;
+    std::vector<std::uint64_t> crashes; // ids of those that count
+    steady_time latest{};               // of the last one
+};
+
+// Returns the refused requests, those with the latest crashes first, `max` at
+// most. Not thread-safe.
+std::vector<refused_request>
+refused_requests(crash_evidence const& e, std::size_t max);
+
+// Records a refused request that another gateway knows of. Not thread-safe.
+void record_refused_request(crash_evidence& e, refused_request const& r);
+
 // Drops all evidence against the part, because it has been proven sound or is
 // to be tried anew. Not thread-safe.
 void forget_part(crash_evidence& e, std::uint64_t part);
--- a/src/gateway/crash_sharing.cpp
+++ b/src/gateway/crash_sharing.cpp
@@ -21,6 +21,8 @@
 constexpr std::size_t suspect_bytes = 25; // without its parts
 constexpr std::size_t part_bytes = 8;
 constexpr std::size_t survivals_bytes = 12;
+constexpr std::size_t refusal_bytes = 24 + 8 * crash_limit;
+constexpr std::size_t refusals_per_report = max_report_bytes / refusal_bytes;
 // A report of a crash that is older was delayed and says nothing of its time.
 constexpr std::int64_t max_report_age_ms = 60'000;
 
@@ -211,6 +213,71 @@
     return applied;
 }
 
+std::vector<refusal_report>
+due_refusal_reports(gateway_state const& s, gateway_peer& to, steady_time now)
+{
+    if (to.told_incarnation_id != to.incarnation_id)
+    {
+        to.told_incarnation_id = to.incarnation_id;
+        to.refusal_sends_left =
+            rank_of(s, now) < refusal_senders ? sends_per_crash : 0;
+        to.next_refusal_send = now;
+    }
+    if (to.refusal_sends_left == 0 || now < to.next_refusal_send)
+        return {};
+    --to.refusal_sends_left;
+    to.next_refusal_send = now + crash_resend_period;
+    std::vector<refusal_report> reports;
+    for (refused_request const& it :
+         refused_requests(s.crashes, max_told_refusals))
+    {
+        bool const has_room =
+            !reports.empty() &&
+            reports.back().refused.size() < refusals_per_report;
+        refusal_report& r = has_room ? reports.back() : reports.emplace_back();
+        r.sender = s.settings.instance;
+        auto const age =
+            std::chrono::duration_cast<milliseconds>(now - it.latest);
+        r.refused.push_back({it.request, it.crashes, age.count()});
+    }
+    return reports;
+}
+
+bool apply_refusal_report(
+    gateway_state& s, refusal_report const& r, steady_time now)
+{
+    if (!s.peers.contains(r.sender))
+        return false;
+    constexpr std::int64_t max_age_ms =
+        std::chrono::duration_cast<milliseconds>(crash_record_ttl).count();
+    for (reported_refusal const& it : r.refused)
+    {
+        auto const age =
+            milliseconds(std::clamp<std::int64_t>(it.age_ms, 0, max_age_ms));
+        record_refused_request(s.crashes, {it.request, it.crashes, now - age});
+    }
+    return true;
+}
+
+peer_call to_call(refusal_report const& r)
+{
+    return {.name = std::string(refusal_report_call), .body = encode_value(r)};
+}
+
+result<refusal_report> decode_refusal_report(peer_call const& call)
+{
+    result<refusal_report> r =
+        decode_value<refusal_report>(call.body, trailing_bytes::ignored);
+    bool const is_valid = r && std::all_of(
+                                   r->refused.begin(), r->refused.end(),
+                                   [](reported_refusal const& it) {
+                                       return it.crashes.size() <= crash_limit;
+                                   });
+    if (r && !is_valid)
+        return fail(error_kind::frame_corrupt, "too many crashes of a request");
+    return r;
+}
+
 peer_call to_call(crash_report const& r)
 {
     return {.name = std::string(crash_report_call), .body = encode_value(r)};
--- a/src/gateway/crash_sharing.hpp
+++ b/src/gateway/crash_sharing.hpp
@@ -80,6 +80,41 @@
     }
 };
 
+// Name of the peer_call that carries a refusal_report.
+constexpr std::string_view refusal_report_call = "refusal_report_1";
+
+struct reported_refusal
+{
+    std::uint64_t request = 0; // the fields of refused_request
+    std::vector<std::uint64_t> crashes;
+    std::int64_t age_ms = 0; // since the last crash
+
+    template <class Archive>
+    void serialize(Archive& ar)
+    {
+        ar(request, crashes, age_ms);
+    }
+};
+
+// Requests that are refused because of their crashes, for a gateway that has
+// started since.
+struct refusal_report
+{
+    std::string sender;
+    std::vector<reported_refusal> refused;
+
+    template <class Archive>
+    void serialize(Archive& ar)
+    {
+        ar(sender, refused);
+    }
+};
+
+// Refused requests that a gateway is told of, at most.
+constexpr std::size_t max_told_refusals = 512;
+// Gateways that tell another one.
+constexpr int refusal_senders = 3;
+
 // A crash is reported so often, against loss, with this time in between.
 constexpr int sends_per_crash = 3;
 constexpr duration crash_resend_period = std::chrono::milliseconds(300);
@@ -121,6 +156,24 @@
 applied_crash_report
 apply_crash_report(gateway_state& s, crash_report const& r, steady_time now);
 
+// Returns the reports to send at `now` to another gateway, if it has started
+// since it was sent some and this gateway is one of those that tell it: a
+// request that crashes upstreams comes again at any gateway, and one that has
+// started knows nothing of it. Not thread-safe.
+std::vector<refusal_report>
+due_refusal_reports(gateway_state const& s, gateway_peer& to, steady_time now);
+
+// Applies another gateway's report. Returns whether its sender is known. Not
+// thread-safe.
+bool apply_refusal_report(
+    gateway_state& s, refusal_report const& r, steady_time now);
+
+// Encodes a report for a datagram. Thread-safe.
+peer_call to_call(refusal_report const& r);
+// Errors: frame_corrupt. Precondition: the call is a refusal_report_call.
+// Thread-safe.
+result<refusal_report> decode_refusal_report(peer_call const& call);
+
 // Encodes a report for a datagram. Thread-safe.
 peer_call to_call(crash_report const& r);
 // Errors: frame_corrupt. Precondition: the call is a crash_report_call.
--- a/src/gateway/crash_sharing_test.cpp
+++ b/src/gateway/crash_sharing_test.cpp
@@ -153,3 +153,61 @@
     e.is_stored = true;
     CHECK_FALSE(is_turn_to_store(b, e, settled + seconds(9)));
 }
+
+// Guards against a request that is passed on again by each gateway that has
+// started after it was refused elsewhere.
+TEST_CASE("A gateway that has started is told which requests are refused")
+{
+    constexpr std::uint64_t refused = 600;
+    gateway_state a = state_of("a", "b");
+    gateway_state b = state_of("b", "a");
+    std::uint64_t crash = 0;
+    for (std::uint64_t r = 1; r <= refused + 1; ++r)
+    {
+        bool const is_refused = r <= refused;
+        for (std::size_t i = 0; i < (is_refused ? crash_limit : 1); ++i)
+        {
+            crash_suspect const s{{.request = r}, true};
+            record_crash(a.crashes, ++crash, now - seconds(9), {&s, 1});
+        }
+    }
+    gateway_peer& to = a.peers["b"];
+    CHECK(due_refusal_reports(a, to, now).empty()); // not heard of yet
+    to.incarnation_id = 8;
+    std::vector<refusal_report> const sent = due_refusal_reports(a, to, now);
+    CHECK(due_refusal_reports(a, to, now).empty());
+    CHECK(due_refusal_reports(a, to, now + crash_resend_period).size() > 1);
+    std::size_t told = 0;
+    for (refusal_report const& it : sent)
+    {
+        peer_call const call = to_call(it);
+        CHECK(call.body.size() < 1200);
+        result<refusal_report> const r = decode_refusal_report(call);
+        REQUIRE(r);
+        CHECK(apply_refusal_report(b, *r, now));
+        CHECK(apply_refusal_report(b, *r, now)); // adds nothing
+        for (reported_refusal const& refusal : r->refused)
+            CHECK(reaches_crash_limit(b.crashes, refusal.request));
+        told += r->refused.size();
+    }
+    CHECK(told == max_told_refusals);
+    CHECK(b.crashes.requests.size() == max_told_refusals);
+    CHECK_FALSE(b.crashes.requests.contains(refused + 1));
+    expire_crashes(b.crashes, now + crash_record_ttl);
+    CHECK(b.crashes.requests.empty());
+}
+
+// Guards against corrupt or foreign datagrams, and against records of any size.
+TEST_CASE("A report of refused requests that can't be read is an error")
+{
+    reported_refusal r{.request = 1, .crashes = {1, 2, 3}, .age_ms = -5};
+    peer_call call = to_call(refusal_report{"b", {r}});
+    REQUIRE(decode_refusal_report(call));
+    call.body.resize(call.body.size() / 2);
+    CHECK_FALSE(decode_refusal_report(call));
+    r.crashes.resize(crash_limit + 1);
+    CHECK_FALSE(decode_refusal_report(to_call(refusal_report{"b", {r}})));
+    gateway_state s = state_of("a", "b");
+    CHECK_FALSE(apply_refusal_report(s, {"stranger", {r}}, now));
+    CHECK(s.crashes.requests.empty());
+}
--- a/src/gateway/gateway_state.hpp
+++ b/src/gateway/gateway_state.hpp
@@ -126,6 +126,11 @@
     // Process and number of its latest crash report.
     incarnation crash_incarnation_id = 0;
     std::uint64_t crash_sequence = 0;
+    // Process that was told which requests are refused, see
+    // due_refusal_reports().
+    incarnation told_incarnation_id = 0;
+    int refusal_sends_left = 0;
+    steady_time next_refusal_send{};
 };
 
 // The gateways among which limits are shared, see refresh_limit_shares().
--- a/src/gateway/quarantine_controller.cpp
+++ b/src/gateway/quarantine_controller.cpp
@@ -201,10 +201,30 @@
         for (auto const& [name, p] : state_.peers)
             peers_.send(p.address, m);
     }
+    for (auto& [name, p] : state_.peers)
+    {
+        for (refusal_report const& it : due_refusal_reports(state_, p, now))
+            peers_.send(p.address, to_call(it));
+    }
+}
+
+void quarantine_controller::on_refusal_report(
+    peer_call const& call, steady_time now)
+{
+    result<refusal_report> const r = decode_refusal_report(call);
+    if (r && apply_refusal_report(state_, *r, now))
+        state_.counters.count("refusal_reports_total");
+    else
+        state_.counters.count("bad_datagrams_total", "refusal report");
 }
 
 bool quarantine_controller::on_message(peer_call const& call, steady_time now)
 {
+    if (call.name == refusal_report_call)
+    {
+        on_refusal_report(call, now);
+        return true;
+    }
     if (call.name != crash_report_call)
         return false;
     result<crash_report> const r = decode_crash_report(call);
--- a/src/gateway/quarantine_controller.hpp
+++ b/src/gateway/quarantine_controller.hpp
@@ -106,6 +106,7 @@
         log_event event, quarantine_entry const& entry,
         std::string_view reason);
     void send_reports(steady_time now);
+    void on_refusal_report(peer_call const& call, steady_time now);
     void write_entries(steady_time now);
     void release(quarantine_key const& key, std::string_view reason);
     void remove(quarantine_entry const& entry, steady_time now);
