Say of a call with a corrupt answer that it may have run

A write to the store whose answer is none by the protocol was reported as run, so that its effect was taken for granted instead of read back.

Cause: http_client gave answer_corrupt the run state of the table of errors, which is that of an upstream's answer; the three statuses that libcurl refuses by itself were unknown before.

Change: the run state is unknown, as the contract of the object store has it for all that is neither refused nor answered.

--- a/src/http_client/http_client.cpp
+++ b/src/http_client/http_client.cpp
@@ -174,6 +174,14 @@
            code == CURLE_BAD_CONTENT_ENCODING;
 }
 
+// What is no answer does not tell whether the request has run.
+tl::unexpected<error> corrupt(std::string message)
+{
+    error e = make_error(error_kind::answer_corrupt, std::move(message));
+    e.run = run_state::unknown;
+    return tl::unexpected<error>(std::move(e));
+}
+
 // Whether the body ended with its connection, and that before all of the
 // request was sent. libcurl takes such a body to be whole.
 bool is_cut_by_end(transfer const& t)
@@ -199,11 +207,10 @@
         return std::move(t.reply);
     }
     if (!t.invalid_part.empty())
-        return fail(
-            error_kind::answer_corrupt,
+        return corrupt(
             "the response has an invalid " + std::string(t.invalid_part));
     if (is_corrupt(code))
-        return fail(error_kind::answer_corrupt, curl_easy_strerror(code));
+        return corrupt(curl_easy_strerror(code));
     if (t.is_too_large)
         return fail(error_kind::body_too_large, "the response is too long");
     if (t.is_stopped)
--- a/src/http_client/http_client.hpp
+++ b/src/http_client/http_client.hpp
@@ -56,9 +56,9 @@
 public:
     using call_id = std::uint64_t;
     // Errors: connection_lost with run state `not_run` when no connection was
-    // made, else `unknown`; upstream_silent on a timeout; answer_corrupt when
-    // the response is none by the protocol; body_too_large when it is over the
-    // limit.
+    // made, else `unknown`; upstream_silent on a timeout; answer_corrupt, with
+    // run state `unknown`, when the response is none by the protocol;
+    // body_too_large when it is over the limit.
     using done_handler = std::function<void(result<http_reply>)>;
     // Receives the body in pieces, with the status; returning false ends the
     // call with `cancelled`.
--- a/src/http_client/http_client_answer_test.cpp
+++ b/src/http_client/http_client_answer_test.cpp
@@ -63,6 +63,7 @@
         "HTTP/1.1 " + status + " X\r\nContent-Length: 2\r\n\r\nok");
     REQUIRE_FALSE(r.reply);
     CHECK(r.reply.error().kind == error_kind::answer_corrupt);
+    CHECK(r.reply.error().run == run_state::unknown);
     CHECK(r.streamed.empty());
 }
 
