--- a/src/http_client/http_client_test_support.hpp
+++ b/src/http_client/http_client_test_support.hpp
@@ -32,7 +32,8 @@
     raw_server(ev::loop_ref loop, script answer)
         : listener_(
               loop, "127.0.0.1:0", {},
-              [this, answer = std::move(answer)](std::shared_ptr<tcp_stream> s)
+              [this,
+               answer = std::move(answer)](std::shared_ptr<tcp_stream> const& s)
               {
                   streams_.push_back(s);
                   s->on_data(
