Say after which name a list can't go on

"A list of servers without end" did not tell what was wrong: the message names the kind and the name after which no page brought the list forward. Nothing else is changed.

--- a/src/gateway/object_watch.cpp
+++ b/src/gateway/object_watch.cpp
@@ -267,9 +267,11 @@
         goes_on ? name_to_continue_after(*objects) : std::string();
     if (goes_on && next_after.empty())
     {
+        error const why = make_error(
+            error_kind::answer_corrupt,
+            "the list of " + kind_ + " can't go on after \"" + after_ + "\"");
         reset_list();
-        retry(make_error(
-            error_kind::answer_corrupt, "a list of " + kind_ + " without end"));
+        retry(why);
         return;
     }
     if (!objects->has_more)
