--- a/review/standins2/cases.cpp
+++ b/review/standins2/cases.cpp
@@ -995,7 +995,7 @@
     if (name == "crash-at-start")
         deadly_request(
             {.moment = crash_moment::at_start,
-             .tags_per_s = 60,
+             .tags_per_s = 100,
              .seconds = 45});
     if (name == "status-lookups")
         status_lookups();
