--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -6,4 +6,4 @@
 cd "$(dirname "$0")/.."
 mkdir -p target/review2
 g++ -std=c++20 -O2 -Wall -Wextra -pthread -o target/review2/standins \
-    review/standins2/standins.cpp review/standins2/cases.cpp
+    review/standins2/standins.cc review/standins2/cases.cc
--- a/review/standins2/cases.cpp
+++ b/review/standins2/cases.cc
@@ -1,7 +1,7 @@
 // The cases of the second review. Each starts gateways as processes among
 // stand-ins, judges one rule and leaves with 1 if it was broken, 0 if it held
 // and 2 if the case couldn't run.
-#include "standins.hpp"
+#include "standins.h"
 
 #include <algorithm>
 #include <csignal>
@@ -150,7 +150,7 @@
 [[noreturn]] void late_refusals()
 {
     constexpr int worker_count = 4;
-    constexpr int garbling = 2;       // share 0.5
+    constexpr int garbling = 2; // share 0.5
     constexpr double extra_part = 0.03;
     constexpr int slots = 6;
     constexpr int queue = 4;
@@ -182,8 +182,9 @@
         bool const is_mine = m.header("Expected-Instance") == w.id();
         std::string answer;
         if (!is_mine)
-            answer = "HTTP/1.1 421 Misdirected Request\r\nInstance-Id: " +
-                     w.id() + "\r\nContent-Length: 0\r\n\r\n";
+            answer =
+                "HTTP/1.1 421 Misdirected Request\r\nInstance-Id: " + w.id() +
+                "\r\nContent-Length: 0\r\n\r\n";
         else if (!take_slot(w, queue, c))
         {
             ++refusals;
@@ -205,8 +206,9 @@
             std::string const body = "done " + id;
             answer = "HTTP/1.1 200 OK\r\nAttempt-Id: " + id +
                      "\r\nServer-Signature: s." + id +
-                     "\r\nServer-Load: " + load_of(w) + "\r\nContent-Length: " +
-                     std::to_string(body.size()) + "\r\n\r\n" + body;
+                     "\r\nServer-Load: " + load_of(w) +
+                     "\r\nContent-Length: " + std::to_string(body.size()) +
+                     "\r\n\r\n" + body;
         }
         bool const is_garbled =
             has_trouble() && garblers.contains(&w) && draw(1) < extra_part;
@@ -225,8 +227,8 @@
     for (int i = 0; i < worker_count; ++i)
     {
         workers.push_back(std::make_unique<worker>(
-            s, loopback(101 + i), "control",
-            zones[static_cast<std::size_t>(i)], slots, serve));
+            s, loopback(101 + i), "control", zones[static_cast<std::size_t>(i)],
+            slots, serve));
         if (i < garbling)
             garblers.insert(workers.back().get());
     }
@@ -305,8 +307,8 @@
         std::to_string(sent) + " sent, " + std::to_string(served) +
         " served, " + std::to_string(refusals) + " refusals by workers, " +
         std::to_string(copies) + " answers with a late second copy, " +
-        std::to_string(refusal_copies) + " of them refusals; ran twice: " +
-        std::to_string(twice) +
+        std::to_string(refusal_copies) +
+        " of them refusals; ran twice: " + std::to_string(twice) +
         ", answered \"not run\" and ran: " + std::to_string(refused_and_run);
     if (served < 100)
         finish(2, text);
@@ -353,11 +355,11 @@
             return false;
         if (!before_event(i))
             return false;
-        if (i == first_event &&
-            !c->write("HTTP/1.1 200 OK\r\nAttempt-Id: " + id +
-                      "\r\nServer-Signature: s." + id +
-                      "\r\nContent-Type: text/event-stream\r\n"
-                      "Transfer-Encoding: chunked\r\n\r\n"))
+        if (i == first_event && !c->write(
+                                    "HTTP/1.1 200 OK\r\nAttempt-Id: " + id +
+                                    "\r\nServer-Signature: s." + id +
+                                    "\r\nContent-Type: text/event-stream\r\n"
+                                    "Transfer-Encoding: chunked\r\n\r\n"))
             return false;
         if (!c->write(chunk(
                 "id: " + std::to_string(i) + "\ndata: e" + std::to_string(i) +
@@ -382,7 +384,7 @@
     constexpr int deadly_gap_ms = 60;
     constexpr int crash_at_event = 10; // 0.6 s after the first
     static std::mutex mutex;
-    static std::vector<double> crashes; // by the deadly request
+    static std::vector<double> crashes;        // by the deadly request
     static std::map<std::string, double> late; // retries, by attempt
     static std::atomic<long> deadly_arrivals{0};
     static std::atomic<long> tags{0};
@@ -500,8 +502,7 @@
                 }
             });
     }
-    auto const until =
-        clock_type::now() + std::chrono::seconds(k.seconds);
+    auto const until = clock_type::now() + std::chrono::seconds(k.seconds);
     for (int i = 0; clock_type::now() < until; ++i)
     {
         std::string const id = attempt_id();
@@ -585,17 +586,18 @@
         std::string const body = "status for " + id;
         return c->write(
             "HTTP/1.1 200 OK\r\nAttempt-Id: " + id +
-            "\r\nServer-Signature: s." + id + "\r\nServer-Load: " +
-            std::to_string(w.running) + "," + std::to_string(w.waiting) + "," +
-            std::to_string(w.slots()) + "\r\nContent-Length: " +
-            std::to_string(body.size()) + "\r\n\r\n" + body);
+            "\r\nServer-Signature: s." + id +
+            "\r\nServer-Load: " + std::to_string(w.running) + "," +
+            std::to_string(w.waiting) + "," + std::to_string(w.slots()) +
+            "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+            body);
     };
     std::vector<std::string> const zones{
         "orkanger", "hitra", "frosta", "stjordal"};
     for (int i = 0; i < worker_count; ++i)
         workers.push_back(std::make_unique<worker>(
-            s, loopback(101 + i), "control",
-            zones[static_cast<std::size_t>(i)], slots, serve));
+            s, loopback(101 + i), "control", zones[static_cast<std::size_t>(i)],
+            slots, serve));
     static std::vector<std::unique_ptr<gateway>> gateways;
     for (int i = 0; i < 2; ++i)
     {
@@ -637,9 +639,8 @@
                 while (goes_on)
                 {
                     if (address.empty())
-                        address =
-                            gateways[static_cast<std::size_t>(entry)]
-                                ->frontend();
+                        address = gateways[static_cast<std::size_t>(entry)]
+                                      ->frontend();
                     std::string const id = attempt_id();
                     http_message const m = c.ask(
                         address,
@@ -689,8 +690,7 @@
     for (int i = 0; i < flaps; ++i)
     {
         if (has_trouble())
-            workers[static_cast<std::size_t>(i % worker_count)]->crash(
-                down_ms);
+            workers[static_cast<std::size_t>(i % worker_count)]->crash(down_ms);
         sleep_ms(flap_every_ms);
     }
     record.line("planned restart of " + gateways[0]->name());
@@ -772,16 +772,15 @@
         std::string const body = "status for " + id;
         return c->write(
             "HTTP/1.1 200 OK\r\nAttempt-Id: " + id +
-            "\r\nServer-Signature: s." + id + "\r\nContent-Length: " +
-            std::to_string(body.size()) + "\r\n\r\n" +
+            "\r\nServer-Signature: s." + id +
+            "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
             (m.first == "HEAD" ? "" : body));
     };
     std::vector<std::unique_ptr<worker>> workers;
     for (int i = 0; i < 4; ++i)
         workers.push_back(std::make_unique<worker>(
             s, loopback(101 + i), "control", "orkanger", 6, serve));
-    gateway g(
-        "edge-orkanger-1", loopback(2), "orkanger", s.address(), folder);
+    gateway g("edge-orkanger-1", loopback(2), "orkanger", s.address(), folder);
     g.start();
     if (!g.wait_ready(10'000))
         finish(2, "the gateway isn't ready");
@@ -809,9 +808,8 @@
         auto const c = connection::to(g.frontend());
         std::string const id = attempt_id();
         ++heads;
-        if (!c ||
-            !c->write(
-                request_text("HEAD", "/status/line-7", id, "key-1", 1500)))
+        if (!c || !c->write(request_text(
+                      "HEAD", "/status/line-7", id, "key-1", 1500)))
             continue;
         while (c->buffer().find("\r\n\r\n") == std::string::npos &&
                c->read_some(1500))
@@ -838,8 +836,8 @@
         {
             ++broken;
             record.line(
-                "BROKEN the answer to " + next + " begins with: " +
-                in.substr(0, 60));
+                "BROKEN the answer to " + next +
+                " begins with: " + in.substr(0, 60));
         }
         sleep_ms(50);
     }
@@ -900,8 +898,8 @@
     std::vector<std::unique_ptr<worker>> workers;
     for (int i = 0; i < 4; ++i)
         workers.push_back(std::make_unique<worker>(
-            s, loopback(101 + i), "control",
-            zones[static_cast<std::size_t>(i)], 6, serve));
+            s, loopback(101 + i), "control", zones[static_cast<std::size_t>(i)],
+            6, serve));
     static std::vector<std::unique_ptr<gateway>> gateways;
     for (int i = 0; i < 4; ++i)
     {
--- a/review/standins2/standins.cpp
+++ b/review/standins2/standins.cc
@@ -1,4 +1,4 @@
-#include "standins.hpp"
+#include "standins.h"
 
 #include <algorithm>
 #include <arpa/inet.h>
@@ -69,8 +69,8 @@
     {
         if (s[i] == '%' && i + 2 < s.size())
         {
-            out += static_cast<char>(
-                std::stoi(s.substr(i + 1, 2), nullptr, 16));
+            out +=
+                static_cast<char>(std::stoi(s.substr(i + 1, 2), nullptr, 16));
             i += 2;
         }
         else
@@ -181,8 +181,7 @@
 {
     while (!bytes.empty())
     {
-        ssize_t const n =
-            ::send(fd_, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+        ssize_t const n = ::send(fd_, bytes.data(), bytes.size(), MSG_NOSIGNAL);
         if (n <= 0)
             return false;
         bytes.remove_prefix(static_cast<std::size_t>(n));
@@ -229,8 +228,8 @@
     auto const until = clock_type::now() + milliseconds(timeout_ms);
     auto more = [&]
     {
-        auto const left = std::chrono::duration_cast<milliseconds>(
-            until - clock_type::now());
+        auto const left =
+            std::chrono::duration_cast<milliseconds>(until - clock_type::now());
         return read_some(static_cast<int>(std::max<long>(left.count(), 0)));
     };
     std::size_t end = 0;
@@ -277,8 +276,7 @@
                 if (!more())
                     return true;
             }
-            std::size_t const n =
-                std::strtoul(buffer_.c_str(), nullptr, 16);
+            std::size_t const n = std::strtoul(buffer_.c_str(), nullptr, 16);
             while (buffer_.size() < eol + 2 + n + 2)
             {
                 if (!more())
@@ -415,7 +413,8 @@
     bool is_deleted)
 {
     history_.push_back(
-        {revision_, kind,
+        {revision_,
+         kind,
          {{"deleted", is_deleted}, {"object", to_json(name, o)}}});
     changed_.notify_all();
 }
@@ -485,8 +484,7 @@
     std::string rest = path.substr(root.size());
     std::size_t const slash = rest.find('/');
     std::string const kind = rest.substr(0, slash);
-    std::string name =
-        slash == std::string::npos ? "" : rest.substr(slash + 1);
+    std::string name = slash == std::string::npos ? "" : rest.substr(slash + 1);
     bool const is_status =
         name.size() > 7 && name.compare(name.size() - 7, 7, "/status") == 0;
     if (is_status)
@@ -529,8 +527,7 @@
             if (after.empty() || n > after)
                 items.push_back(to_json(n, o));
         }
-        return {
-            200, {{"items", items}, {"hasMore", false}, {"at", revision_}}};
+        return {200, {{"items", items}, {"hasMore", false}, {"at", revision_}}};
     }
     std::uint64_t const from = std::stoull(watch);
     auto const until =
@@ -715,20 +712,19 @@
           "stream", "tenants", "places", "platform", "rollout"}},
         {"faultTolerance",
          {{"machineLosses", 2}, {"zones", 1}, {"regionLosses", 0}}},
-        {"bounds",
-         {{"seedLagS", 3},           {"addressReuseS", 2},
-          {"contactMs", 3000},       {"ackTimeoutMs", 4000},
-          {"catchUpS", 4},           {"drainMs", 2000},
-          {"gracePeriodS", 8},       {"lossSlackMs", 200},
-          {"configApplyMs", 2000},   {"rollbackSlackMs", 250},
-          {"outerBoundMs", 5000},    {"revocationStrict", true},
-          {"revocationMs", 5000},    {"retryBudgetRatio", 0.9},
-          {"budgetWindowS", 10},     {"retryBudgetExtra", 54},
-          {"exposureShare", 0.15},   {"exposureTolerance", 30},
-          {"rollbackMs", 5000},      {"coldFactor", 1.5},
-          {"coldTolerance", 5},      {"evacuationMs", 5000},
-          {"recoveryS", 12},         {"passMs", 120},
-          {"reuseWindowS", 10},      {"sessionS", 5}}},
+        {"bounds", {{"seedLagS", 3},         {"addressReuseS", 2},
+                    {"contactMs", 3000},     {"ackTimeoutMs", 4000},
+                    {"catchUpS", 4},         {"drainMs", 2000},
+                    {"gracePeriodS", 8},     {"lossSlackMs", 200},
+                    {"configApplyMs", 2000}, {"rollbackSlackMs", 250},
+                    {"outerBoundMs", 5000},  {"revocationStrict", true},
+                    {"revocationMs", 5000},  {"retryBudgetRatio", 0.9},
+                    {"budgetWindowS", 10},   {"retryBudgetExtra", 54},
+                    {"exposureShare", 0.15}, {"exposureTolerance", 30},
+                    {"rollbackMs", 5000},    {"coldFactor", 1.5},
+                    {"coldTolerance", 5},    {"evacuationMs", 5000},
+                    {"recoveryS", 12},       {"passMs", 120},
+                    {"reuseWindowS", 10},    {"sessionS", 5}}},
         {"platform",
          {{"address", store_address},
           {"form", "objects"},
@@ -914,8 +910,7 @@
     std::lock_guard const lock(mutex);
     char buf[24];
     std::snprintf(
-        buf, sizeof buf, "%016llx",
-        static_cast<unsigned long long>(random()));
+        buf, sizeof buf, "%016llx", static_cast<unsigned long long>(random()));
     return buf;
 }
 
@@ -924,11 +919,11 @@
     std::string const& attempt, std::string const& key, int remaining_ms,
     std::string const& body, headers const& more)
 {
-    std::string out = method + " " + target +
-                      " HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: " + attempt +
-                      "\r\nDeadline-Remaining: " +
-                      std::to_string(remaining_ms) +
-                      "\r\nAuthorization: Bearer " + key + "\r\n";
+    std::string out =
+        method + " " + target +
+        " HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: " + attempt +
+        "\r\nDeadline-Remaining: " + std::to_string(remaining_ms) +
+        "\r\nAuthorization: Bearer " + key + "\r\n";
     for (auto const& [n, v] : more)
         out += n + ": " + v + "\r\n";
     if (method == "POST")
