Review: an evacuation that a machine misses while it is cut off from the store

Its logs show that the machine missed the relayed change as it had just become a reader, asked for it in vain and did not ask again.

--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -3,4 +3,4 @@
 # couldn't run. TROUBLE=0 runs it without the disruption.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review2/standins ] && [ -x target/bin/marjorambeam-gateway ] || exit 2
-exec target/review2/standins crash-midway review/10
+exec target/review2/standins missed-evacuation review/10
--- a/review/standins2/cases.cc
+++ b/review/standins2/cases.cc
@@ -848,6 +848,172 @@
     finish(served < 10 ? 2 : broken > 0 ? 1 : 0, text);
 }
 
+// ------------------------------------------------------------- evacuations
+
+// The store leaves one machine without answers for some seconds, twice, and a
+// zone is evacuated meanwhile. Each round takes the next machine.
+[[noreturn]] void missed_evacuation()
+{
+    constexpr int limit_ms = 1500;
+    constexpr double evacuation_s = 5.0;
+    constexpr double contact_s = 3.0;
+    static std::mutex mutex;
+    static std::map<std::string, std::string> sent_by; // gateway of an attempt
+    static std::map<std::string, int> late;            // by gateway
+    static std::map<std::string, long> runs;           // by zone
+    static std::string zone; // the one that is evacuated
+    static double acked_at = 0;
+    static double served_since = 0; // the machine is answered again
+    static std::atomic<bool> is_over{false};
+    static std::atomic<long> served{0};
+    static std::atomic<long> sent{0};
+    std::string const folder = make_temporary_folder();
+    static store s(loopback(200));
+    s.put("config", "main", make_config());
+    std::vector<std::string> const zones{
+        "orkanger", "hitra", "frosta", "stjordal"};
+    static std::map<std::string, std::string> zone_of; // of a worker's address
+    auto serve = [](worker& w, std::shared_ptr<connection> const& c,
+                    http_message const& m)
+    {
+        std::string const id = m.header("Attempt-Id");
+        if (m.header("Expected-Instance") != w.id())
+            return c->write(
+                "HTTP/1.1 421 Misdirected Request\r\nInstance-Id: " + w.id() +
+                "\r\nContent-Length: 0\r\n\r\n");
+        {
+            std::lock_guard const lock(mutex);
+            double const now = now_s();
+            bool const is_late = zone_of[w.address()] == zone &&
+                                 now > acked_at + evacuation_s &&
+                                 now > served_since + contact_s;
+            ++runs[zone_of[w.address()]];
+            if (is_late)
+                ++late[sent_by[id]];
+            record.line(
+                "run " + id + " in zone " + zone_of[w.address()] + " from " +
+                sent_by[id] + (is_late ? " BROKEN" : ""));
+        }
+        sleep_ms(15);
+        std::string const body = "data of " + id;
+        return c->write(
+            "HTTP/1.1 200 OK\r\nAttempt-Id: " + id +
+            "\r\nServer-Signature: s." + id + "\r\nContent-Length: " +
+            std::to_string(body.size()) + "\r\n\r\n" + body);
+    };
+    std::vector<std::unique_ptr<worker>> workers;
+    for (int i = 0; i < 8; ++i)
+    {
+        std::string const& z = zones[static_cast<std::size_t>(i % 4)];
+        std::lock_guard const lock(mutex);
+        workers.push_back(std::make_unique<worker>(
+            s, loopback(101 + i), "control", z, 6, serve));
+        zone_of[workers.back()->address()] = z;
+    }
+    static std::vector<std::unique_ptr<gateway>> gateways;
+    std::map<std::string, std::string> store_of; // its address, by gateway
+    for (int i = 0; i < 4; ++i)
+    {
+        std::string const& z = zones[static_cast<std::size_t>(i % 4)];
+        std::string const name = "edge-" + z + "-1";
+        store_of[name] = s.add_address(loopback(201 + i));
+        gateways.push_back(std::make_unique<gateway>(
+            name, loopback(2 + i), z, store_of[name], folder));
+        gateways.back()->start();
+    }
+    for (auto const& it : gateways)
+    {
+        if (!it->wait_ready(10'000))
+            finish(2, "a gateway isn't ready");
+    }
+    std::vector<std::thread> threads;
+    for (std::size_t i = 0; i < 12; ++i)
+    {
+        threads.emplace_back(
+            [i]
+            {
+                channel c;
+                gateway const& g = *gateways[i % gateways.size()];
+                while (!is_over)
+                {
+                    std::string const id = attempt_id();
+                    {
+                        std::lock_guard const lock(mutex);
+                        sent_by[id] = g.name();
+                    }
+                    ++sent;
+                    http_message const m = c.ask(
+                        g.frontend(),
+                        request_text(
+                            "GET", "/status/line-" + id, id, "key-1", limit_ms),
+                        limit_ms + 500);
+                    served += m.status() == 200 ? 1 : 0;
+                    if (m.status() == 503)
+                        honour_retry_after(m, limit_ms);
+                    sleep_ms(60);
+                }
+            });
+    }
+    sleep_ms(5000);
+    for (std::size_t round = 0; round < 5; ++round)
+    {
+        std::string const name = "edge-" + zones[round % 4] + "-1";
+        auto set_silent = [&](bool is_silent)
+        {
+            if (!has_trouble())
+                return;
+            s.set_silent(store_of.at(name), is_silent);
+            record.line(
+                "the store " + std::string(is_silent ? "leaves " : "answers ") +
+                name);
+        };
+        set_silent(true);
+        sleep_ms(2400);
+        set_silent(false);
+        sleep_ms(1500);
+        set_silent(true);
+        sleep_ms(1700);
+        std::string const z = zones[(round + 2) % 4];
+        s.put("evacuations", z, json::object());
+        {
+            std::lock_guard const lock(mutex);
+            zone = z;
+            acked_at = now_s();
+            served_since = acked_at + 60;
+            record.line("evacuation of " + z + " acked");
+        }
+        sleep_ms(2300);
+        set_silent(false);
+        {
+            std::lock_guard const lock(mutex);
+            served_since = now_s();
+        }
+        sleep_ms(6700);
+        {
+            std::lock_guard const lock(mutex);
+            zone.clear();
+            record.line(z + " is taken back");
+        }
+        s.erase("evacuations", z);
+        sleep_ms(2400);
+    }
+    is_over = true;
+    for (auto& it : threads)
+        it.join();
+    std::lock_guard const lock(mutex);
+    std::string text =
+        std::to_string(served) + " of " + std::to_string(sent) +
+        " served; runs in an evacuated zone later than 5 s after the ack and "
+        "3 s after the store answers the machine again:";
+    for (auto const& [name, n] : late)
+        text += " " + std::to_string(n) + " from " + name;
+    if (late.empty())
+        text += " none";
+    if (runs.size() < 4 || served < 1000)
+        finish(2, text);
+    finish(late.empty() ? 0 : 1, text);
+}
+
 // -------------------------------------------------------------- revoked keys
 
 // The operator takes the only tenant's key away, and the tenant with it, while
@@ -1001,5 +1167,7 @@
         last_tenant();
     if (name == "head-requests")
         head_requests();
+    if (name == "missed-evacuation")
+        missed_evacuation();
     return 2;
 }
--- a/review/standins2/standins.cc
+++ b/review/standins2/standins.cc
@@ -391,8 +391,24 @@
 
 store::store(std::string const& ip)
 {
-    listener_ = std::make_unique<listener>(
-        ip, 0, [this](std::shared_ptr<connection> const& c) { serve(c); });
+    add_address(ip);
+}
+
+std::string store::add_address(std::string const& ip)
+{
+    auto const is_silent = std::make_shared<std::atomic<bool>>(false);
+    listeners_.push_back(std::make_unique<listener>(
+        ip, 0,
+        [this, is_silent](std::shared_ptr<connection> const& c)
+        { serve(c, is_silent); }));
+    std::string const address = listeners_.back()->address();
+    silent_[address] = is_silent;
+    return address;
+}
+
+void store::set_silent(std::string const& address, bool is_silent)
+{
+    *silent_.at(address) = is_silent;
 }
 
 json store::to_json(std::string const& name, object const& o) const
@@ -452,14 +468,19 @@
     changed_.notify_all();
 }
 
-void store::serve(std::shared_ptr<connection> const& c)
+void store::serve(std::shared_ptr<connection> const& c, flag const& is_silent)
 {
     while (true)
     {
         http_message m;
         if (!c->read_message(m, false, 600'000) || !m.is_whole)
             return;
-        auto const [status, body] = answer(m);
+        bool const came_in_silence = *is_silent;
+        auto const [status, body] =
+            came_in_silence ? std::pair<int, json>{} : answer(m);
+        // Nothing more is returned on a channel whose answer is lost.
+        while (came_in_silence || *is_silent)
+            sleep_ms(60'000);
         std::string const text = body.dump();
         if (!c->write(
                 "HTTP/1.1 " + std::to_string(status) +
--- a/review/standins2/standins.h
+++ b/review/standins2/standins.h
@@ -139,12 +139,16 @@
     explicit store(std::string const& ip);
     std::string address() const
     {
-        return listener_->address();
+        return listeners_.front()->address();
     }
     void put(std::string const& kind, std::string const& name, json spec);
     void erase(std::string const& kind, std::string const& name);
     // Answers 503 to all calls, and ends those that wait.
     void set_busy(bool is_busy);
+    // Another address of the same store, for one machine.
+    std::string add_address(std::string const& ip);
+    // Leaves all calls at that address without an answer.
+    void set_silent(std::string const& address, bool is_silent);
 
 private:
     struct object
@@ -160,7 +164,9 @@
         std::string kind;
         json event;
     };
-    void serve(std::shared_ptr<connection> const& c);
+    using flag = std::shared_ptr<std::atomic<bool>>;
+
+    void serve(std::shared_ptr<connection> const& c, flag const& is_silent);
     std::pair<int, json> answer(http_message const& m);
     std::pair<int, json> write(
         http_message const& m, std::string const& kind, std::string const& name,
@@ -176,7 +182,8 @@
     bool is_busy_ = false;
     std::map<std::string, std::map<std::string, object>> kinds_;
     std::vector<change> history_;
-    std::unique_ptr<listener> listener_;
+    std::map<std::string, flag> silent_; // by address
+    std::vector<std::unique_ptr<listener>> listeners_;
 };
 
 // A worker in the store: its entry, and what it does with a request.
