Ask the store again for a change when the call for it has failed

Cause: a gateway that receives relayed changes asks the store once for what its copy lacks, and took what the others had reported for fetched when it sent the call. A call that failed in a cut was never repeated; nor was the one call after a pause of the process.

Change: what was asked for counts as fetched once the store has answered a call that was sent for it (new library file copy_fetch). Until then it is asked for again, 1 s after the last call or 0.1 s after it has failed, also while the store is taken for lost. A call after a failed one has a connection of its own. Events and a gauge show a copy that is behind, why, since when, and of which peer.

Why it works: nothing but an answer ends the state of being behind, and a call is under way or due within 1 s at any time, so that the copy is current 1.7 s and an answer after the store can be reached, of 3 s granted.

--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -1,5 +1,6 @@
 #include "gateway/gateway_daemon.hpp"
 
+#include "gateway/copy_fetch.hpp"
 #include "gateway/overload_control.hpp"
 #include "gateway/placement_page.hpp"
 #include "gateway/reader_election.hpp"
@@ -131,6 +132,7 @@
     requests_.set_gauges();
     limits_.set_gauges();
     quarantine_.set_gauges();
+    set_lag_gauges(state_, boot_now());
     return m.render();
 }
 
--- a/src/gateway/gateway_state.hpp
+++ b/src/gateway/gateway_state.hpp
@@ -103,7 +103,8 @@
 {
     std::uint64_t digest = 0;
     store_position position;          // as of which it is complete
-    std::uint64_t fetched_digest = 0; // see record_fetch()
+    std::uint64_t asked_digest = 0;   // when a fetch was last sent
+    std::uint64_t fetched_digest = 0; // when the last answered one was sent
 };
 
 // Another gateway.
@@ -185,6 +186,23 @@
     std::set<std::string, std::less<>> logged_services;
 };
 
+// Why a copy has to be read from the store, see copy_fetch.hpp.
+enum class lag_reason : std::uint8_t
+{
+    none,
+    differs,     // from a reader's newer copy
+    earlier_era, // than a reader's copy
+    paused       // relayed changes may be lost, because the process did not run
+};
+
+struct copy_lag
+{
+    lag_reason reason = lag_reason::none;
+    std::string peer; // whose copy is newer
+    std::optional<steady_time> since;
+    int failures = 0; // fetches that failed since
+};
+
 // This gateway's copy of one kind of objects, compared with the readers'.
 struct local_copy
 {
@@ -192,6 +210,10 @@
     std::uint64_t digest = 0;
     store_position position; // as of which it is complete
     std::optional<steady_time> differs_since;
+    std::optional<steady_time> missed_relays_at; // relayed until then
+    copy_lag lag;
+    std::optional<steady_time> fetch_sent_at; // not answered yet
+    steady_time next_fetch{};                 // not before
 };
 
 struct gateway_state
--- a/src/gateway/object_watch.cpp
+++ b/src/gateway/object_watch.cpp
@@ -107,6 +107,7 @@
     if (!is_listed_ || has_failed_ || is_listing_)
         return; // the pending call is still needed
     client_.cancel(call_);
+    is_calling_ = loader_.is_active();
     retry_timer_.stop();
 }
 
@@ -217,6 +218,9 @@
             : protocol_.watch(address_, kind_, position_.revision, wait);
     call.timeout =
         timing_.response_timeout + (is_listing_ ? duration{0} : wait);
+    // Idle connections to a store that did not respond may be dead as well.
+    call.use_fresh_connection = has_failed_;
+    is_calling_ = true;
     steady_time const sent = boot_now();
     sent_at_ = sent;
     call_ = client_.send(
@@ -249,6 +253,7 @@
 void object_watch::on_page(
     steady_time sent, duration wait, result<platform_objects> objects)
 {
+    is_calling_ = false;
     if (!objects && objects.error().kind == error_kind::frame_stale)
     {
         // A parked copy may be older than the retained history.
@@ -287,6 +292,8 @@
     bool const has_more = !after_.empty();
     handlers_.on_contact(
         may_be_stale ? std::nullopt : std::optional(sent + confirmed));
+    if (!has_more && !may_be_stale && handlers_.on_read)
+        handlers_.on_read(sent);
     if (has_more || polls_now_)
         send();
     else if (!is_parked_)
@@ -405,6 +412,7 @@
 
 void object_watch::retry(error const& why)
 {
+    is_calling_ = false;
     has_failed_ = true;
     handlers_.on_failure(why);
     if (is_parked_ && is_listed_)
--- a/src/gateway/object_watch.hpp
+++ b/src/gateway/object_watch.hpp
@@ -52,6 +52,8 @@
     // The store responded. The copy is confirmed as of this time, if it is
     // known.
     std::function<void(std::optional<steady_time> as_of)> on_contact;
+    // All that the store had at `sent`, when the call was sent, has been read.
+    std::function<void(steady_time sent)> on_read;
     std::function<void(error const&)> on_failure;
     // Whether a response that names this era of the store may be used. The
     // first response of a later era makes the handler call begin_era().
@@ -115,6 +117,11 @@
     {
         return is_parked_;
     }
+    // Whether a call is under way, or its response is being read.
+    bool is_calling() const
+    {
+        return is_calling_;
+    }
     // Whether a complete list was received.
     bool is_listed() const
     {
@@ -202,6 +209,7 @@
     bool is_parked_ = false;
     bool has_failed_ = false; // the last call
     bool polls_now_ = false;  // the next call
+    bool is_calling_ = false;
     store_position position_;
     std::uint64_t era_ = 0; // of the responses that are used
     std::uint64_t first_page_revision_ = 0;
--- a/src/gateway/reader_election.cpp
+++ b/src/gateway/reader_election.cpp
@@ -30,8 +30,6 @@
 // for different parts of the spread.
 constexpr duration max_reader_silence_in_outage = milliseconds(2500);
 constexpr std::ptrdiff_t min_outage_reports = 2;
-// A relayed change arrives within this time after the report that announces it.
-constexpr duration max_relay_delay = milliseconds(400);
 
 // Without keys, the configuration's age is bounded by this alone.
 constexpr duration unkeyed_staleness_bound = std::chrono::seconds(20);
@@ -228,37 +226,4 @@
     return addresses;
 }
 
-bool is_behind(gateway_state& s, state_kind kind, steady_time now)
-{
-    auto const i = static_cast<std::size_t>(kind);
-    local_copy& v = s.kinds[i];
-    bool has_new_era = false;
-    bool differs = false;
-    for (auto const& [name, p] : s.peers)
-    {
-        peer_copy const& c = p.copies[i];
-        if (c.position <= v.position || !is_live_reader(s, p, now))
-            continue;
-        // Digests of two eras tell nothing.
-        has_new_era = has_new_era || c.position.era > v.position.era;
-        differs =
-            differs || (c.digest != v.digest && c.digest != c.fetched_digest);
-    }
-    if (has_new_era)
-        return true; // its changes are not relayed to this copy
-    if (!differs)
-        v.differs_since.reset();
-    else if (!v.differs_since)
-        v.differs_since = now;
-    return v.differs_since && now - *v.differs_since > max_relay_delay;
-}
-
-void record_fetch(gateway_state& s, state_kind kind)
-{
-    auto const i = static_cast<std::size_t>(kind);
-    s.kinds[i].differs_since.reset();
-    for (auto& [name, p] : s.peers)
-        p.copies[i].fetched_digest = p.copies[i].digest;
-}
-
 } // namespace marjorambeam
--- a/src/gateway/reader_election.hpp
+++ b/src/gateway/reader_election.hpp
@@ -68,13 +68,4 @@
 // Precondition: it is a reader. Not thread-safe.
 std::vector<std::string> relay_targets(gateway_state const& s, steady_time now);
 
-// Returns whether the copy of `kind` is of an earlier era than a reader's, or
-// has differed from it for longer than a relayed change takes; records when the
-// difference began. Not thread-safe.
-bool is_behind(gateway_state& s, state_kind kind, steady_time now);
-
-// Records that `kind` was fetched from the store: any remaining difference from
-// a reader is due to that reader's delay. Not thread-safe.
-void record_fetch(gateway_state& s, state_kind kind);
-
 } // namespace marjorambeam
--- a/src/gateway/reader_election_test.cpp
+++ b/src/gateway/reader_election_test.cpp
@@ -167,17 +167,6 @@
     }
 }
 
-// A report of `b` that answers one of `a`, all at once.
-gateway_report answer_of(gateway_state& b, gateway_state& a, steady_time at)
-{
-    apply_report(b, make_report(a, at), at);
-    record_sent(a.reports, at);
-    gateway_report r = make_report(b, at);
-    r.echo = echo_for(b.peers[a.settings.instance], at);
-    record_sent(b.reports, at);
-    return r;
-}
-
 } // namespace
 
 // Guards against a large fleet in which every gateway queries the store
@@ -366,58 +355,3 @@
         apply_report(a, unknown_sender, f.now) ==
         report_outcome::unknown_sender);
 }
-
-// Guards against a gateway that acts on an older state than its readers,
-// because the datagram with the change was lost, and against one that
-// repeatedly fetches a state because a reader is late.
-TEST_CASE("A copy that differs from a newer one is fetched once")
-{
-    simulated_fleet f(2);
-    gateway_state& a = f.all["g0"];
-    gateway_state& b = f.all["g1"];
-    a.is_reader = false;
-    b.kinds[0] = {.is_listed = true, .digest = 5, .position = {1, 40}};
-    b.config_confirmed = f.now;
-    b.last_store_response_at = f.now;
-    a.kinds[0] = {.is_listed = true, .digest = 4, .position = {1, 30}};
-    auto const receive_report = [&](steady_time at)
-    {
-        b.last_store_response_at = at;
-        apply_report(a, answer_of(b, a, at), at);
-    };
-    receive_report(f.now);
-    CHECK_FALSE(is_behind(a, state_kind::upstreams, f.now));
-    receive_report(f.now + milliseconds(500));
-    CHECK(is_behind(a, state_kind::upstreams, f.now + milliseconds(500)));
-    CHECK_FALSE(is_behind(a, state_kind::zones, f.now + milliseconds(500)));
-    record_fetch(a, state_kind::upstreams);
-    receive_report(f.now + milliseconds(1000));
-    CHECK_FALSE(
-        is_behind(a, state_kind::upstreams, f.now + milliseconds(1500)));
-    a.kinds[0].position.revision = 50; // a reader's older state causes no fetch
-    b.kinds[0].digest = 6;
-    receive_report(f.now + milliseconds(1600));
-    receive_report(f.now + milliseconds(2100));
-    CHECK_FALSE(
-        is_behind(a, state_kind::upstreams, f.now + milliseconds(2200)));
-}
-
-// Guards against a gateway that follows the changes of an era of the store that
-// is over, because its revisions are higher, or whose copy happens to be equal.
-TEST_CASE("A copy of an earlier era of the store is fetched at once")
-{
-    simulated_fleet f(2);
-    gateway_state& a = f.all["g0"];
-    gateway_state& b = f.all["g1"];
-    a.is_reader = false;
-    a.kinds[0] = {.is_listed = true, .digest = 5, .position = {1, 900}};
-    b.kinds[0] = {.is_listed = true, .digest = 5, .position = {2, 40}};
-    b.config_confirmed = f.now;
-    b.last_store_response_at = f.now;
-    apply_report(a, answer_of(b, a, f.now), f.now);
-    CHECK(is_behind(a, state_kind::upstreams, f.now));
-    record_fetch(a, state_kind::upstreams);
-    CHECK(is_behind(a, state_kind::upstreams, f.now));
-    a.kinds[0].position = {2, 40};
-    CHECK_FALSE(is_behind(a, state_kind::upstreams, f.now));
-}
--- a/src/gateway/store_controller.cpp
+++ b/src/gateway/store_controller.cpp
@@ -177,9 +177,17 @@
         { (this->*on_change)(std::move(o)); },
         .on_contact = [this, is_config](std::optional<steady_time> as_of)
         { on_contact(as_of, is_config); },
+        .on_read =
+            [this, kind](steady_time sent)
+        {
+            if (kind)
+                end_fetch(*kind, sent, boot_now());
+        },
         .on_failure =
-            [this, is_config](error const& why)
+            [this, is_config, kind](error const& why)
         {
+            if (kind)
+                retry_fetch(*kind, why, boot_now());
             // The store has responded to another call since, so only this watch
             // is silent.
             bool const has_responded =
@@ -233,7 +241,10 @@
     steady_time const now = boot_now();
     state_.last_store_response_at = now;
     if (!is_config)
+    {
+        next_probe_ = {}; // of a store that was taken for lost
         return;
+    }
     if (as_of)
         record_confirmation(state_, *as_of, now);
     config_.set_wait(config_wait(state_));
--- a/src/gateway/store_controller.hpp
+++ b/src/gateway/store_controller.hpp
@@ -99,6 +99,9 @@
     void set_role(steady_time now);
     void park_or_resume();
     void fetch_if_behind(steady_time now);
+    void fetch(state_kind kind, steady_time now);
+    void end_fetch(state_kind kind, steady_time sent, steady_time now);
+    void retry_fetch(state_kind kind, error const& why, steady_time now);
     void fetch_config(steady_time now);
     object_watch& watch_of(state_kind kind);
     bool is_started(object_watch const& w) const;
@@ -144,7 +147,6 @@
     steady_time next_config_fetch_{};
     steady_time next_probe_{};
     steady_time last_tick_{};
-    std::array<steady_time, state_kind_count> next_fetch_{};
     std::optional<steady_time> last_renewed_drop_; // last handled history drop
     bool is_writing_ = false;
     steady_time next_write_{};
--- a/src/gateway/store_controller_role.cpp
+++ b/src/gateway/store_controller_role.cpp
@@ -1,6 +1,7 @@
 // Role of store_controller (store reader or receiver of relayed changes) and
 // the relay of changes to peers.
 #include "base/hash.hpp"
+#include "gateway/copy_fetch.hpp"
 #include "gateway/local_response.hpp"
 #include "gateway/reader_election.hpp"
 #include "gateway/store_controller.hpp"
@@ -14,15 +15,14 @@
 
 using std::chrono::milliseconds;
 
-// Interval between fetches of state that no peer has confirmed.
-constexpr duration fetch_interval = milliseconds(1000);
 // Interval of gateways that receive reports from others or are not elected to
 // probe the store.
 constexpr duration lost_store_probe_interval = milliseconds(2000);
 constexpr duration non_prober_retry_delay = milliseconds(6000);
-// Interval after a list that may have been stale, and between fetches of a
-// reader.
-constexpr duration short_fetch_interval = milliseconds(300);
+// Intervals between fetches of the configuration: usually, and after a list
+// that may have been stale or by a reader.
+constexpr duration long_config_fetch_interval = milliseconds(1000);
+constexpr duration short_config_fetch_interval = milliseconds(300);
 // Datagrams per batch of relayed changes; a slow link and its socket buffers
 // can hold this many.
 constexpr std::size_t relay_batch = 32;
@@ -189,29 +189,74 @@
     }
 }
 
+// The store may be taken for lost: if the copy lacks a change, the fetch is
+// what detects that the store responds again.
 void store_controller::fetch_if_behind(steady_time now)
 {
-    // Changes relayed while the process was paused may be lost.
     bool const has_paused =
         last_tick_ != steady_time{} && now - last_tick_ > max_process_pause;
     last_tick_ = now;
     for (std::size_t i = 0; i < state_kind_count; ++i)
     {
         auto const kind = static_cast<state_kind>(i);
-        object_watch& w = watch_of(kind);
-        if (!w.is_parked() || !w.is_listed() || state_.is_store_lost)
+        object_watch const& w = watch_of(kind);
+        if (!w.is_parked())
+            clear_lag(state_, kind); // the watch reads what it lacks
+        if (!w.is_parked() || !w.is_listed())
             continue;
-        bool const must_fetch = has_paused || (is_behind(state_, kind, now) &&
-                                               now >= next_fetch_[i]);
-        if (!must_fetch)
-            continue;
-        next_fetch_[i] = now + fetch_interval;
-        record_fetch(state_, kind);
-        state_.counters.count("state_asked_total");
-        w.poll_now();
+        if (has_paused)
+            record_missed_relays(state_, kind, now);
+        update_lag(state_, kind, now);
+        if (!w.is_calling() && is_fetch_due(state_, kind, now))
+            fetch(kind, now);
     }
 }
 
+void store_controller::fetch(state_kind kind, steady_time now)
+{
+    copy_lag const& lag = state_.kinds[static_cast<std::size_t>(kind)].lag;
+    if (lag.failures == 0)
+        log_.write(
+            log_event::copy_behind,
+            {{"kind", std::string(to_string(kind))},
+             {"why", std::string(to_string(lag.reason))},
+             {"peer", lag.peer.empty() ? "-" : lag.peer}});
+    state_.counters.count("state_asked_total", to_string(lag.reason));
+    record_fetch_sent(state_, kind, now);
+    watch_of(kind).poll_now();
+}
+
+void store_controller::end_fetch(
+    state_kind kind, steady_time sent, steady_time now)
+{
+    local_copy const& v = state_.kinds[static_cast<std::size_t>(kind)];
+    bool const is_answered = v.fetch_sent_at && sent >= *v.fetch_sent_at;
+    if (is_answered && v.lag.failures > 0)
+        log_.write(
+            log_event::copy_current,
+            {{"kind", std::string(to_string(kind))},
+             {"failures", std::to_string(v.lag.failures)},
+             {"behind_ms",
+              in_ms(v.lag.since ? now - *v.lag.since : duration{0})}});
+    record_read(state_, kind, sent);
+}
+
+void store_controller::retry_fetch(
+    state_kind kind, error const& why, steady_time now)
+{
+    local_copy const& v = state_.kinds[static_cast<std::size_t>(kind)];
+    if (!v.fetch_sent_at)
+        return;
+    record_fetch_failed(state_, kind, now);
+    state_.counters.count("state_fetch_failures_total", to_string(why.kind));
+    log_.write(
+        log_event::copy_fetch_failed,
+        {{"kind", std::string(to_string(kind))},
+         {"error", std::string(to_string(why.kind))},
+         {"peer", v.lag.peer.empty() ? "-" : v.lag.peer},
+         {"behind_ms", in_ms(v.lag.since ? now - *v.lag.since : duration{0})}});
+}
+
 void store_controller::fetch_config(steady_time now)
 {
     if (must_fetch_config(state_, now) && now >= next_config_fetch_)
@@ -219,7 +264,8 @@
         bool const uses_long_interval =
             config_.is_parked() && has_fetched_stale_;
         next_config_fetch_ =
-            now + (uses_long_interval ? fetch_interval : short_fetch_interval);
+            now + (uses_long_interval ? long_config_fetch_interval
+                                      : short_config_fetch_interval);
         state_.counters.count("config_asked_total");
         if (!config_.is_parked())
             config_query_.ask();
@@ -229,7 +275,9 @@
                     ? read_freshness::newest
                     : read_freshness::may_be_stale);
     }
-    if (state_.is_store_lost && config_.is_parked() && now >= next_probe_)
+    bool const must_probe =
+        state_.is_store_lost && config_.is_parked() && !config_.is_calling();
+    if (must_probe && now >= next_probe_)
     {
         next_probe_ =
             now +
--- a/src/log/log_events.cpp
+++ b/src/log/log_events.cpp
@@ -95,6 +95,22 @@
         reading_ended, "reading_ended", log_level::info,
         "Hears of the store by others.",
         "Other gateways read the store and pass changes on."},
+    log_event_row{
+        copy_behind, "copy_behind", log_level::info,
+        "A copy lacks a change; the store is asked.",
+        "Of the objects `kind`, because the copy `differs` from the newer one "
+        "of `peer`, is of an `earlier_era` of the store, or the process was "
+        "`paused` and relayed changes may be lost (`why`)."},
+    log_event_row{
+        copy_fetch_failed, "copy_fetch_failed", log_level::warning,
+        "The store did not tell what a copy lacks; it is asked again.",
+        "The copy of `kind` has been behind for `behind_ms`, as that of `peer` "
+        "shows. `error`."},
+    log_event_row{
+        copy_current, "copy_current", log_level::info,
+        "A copy has what it lacked.",
+        "After `failures` calls that failed; the copy of `kind` was behind for "
+        "`behind_ms`."},
     log_event_row{
         peer_heard, "peer_heard", log_level::info, "Another gateway is heard.",
         "Its loads count from now on. `peer`."},
--- a/src/metrics/metrics.cpp
+++ b/src/metrics/metrics.cpp
@@ -116,6 +116,8 @@
 {
     std::string labels;
     add_label(labels, "service", scope.service);
+    add_label(labels, "kind", scope.kind);
+    add_label(labels, "progress", scope.progress);
     key k(name, std::move(labels));
     if (!gauges_.contains(k))
     {
--- a/src/metrics/metrics.hpp
+++ b/src/metrics/metrics.hpp
@@ -40,6 +40,8 @@
 struct gauge_scope
 {
     std::string_view service;
+    std::string_view kind;     // of objects
+    std::string_view progress; // of what removes a fault
 };
 
 // Upper bounds in seconds of a histogram's buckets: those of the Prometheus
