Fetch a state of the store that comes back

Cause: so that a reader with a wrong copy doesn't make others ask for ever, the digest that a reader had reported before a fetch was ignored later on. A digest is of contents, and the same contents come again.

The new test "A state that comes back is fetched again" failed before.

Change: readers' reports are ignored up to the position in the store's history that they had when an answered fetch was sent.

Why it works: every change moves the position, and it never goes back.

--- a/src/gateway/copy_fetch.cpp
+++ b/src/gateway/copy_fetch.cpp
@@ -86,7 +86,8 @@
         // Digests of two eras tell nothing.
         if (c.position.era > v.position.era)
             of_newer_era = name;
-        if (c.digest != v.digest && c.digest != c.fetched_digest)
+        // The answer to a fetch is newer than what readers reported before it.
+        if (c.digest != v.digest && c.position > c.fetched_position)
             of_other_digest = name;
     }
     if (of_other_digest.empty())
@@ -117,7 +118,7 @@
     s.kinds[i].fetch_sent_at = now;
     s.kinds[i].next_fetch = now + fetch_interval;
     for (auto& [name, p] : s.peers)
-        p.copies[i].asked_digest = p.copies[i].digest;
+        p.copies[i].asked_position = p.copies[i].position;
 }
 
 void record_read(gateway_state& s, state_kind kind, steady_time sent)
@@ -129,7 +130,7 @@
     if (!v.fetch_sent_at || sent < *v.fetch_sent_at)
         return;
     for (auto& [name, p] : s.peers)
-        p.copies[i].fetched_digest = p.copies[i].asked_digest;
+        p.copies[i].fetched_position = p.copies[i].asked_position;
     v.differs_since.reset();
     clear_lag(s, kind);
 }
--- a/src/gateway/copy_fetch.hpp
+++ b/src/gateway/copy_fetch.hpp
@@ -56,8 +56,8 @@
 void record_fetch_sent(gateway_state& s, state_kind kind, steady_time now);
 
 // Records that all of `kind` was read that the store had when a call was sent
-// at `sent`. If that was the fetch, a difference that remains from what readers
-// reported before it is due to their delay.
+// at `sent`. If that was the fetch, a difference that remains is due to a delay
+// of the readers, until they report a later position.
 void record_read(gateway_state& s, state_kind kind, steady_time sent);
 
 // Forgets the lag of a copy whose watch reads the store again. What relays may
--- a/src/gateway/copy_fetch_test.cpp
+++ b/src/gateway/copy_fetch_test.cpp
@@ -166,6 +166,30 @@
     CHECK(is_fetch_due(a, kind, sent + milliseconds(1500)));
 }
 
+// Guards against a zone that is evacuated a second time, or any other state
+// that comes back, and is taken for the one that was fetched the first time.
+TEST_CASE("A state that comes back is fetched again")
+{
+    follower_and_reader f;
+    gateway_state& a = f.follower;
+    f.report_at(start);
+    steady_time now = start + milliseconds(500);
+    f.report_at(now);
+    record_fetch_sent(a, kind, now);
+    a.kinds[index_of_kind].digest = 5;
+    a.kinds[index_of_kind].position = {1, 40};
+    record_read(a, kind, now);
+    // A relay takes this copy to another state; the one after it is lost.
+    a.kinds[index_of_kind].digest = 4;
+    a.kinds[index_of_kind].position = {1, 45};
+    f.set_reader({1, 50}, 5);
+    now += seconds(10);
+    f.report_at(now);
+    now += milliseconds(500);
+    f.report_at(now);
+    CHECK(is_fetch_due(a, kind, now));
+}
+
 // Guards against relayed changes that stay lost, because the one call after a
 // pause of the process has failed.
 TEST_CASE("Relays missed in a pause are fetched until the store has answered")
--- a/src/gateway/gateway_state.hpp
+++ b/src/gateway/gateway_state.hpp
@@ -102,9 +102,9 @@
 struct peer_copy
 {
     std::uint64_t digest = 0;
-    store_position position;          // as of which it is complete
-    std::uint64_t asked_digest = 0;   // when a fetch was last sent
-    std::uint64_t fetched_digest = 0; // when the last answered one was sent
+    store_position position;         // as of which it is complete
+    store_position asked_position;   // when a fetch was last sent
+    store_position fetched_position; // when the last answered one was sent
 };
 
 // Another gateway.
