Report to be a reader once the store has answered

Cause: a gateway reported itself as a reader when it was elected. Others then no longer relay changes to it, while its watches still wait for a first answer of the store.

Change: the report says "reader" once the store has answered this gateway in that role, and the first call in the role returns at once instead of waiting for changes, so that this takes no longer than a call.

Why it works: at each moment a gateway either has watches that the store has answered, or is among those to which changes are relayed.

--- a/src/gateway/gateway_state.hpp
+++ b/src/gateway/gateway_state.hpp
@@ -229,6 +229,7 @@
     std::map<std::string, gateway_peer, std::less<>> peers;
     std::vector<std::string> gateways; // registered names, this one included
     bool is_reader = true; // reads the store itself, see reader_election.hpp
+    steady_time reading_since{}; // when it last became a reader
     std::optional<steady_time> last_reader_report_at; // last report of a reader
     std::optional<steady_time> elected_since;         // without interruption
     std::array<local_copy, state_kind_count> kinds{};
--- a/src/gateway/object_watch.cpp
+++ b/src/gateway/object_watch.cpp
@@ -111,11 +111,12 @@
     retry_timer_.stop();
 }
 
-void object_watch::resume()
+void object_watch::resume(first_call first)
 {
     if (!is_parked_)
         return;
     is_parked_ = false;
+    polls_now_ = first == first_call::returns_at_once;
     renew();
 }
 
--- a/src/gateway/object_watch.hpp
+++ b/src/gateway/object_watch.hpp
@@ -65,6 +65,13 @@
     std::function<void(state_change&&)> on_copy_changed;
 };
 
+// The first call of a watch that is resumed.
+enum class first_call : std::uint8_t
+{
+    waits,
+    returns_at_once // shows early whether the store responds
+};
+
 // Watches one kind of objects. Not thread-safe.
 class object_watch
 {
@@ -111,8 +118,9 @@
     // Stops sending calls until resume(). A pending list is completed.
     // Precondition: started.
     void park();
-    // Resumes watching. Precondition: started.
-    void resume();
+    // Resumes watching; `first` says whether the first call waits for changes.
+    // Precondition: started.
+    void resume(first_call first = first_call::waits);
     bool is_parked() const
     {
         return is_parked_;
--- a/src/gateway/peer_report.cpp
+++ b/src/gateway/peer_report.cpp
@@ -178,7 +178,7 @@
     bool const has_copies = std::all_of(
         s.kinds.begin(), s.kinds.end(),
         [](local_copy const& it) { return it.is_listed; });
-    r.is_reader = s.is_reader && !s.is_store_lost && has_copies;
+    r.is_reader = is_reading(s) && has_copies;
     r.is_stopping = s.drain_started.has_value();
     if (r.is_reader)
     {
--- a/src/gateway/reader_election.cpp
+++ b/src/gateway/reader_election.cpp
@@ -175,8 +175,22 @@
     bool const is_elected =
         s.elected_since && (s.is_reader || !has_reader ||
                             now - *s.elected_since >= min_elected_time);
+    bool const was_reader = s.is_reader;
     s.is_reader = is_elected || !s.last_reader_report_at ||
                   now - *s.last_reader_report_at > reader_silence_limit(s, now);
+    if (s.is_reader && !was_reader)
+        s.reading_since = now;
+}
+
+bool has_store_responded(gateway_state const& s)
+{
+    return !s.is_store_lost && s.last_store_response_at &&
+           *s.last_store_response_at >= s.reading_since;
+}
+
+bool is_reading(gateway_state const& s)
+{
+    return s.is_reader && has_store_responded(s);
 }
 
 bool must_fetch_config(gateway_state const& s, steady_time now)
--- a/src/gateway/reader_election.hpp
+++ b/src/gateway/reader_election.hpp
@@ -50,10 +50,19 @@
 bool is_elected_reader(gateway_state const& s, steady_time now);
 
 // Decides whether this gateway reads the store: it is elected, or no reader has
-// reported recently. Updates `s.is_reader`, `s.elected_since` and
-// `s.last_reader_report_at`. Not thread-safe.
+// reported recently. Updates `s.is_reader`, `s.reading_since`,
+// `s.elected_since` and `s.last_reader_report_at`. Not thread-safe.
 void update_role(gateway_state& s, steady_time now);
 
+// Returns whether the store has responded to this gateway since it last became
+// a reader, and is not lost. Not thread-safe.
+bool has_store_responded(gateway_state const& s);
+
+// Returns whether this gateway's watches follow the store: it is a reader, and
+// the store has responded since. Until then it needs the changes that other
+// readers relay. Not thread-safe.
+bool is_reading(gateway_state const& s);
+
 // Returns whether to fetch the configuration now: it is this reader's turn to
 // renew the confirmation, no confirmation is fresh, or a peer has had a newer
 // configuration for longer than a watch takes. A stale confirmation causes no
--- a/src/gateway/reader_election_test.cpp
+++ b/src/gateway/reader_election_test.cpp
@@ -87,7 +87,10 @@
         {
             if (dead.contains(name))
                 continue;
+            bool const was_reader = s.is_reader;
             update_role(s, now);
+            if (s.is_reader && !was_reader)
+                next_call[name] = now; // the first call of a reader
             fetch_from_store(name, s);
             if (now < next_report[name])
                 continue;
@@ -355,3 +358,43 @@
         apply_report(a, unknown_sender, f.now) ==
         report_outcome::unknown_sender);
 }
+
+// Guards against a gateway that nobody tells of a change, because it says that
+// it reads the store before the store has answered it.
+TEST_CASE("A new reader gets relayed changes until the store has answered it")
+{
+    simulated_fleet f(4);
+    f.run(seconds(8));
+    REQUIRE(f.readers() == 4);
+    std::string const cut = f.names.front();
+    auto const is_target = [&]
+    {
+        return std::any_of(
+            f.all.begin(), f.all.end(),
+            [&](auto const& it)
+            {
+                auto const to = relay_targets(it.second, f.now);
+                return std::find(to.begin(), to.end(), cut) != to.end();
+            });
+    };
+    REQUIRE_FALSE(is_target());
+    f.without_store.insert(cut);
+    f.run(seconds(6));
+    REQUIRE(is_target());
+    f.without_store.clear();
+    while (f.all[cut].is_store_lost)
+        f.step();
+    // Another cut begins before it becomes a reader.
+    f.without_store.insert(cut);
+    gateway_state& s = f.all[cut];
+    while (!s.is_reader)
+    {
+        CHECK(is_target());
+        f.now += milliseconds(100);
+        update_role(s, f.now);
+    }
+    CHECK_FALSE(is_reading(s));
+    CHECK_FALSE(make_report(s, f.now).is_reader);
+    s.last_store_response_at = f.now;
+    CHECK(make_report(s, f.now).is_reader);
+}
--- a/src/gateway/store_controller.hpp
+++ b/src/gateway/store_controller.hpp
@@ -142,7 +142,6 @@
     change_assembler relayed_;
     // Datagrams queued for the next batch.
     std::deque<std::pair<std::string, std::shared_ptr<message const>>> outbox_;
-    steady_time reading_since_{};
     bool has_fetched_stale_ = false; // for the current configuration
     steady_time next_config_fetch_{};
     steady_time next_probe_{};
--- a/src/gateway/store_controller_role.cpp
+++ b/src/gateway/store_controller_role.cpp
@@ -143,8 +143,6 @@
 {
     bool const was_reader = state_.is_reader;
     update_role(state_, now);
-    if (state_.is_reader && !was_reader)
-        reading_since_ = now;
     if (state_.is_reader != was_reader)
         log_.write(
             state_.is_reader ? log_event::reading_began
@@ -170,13 +168,12 @@
     bool const has_all =
         gateways_.is_listed() && upstreams_.is_listed() && config_.is_listed();
     bool const reads = state_.is_reader || !has_all;
+    bool const has_responded = has_store_responded(state_);
     if (reads)
-        config_.resume();
+        config_.resume(
+            has_responded ? first_call::waits : first_call::returns_at_once);
     else
         config_.park();
-    bool const has_responded = !state_.is_store_lost &&
-                               state_.last_store_response_at &&
-                               *state_.last_store_response_at >= reading_since_;
     for (std::size_t i = 0; i < state_kind_count; ++i)
     {
         object_watch& w = watch_of(static_cast<state_kind>(i));
