Look for a lost store more often while nobody reads it

Cause: a gateway that loses the store probes it every 1.2 to 2.8 s for the next 2.5 to 5 s, as it expects to hear of changes from others, also if no other one reads the store.

Change: probes every 0.25 s by the four probers while no reader is heard, and every 1 s by them otherwise and by all while few gateways have lost the store.

Why it works: 0.8 s for a call that fails, 1 s until the next one and an answer stay below the 3 s after which a gateway counts as in contact.

--- a/src/gateway/reader_election.cpp
+++ b/src/gateway/reader_election.cpp
@@ -1,6 +1,7 @@
 #include "gateway/reader_election.hpp"
 
 #include "base/hash.hpp"
+#include "gateway/local_response.hpp"
 
 #include <algorithm>
 
@@ -52,6 +53,12 @@
 // it becomes a reader; meanwhile it learns which others regained the store.
 constexpr duration min_elected_time = milliseconds(1500);
 
+// Intervals between probes of a lost store: usually, of a prober that hears no
+// reader, and of the other gateways in an outage.
+constexpr duration probe_interval = milliseconds(1000);
+constexpr duration short_probe_interval = milliseconds(250);
+constexpr duration outage_probe_interval = milliseconds(2000);
+
 // Names of this gateway and of the live ones for which `matches` holds.
 template <class Predicate>
 std::vector<std::string>
@@ -222,6 +229,18 @@
         reader_rank_key, names, s.settings.instance, store_readers);
 }
 
+duration store_probe_interval(gateway_state const& s, steady_time now)
+{
+    if (is_prober(s, now))
+        return has_live_reader(s, now) ? probe_interval : short_probe_interval;
+    if (!is_in_outage(s, now))
+        return probe_interval;
+    return spread(
+        outage_probe_interval,
+        hash64(s.settings.instance) +
+            static_cast<std::uint64_t>(now.time_since_epoch().count()));
+}
+
 std::vector<std::string> relay_targets(gateway_state const& s, steady_time now)
 {
     auto const readers = live_names(
--- a/src/gateway/reader_election.hpp
+++ b/src/gateway/reader_election.hpp
@@ -73,6 +73,12 @@
 // return while no gateway can reach it. Not thread-safe.
 bool is_prober(gateway_state const& s, steady_time now);
 
+// Returns the time between two probes of a store that this gateway takes for
+// lost while it is no reader. Short enough that the gateway reads the store
+// again within the time after which it counts as in contact; longer for most
+// gateways while the store is lost to several. Not thread-safe.
+duration store_probe_interval(gateway_state const& s, steady_time now);
+
 // Returns the addresses of the peers to which this gateway relays changes.
 // Precondition: it is a reader. Not thread-safe.
 std::vector<std::string> relay_targets(gateway_state const& s, steady_time now);
--- a/src/gateway/reader_election_test.cpp
+++ b/src/gateway/reader_election_test.cpp
@@ -51,8 +51,8 @@
         return !is_store_down && !without_store.contains(name);
     }
 
-    // A reader's watch of the configuration returns every 1.8 s; a follower's
-    // fetch returns at once, and a gateway without the store retries every 2 s.
+    // A reader's watch of the configuration returns every 1.8 s, a follower's
+    // fetch at once.
     void fetch_from_store(std::string const& name, gateway_state& s)
     {
         bool const must_fetch = must_fetch_config(s, now);
@@ -61,10 +61,9 @@
             return;
         duration pause = milliseconds(1800);
         if (s.is_store_lost)
-            pause = milliseconds(
-                !s.is_reader        ? 2000
-                : is_prober(s, now) ? 250
-                                    : 6000);
+            pause = !s.is_reader        ? store_probe_interval(s, now)
+                    : is_prober(s, now) ? milliseconds(250)
+                                        : milliseconds(6000);
         next_call[name] = now + pause;
         ++calls;
         if (has_store(name))
--- a/src/gateway/store_controller_role.cpp
+++ b/src/gateway/store_controller_role.cpp
@@ -1,8 +1,6 @@
 // Role of store_controller (store reader or receiver of relayed changes) and
 // the relay of changes to peers.
-#include "base/hash.hpp"
 #include "gateway/copy_fetch.hpp"
-#include "gateway/local_response.hpp"
 #include "gateway/reader_election.hpp"
 #include "gateway/store_controller.hpp"
 
@@ -15,9 +13,7 @@
 
 using std::chrono::milliseconds;
 
-// Interval of gateways that receive reports from others or are not elected to
-// probe the store.
-constexpr duration lost_store_probe_interval = milliseconds(2000);
+// Delay of a reader that is not elected to probe the store.
 constexpr duration non_prober_retry_delay = milliseconds(6000);
 // Intervals between fetches of the configuration: usually, and after a list
 // that may have been stale or by a reader.
@@ -276,12 +272,7 @@
         state_.is_store_lost && config_.is_parked() && !config_.is_calling();
     if (must_probe && now >= next_probe_)
     {
-        next_probe_ =
-            now +
-            spread(
-                lost_store_probe_interval,
-                hash64(state_.settings.instance) +
-                    static_cast<std::uint64_t>(now.time_since_epoch().count()));
+        next_probe_ = now + store_probe_interval(state_, now);
         config_.list_now(read_freshness::newest);
     }
 }
