Require keys of a configuration without organisations left

Cause: callers needed a key only if any organisation was known. A list that has become empty, that is no list or of which no entry can be used looked like a configuration that names no organisations.

Change: gateway_config says whether the document names organisations, and the decision asks that. The event of a configuration in force says it too.

Why it works: the difference is kept where the document is read, and there is one place that decides whether a key is needed, also for explain and where. A document without the member is served without keys as before.

--- a/src/gateway/placement_explanation_test.cpp
+++ b/src/gateway/placement_explanation_test.cpp
@@ -47,6 +47,7 @@
         c->services = {
             {.name = "read", .cold_per_second = 1},
             {.name = "pool", .is_engine = true}};
+        c->requires_keys = true;
         c->organisations = {{.name = "o", .priority = 1}};
         c->organisation_by_key = {{"k", 0}};
         s.config = c;
--- a/src/gateway/request_placement.cpp
+++ b/src/gateway/request_placement.cpp
@@ -91,8 +91,8 @@
         return refused(error_kind::shutting_down, retry_elsewhere);
     gateway_config const& config = *s.config;
     arrival_decision d{.route = find_route(config, r.host, path_of(r.target))};
-    bool const requires_key = d.route != nullptr && !d.route->is_anonymous &&
-                              !config.organisations.empty();
+    bool const requires_key =
+        d.route != nullptr && !d.route->is_anonymous && config.requires_keys;
     // An old configuration may lack the route or hold a removed key.
     bool const needs_fresh_config = d.route == nullptr || requires_key;
     if (needs_fresh_config && !are_keys_fresh(s, now))
--- a/src/gateway/store_controller.cpp
+++ b/src/gateway/store_controller.cpp
@@ -309,6 +309,7 @@
         log_event::config_in_force,
         {{"config", std::to_string(c->version)},
          {"routes", std::to_string(c->routes.size())},
+         {"keys", c->requires_keys ? "required" : "none"},
          {"organisations", std::to_string(c->organisations.size())}});
     put_config(std::move(*c));
     state_.config_behind_since.reset();
--- a/src/log/log_events.cpp
+++ b/src/log/log_events.cpp
@@ -52,7 +52,8 @@
     log_event_row{
         config_in_force, "config_in_force", log_level::info,
         "Configuration in force.",
-        "From now on requests are decided by version `config`."},
+        "From now on requests are decided by version `config`. `keys` says "
+        "whether callers need the key of an organisation."},
     log_event_row{
         config_bad, "config_bad", log_level::error, "The configuration is bad.",
         "The old one stays in force. `why`."},
