Ask for a fresh configuration before a key is served without one

A gateway that is cut off from the store, with an old configuration that names no organisations, served requests with any key for as long as the cut lasted, also with one that a newer configuration has brought and taken away again.

Cause: how old the configuration is was asked only if it requires keys.

Evidence: the new test "a key is not served by an old configuration without organisations" failed before with 200 in place of 503.

Change: a request that bears a key needs a confirmed configuration whether or not the one in force requires keys. Requests without a key are served as before.

Why it works: the bound for keys that were taken away holds at the same place and with the same measure as for a configuration with organisations.

Measured: the new test passes, and those of keys, of where and of gateway.

--- a/src/gateway/request_placement.cpp
+++ b/src/gateway/request_placement.cpp
@@ -91,10 +91,12 @@
         return refused(error_kind::shutting_down, retry_elsewhere);
     gateway_config const& config = *s.config;
     arrival_decision d{.route = find_route(config, r.host, path_of(r.target))};
-    bool const requires_key =
-        d.route != nullptr && !d.route->is_anonymous && config.requires_keys;
-    // An old configuration may lack the route or hold a removed key.
-    bool const needs_fresh_config = d.route == nullptr || requires_key;
+    bool const may_require_key = d.route != nullptr && !d.route->is_anonymous;
+    bool const requires_key = may_require_key && config.requires_keys;
+    // An old configuration may lack the route, hold a removed key, or be from
+    // before keys were required.
+    bool const needs_fresh_config = d.route == nullptr || requires_key ||
+                                    (may_require_key && !r.key.empty());
     if (needs_fresh_config && !are_keys_fresh(s, now))
         return refused(error_kind::isolated, retry_when_ready, d);
     if (d.route == nullptr)
