Fail a call whose connection is reset right behind its answer

What callers would see: nothing reported.

Cause: reading returns the end of the sending side; a reset behind it is an error of the socket that libcurl doesn't ask for.

Evidence: "an answer without a length fails when a reset follows its end" failed before for 60 kB.

Change: http_client asks when libcurl closes the socket, which is before it reports an answer that ends with its connection.

Why it works: an answer without a length is reported after its socket was closed, so that each reset that the kernel knows by then is seen.

--- a/src/http_client/http_client.cpp
+++ b/src/http_client/http_client.cpp
@@ -8,7 +8,9 @@
 #include <curl/curl.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <set>
 #include <sys/socket.h>
+#include <unistd.h>
 #include <utility>
 
 namespace marjorambeam
@@ -182,23 +184,52 @@
     return tl::unexpected<error>(std::move(e));
 }
 
+// Local ports of connections that were found reset when libcurl closed them in
+// this turn.
+using reset_ports = std::set<long>;
+
+// Closes a socket of libcurl's. A reset behind the end of the peer's sending
+// side is an error of the socket, which reading does not report.
+int close_socket(void* user, curl_socket_t fd)
+{
+    auto& ports = *static_cast<reset_ports*>(user);
+    int code = 0;
+    socklen_t n = sizeof code;
+    sockaddr_in local{};
+    socklen_t address_size = sizeof local;
+    bool const is_known =
+        ::getsockopt(fd, SOL_SOCKET, SO_ERROR, &code, &n) == 0 &&
+        ::getsockname(fd, reinterpret_cast<sockaddr*>(&local), &address_size) ==
+            0;
+    if (is_known && code != 0)
+        ports.insert(ntohs(local.sin_port));
+    else if (is_known)
+        ports.erase(ntohs(local.sin_port));
+    return ::close(fd);
+}
+
 // Whether the body ended with its connection, and that before all of the
-// request was sent. libcurl takes such a body to be whole.
-bool is_cut_by_end(transfer const& t)
+// request was sent or with a reset. libcurl takes such a body to be whole. It
+// has closed the connection before, as nothing follows such a body.
+bool is_cut_by_end(transfer const& t, reset_ports const& ports)
 {
     bool const has_end = t.reply.headers.contains("content-length") ||
                          t.reply.headers.contains("transfer-encoding");
     curl_off_t sent = 0;
     curl_easy_getinfo(t.easy, CURLINFO_SIZE_UPLOAD_T, &sent);
-    return !has_end && std::cmp_less(sent, t.call.body.size());
+    long port = 0;
+    curl_easy_getinfo(t.easy, CURLINFO_LOCAL_PORT, &port);
+    return !has_end &&
+           (std::cmp_less(sent, t.call.body.size()) || ports.contains(port));
 }
 
-result<http_reply> outcome(transfer& t, CURLcode code)
+result<http_reply> outcome(transfer& t, CURLcode code, reset_ports const& ports)
 {
-    if (code == CURLE_OK && is_cut_by_end(t))
+    if (code == CURLE_OK && is_cut_by_end(t, ports))
         return fail(
             error_kind::connection_lost,
-            "the connection ended before all of the request was sent");
+            "the connection was reset, or ended before all of the request was "
+            "sent");
     if (code == CURLE_OK)
     {
         long status = 0;
@@ -250,7 +281,7 @@
     return is_set ? CURL_SOCKOPT_OK : CURL_SOCKOPT_ERROR;
 }
 
-void set_options(transfer& t)
+void set_options(transfer& t, reset_ports& resets)
 {
     CURL* easy = t.easy;
     curl_easy_setopt(easy, CURLOPT_URL, t.call.url.c_str());
@@ -264,6 +295,8 @@
     curl_easy_setopt(easy, CURLOPT_TCP_KEEPIDLE, 1L);
     curl_easy_setopt(easy, CURLOPT_TCP_KEEPINTVL, 1L);
     curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, &watch_path);
+    curl_easy_setopt(easy, CURLOPT_CLOSESOCKETFUNCTION, &close_socket);
+    curl_easy_setopt(easy, CURLOPT_CLOSESOCKETDATA, &resets);
     curl_easy_setopt(easy, CURLOPT_PRIVATE, &t);
     curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &take_body);
     curl_easy_setopt(easy, CURLOPT_WRITEDATA, &t);
@@ -311,6 +344,7 @@
     ev::timer timer;
     std::map<call_id, std::unique_ptr<transfer>> transfers;
     std::map<curl_socket_t, std::unique_ptr<socket_watch>> sockets;
+    reset_ports resets;
     call_id last_id = 0;
 
     explicit implementation(ev::loop_ref l)
@@ -388,6 +422,7 @@
 
     void act(curl_socket_t fd, int mask)
     {
+        resets.clear();
         int running = 0;
         curl_multi_socket_action(multi, fd, mask, &running);
         finish_transfers();
@@ -407,7 +442,8 @@
             transfers.erase(t->id);
             curl_multi_remove_handle(multi, t->easy);
             if (t->done)
-                guarded_call("response", [&] { t->done(outcome(*t, code)); });
+                guarded_call(
+                    "response", [&] { t->done(outcome(*t, code, resets)); });
         }
     }
 };
@@ -428,7 +464,7 @@
     t->call = std::move(call);
     t->done = std::move(done);
     t->on_data = std::move(on_data);
-    set_options(*t);
+    set_options(*t, impl_->resets);
     call_id const id = t->id;
     CURL* easy = t->easy;
     impl_->transfers[id] = std::move(t);
--- a/src/http_client/http_client_answer_test.cpp
+++ b/src/http_client/http_client_answer_test.cpp
@@ -133,3 +133,45 @@
     REQUIRE_FALSE(r.reply);
     CHECK(r.reply.error().run == run_state::unknown);
 }
+
+// Guards against a part of an answer that looks whole: all of the request has
+// left, but the server resets the connection with a part of it unread, right
+// behind the end of its sending side.
+TEST_CASE("an answer without a length fails when a reset follows its end")
+{
+    std::size_t const bytes = GENERATE(60'000U, 400'000U);
+    CAPTURE(bytes);
+    ev::dynamic_loop loop;
+    raw_server server(
+        loop,
+        [](tcp_stream& s)
+        {
+            s.send("HTTP/1.1 200 OK\r\n\r\npart");
+            s.close_after_output();
+            s.close(); // resets it, as a part of the request is unread
+        });
+    call_result const r = call(loop, server.url(), std::string(bytes, 'b'));
+    REQUIRE_FALSE(r.reply);
+    CHECK(r.reply.error().run == run_state::unknown);
+}
+
+// Guards against an answer that fails for the reset of an earlier connection.
+TEST_CASE("an answer without a length is whole on a sound connection")
+{
+    ev::dynamic_loop loop;
+    bool is_reset = true;
+    raw_server server(
+        loop,
+        [&](tcp_stream& s)
+        {
+            s.send("HTTP/1.1 200 OK\r\n\r\nwhole");
+            s.close_after_output();
+            if (is_reset)
+                s.close();
+        });
+    CHECK_FALSE(call(loop, server.url(), std::string(60'000, 'b')).reply);
+    is_reset = false;
+    call_result const r = call(loop, server.url(), "b");
+    REQUIRE(r.reply);
+    CHECK(r.streamed == "whole");
+}
