--- a/src/gateway/reader_election_test.cpp
+++ b/src/gateway/reader_election_test.cpp
@@ -287,6 +287,25 @@
     CHECK(f.readers() == 4);
 }
 
+// Guards against a gateway that reaches the store again and does not notice for
+// most of the time after which it counts as in contact, because it waits for
+// readers that there are none of.
+TEST_CASE("A store that all gateways have lost is found again at once")
+{
+    for (int i = 1; i <= 20; ++i)
+    {
+        CAPTURE(i);
+        simulated_fleet f(4);
+        f.run(seconds(8));
+        f.is_store_down = true;
+        f.run(seconds(3) + i * milliseconds(100));
+        f.is_store_down = false;
+        f.run(milliseconds(500));
+        for (auto const& [name, s] : f.all)
+            CHECK_FALSE(s.is_store_lost);
+    }
+}
+
 // Guards against a fleet that has no readers after all gateways were killed.
 TEST_CASE("A fleet that starts simultaneously elects its readers")
 {
