--- a/src/gateway/copy_fetch_search_test.cpp
+++ b/src/gateway/copy_fetch_search_test.cpp
@@ -80,7 +80,7 @@
             gateway_state& s = all[name].state;
             s.settings.instance = name;
             s.settings.key_bound = seconds(5);
-            s.self = static_cast<incarnation>(i + 1);
+            s.self = static_cast<incarnation>(i) + 1;
             s.started = start;
             s.config_confirmed = start;
             s.last_store_response_at = start;
