Take an answer without a body as whole before a reset

Cause: the check for bodies that end with their connection asked only for the headers of a length. An answer to HEAD, a 204 and a 304 end with their head.

Change: such answers are not taken for cut, by a reset or by an upload that has not left completely.

--- a/src/http_client/http_client.cpp
+++ b/src/http_client/http_client.cpp
@@ -208,12 +208,25 @@
     return ::close(fd);
 }
 
+// Whether the answer has no body, so that it ends with its head (RFC
+// 9112, 6.3).
+bool has_no_body(transfer const& t)
+{
+    constexpr long no_content = 204;
+    constexpr long not_modified = 304;
+    long status = 0;
+    curl_easy_getinfo(t.easy, CURLINFO_RESPONSE_CODE, &status);
+    return t.call.method == "HEAD" || status == no_content ||
+           status == not_modified;
+}
+
 // Whether the body ended with its connection, and that before all of the
 // request was sent or with a reset. libcurl takes such a body to be whole. It
 // has closed the connection before, as nothing follows such a body.
 bool is_cut_by_end(transfer const& t, reset_ports const& ports)
 {
-    bool const has_end = t.reply.headers.contains("content-length") ||
+    bool const has_end = has_no_body(t) ||
+                         t.reply.headers.contains("content-length") ||
                          t.reply.headers.contains("transfer-encoding");
     curl_off_t sent = 0;
     curl_easy_getinfo(t.easy, CURLINFO_SIZE_UPLOAD_T, &sent);
--- a/src/http_client/http_client_answer_test.cpp
+++ b/src/http_client/http_client_answer_test.cpp
@@ -175,3 +175,27 @@
     REQUIRE(r.reply);
     CHECK(r.streamed == "whole");
 }
+
+// Guards against an answer that is refused for what follows it: it ends with
+// its head, so that a reset behind it cuts nothing.
+TEST_CASE("an answer that has no body is whole before a reset")
+{
+    std::string const head = GENERATE(
+        as<std::string>{}, "HTTP/1.1 204 No Content\r\n",
+        "HTTP/1.1 304 Not Modified\r\n");
+    std::string const field =
+        GENERATE(as<std::string>{}, "", "Connection: close\r\n");
+    CAPTURE(head, field);
+    ev::dynamic_loop loop;
+    raw_server server(
+        loop,
+        [&](tcp_stream& s)
+        {
+            s.send(head + field + "\r\n");
+            s.close_after_output();
+            s.close(); // resets it, as a part of the request is unread
+        });
+    call_result const r = call(loop, server.url(), std::string(60'000, 'b'));
+    REQUIRE(r.reply);
+    CHECK(r.reply->body.empty());
+}
