Name the handlers of a fetch and the choice of lists by what they do

on_kind_read and on_fetch_failed in place of end_fetch and retry_fetch; lists_newest_next_ says what follows, not what was fetched. Comments say what a member holds. The tests of copy_fetch share their first steps.

--- a/src/gateway/copy_fetch.hpp
+++ b/src/gateway/copy_fetch.hpp
@@ -11,11 +11,11 @@
 //   //        record_fetch_failed(state, kind, now)
 //
 // Relayed changes are datagrams and may be lost, and a reader may not know yet
-// that this gateway needs them. What makes up for it is that the copy stays
-// behind until the store has answered: a call that fails changes nothing but
-// the time of the next one. A gateway that is behind also asks while it takes
-// the store for lost, so that the copy is current within the time of a failing
-// call, of a pause and of an answer after the store can be reached again.
+// that this gateway needs them. A copy is therefore behind until the store has
+// answered; a call that fails only sets the time of the next one. A gateway
+// that is behind asks while it takes the store for lost, too, so that its copy
+// is current once a call that fails, a retry delay and an answer have passed
+// since the store can be reached again.
 // No I/O. Not thread-safe.
 #pragma once
 
--- a/src/gateway/copy_fetch_test.cpp
+++ b/src/gateway/copy_fetch_test.cpp
@@ -3,12 +3,8 @@
 #include "gateway/peer_report.hpp"
 #include "gateway/reader_election.hpp"
 
-#include <algorithm>
 #include <catch2/catch.hpp>
-#include <optional>
-#include <random>
 #include <string>
-#include <vector>
 
 using namespace marjorambeam;
 using std::chrono::milliseconds;
@@ -31,7 +27,7 @@
         {
             s.settings.instance = name;
             s.settings.key_bound = seconds(5);
-            s.self = hash_of(name);
+            s.self = static_cast<incarnation>(name.back());
             s.started = start;
             s.peers[other].address = other;
             s.config_confirmed = start;
@@ -46,11 +42,6 @@
         set_reader({1, 40}, 5);
     }
 
-    static incarnation hash_of(std::string const& name)
-    {
-        return static_cast<incarnation>(name.back());
-    }
-
     void set_reader(store_position position, std::uint64_t digest)
     {
         reader.kinds[index_of_kind].position = position;
@@ -70,6 +61,15 @@
         update_lag(follower, kind, at);
     }
 
+    // Reports until the difference has lasted for longer than a relay takes;
+    // returns that time.
+    steady_time become_behind()
+    {
+        report_at(start);
+        report_at(start + milliseconds(500));
+        return start + milliseconds(500);
+    }
+
     copy_lag const& lag() const
     {
         return follower.kinds[index_of_kind].lag;
@@ -116,9 +116,7 @@
 {
     follower_and_reader f;
     gateway_state& a = f.follower;
-    f.report_at(start);
-    steady_time now = start + milliseconds(500);
-    f.report_at(now);
+    steady_time now = f.become_behind();
     for (int i = 0; i < 4; ++i)
     {
         CAPTURE(i);
@@ -146,9 +144,7 @@
 {
     follower_and_reader f;
     gateway_state& a = f.follower;
-    f.report_at(start);
-    steady_time const sent = start + milliseconds(500);
-    f.report_at(sent);
+    steady_time const sent = f.become_behind();
     record_fetch_sent(a, kind, sent);
     f.set_reader({1, 41}, 7);
     f.report_at(sent + milliseconds(200));
@@ -172,9 +168,7 @@
 {
     follower_and_reader f;
     gateway_state& a = f.follower;
-    f.report_at(start);
-    steady_time now = start + milliseconds(500);
-    f.report_at(now);
+    steady_time now = f.become_behind();
     record_fetch_sent(a, kind, now);
     a.kinds[index_of_kind].digest = 5;
     a.kinds[index_of_kind].position = {1, 40};
@@ -251,9 +245,7 @@
             "\"} 1\n";
         return a.counters.render().find(line) != std::string::npos;
     };
-    f.report_at(start);
-    steady_time const since = start + milliseconds(500);
-    f.report_at(since);
+    steady_time const since = f.become_behind();
     CHECK(shows("waiting", since + seconds(1)));
     record_fetch_sent(a, kind, since);
     CHECK(shows("asked", since + seconds(1)));
--- a/src/gateway/gateway_config.hpp
+++ b/src/gateway/gateway_config.hpp
@@ -85,8 +85,8 @@
     std::int64_t version = 0;
     std::deque<gateway_route> routes; // grows without moving them
     std::vector<gateway_service> services;
-    // Whether the configuration names organisations, be it none; callers then
-    // need the key of one. One that doesn't serves callers without a key.
+    // Whether the document has a list of organisations, also an empty or
+    // unreadable one: callers then need a key. Without a list, none do.
     bool requires_keys = false;
     std::vector<organisation> organisations;
     std::unordered_map<std::string, std::size_t> organisation_by_key;
--- a/src/gateway/gateway_state.hpp
+++ b/src/gateway/gateway_state.hpp
@@ -210,10 +210,10 @@
     std::uint64_t digest = 0;
     store_position position; // as of which it is complete
     std::optional<steady_time> differs_since;
-    std::optional<steady_time> missed_relays_at; // relayed until then
+    std::optional<steady_time> missed_relays_at; // end of a process pause
     copy_lag lag;
     std::optional<steady_time> fetch_sent_at; // not answered yet
-    steady_time next_fetch{};                 // not before
+    steady_time next_fetch{};                 // earliest time
 };
 
 struct gateway_state
--- a/src/gateway/store_controller.cpp
+++ b/src/gateway/store_controller.cpp
@@ -181,13 +181,13 @@
             [this, kind](steady_time sent)
         {
             if (kind)
-                end_fetch(*kind, sent, boot_now());
+                on_kind_read(*kind, sent, boot_now());
         },
         .on_failure =
             [this, is_config, kind](error const& why)
         {
             if (kind)
-                retry_fetch(*kind, why, boot_now());
+                on_fetch_failed(*kind, why, boot_now());
             // The store has responded to another call since, so only this watch
             // is silent.
             bool const has_responded =
@@ -313,7 +313,7 @@
          {"organisations", std::to_string(c->organisations.size())}});
     put_config(std::move(*c));
     state_.config_behind_since.reset();
-    has_fetched_stale_ = false;
+    lists_newest_next_ = false;
     state_.is_report_due = state_.is_reader;
 }
 
--- a/src/gateway/store_controller.hpp
+++ b/src/gateway/store_controller.hpp
@@ -100,8 +100,8 @@
     void park_or_resume();
     void fetch_if_behind(steady_time now);
     void fetch(state_kind kind, steady_time now);
-    void end_fetch(state_kind kind, steady_time sent, steady_time now);
-    void retry_fetch(state_kind kind, error const& why, steady_time now);
+    void on_kind_read(state_kind kind, steady_time sent, steady_time now);
+    void on_fetch_failed(state_kind kind, error const& why, steady_time now);
     void fetch_config(steady_time now);
     object_watch& watch_of(state_kind kind);
     bool is_started(object_watch const& w) const;
@@ -142,7 +142,7 @@
     change_assembler relayed_;
     // Datagrams queued for the next batch.
     std::deque<std::pair<std::string, std::shared_ptr<message const>>> outbox_;
-    bool has_fetched_stale_ = false; // for the current configuration
+    bool lists_newest_next_ = false; // after a list that may be stale was asked
     steady_time next_config_fetch_{};
     steady_time next_probe_{};
     steady_time last_tick_{};
--- a/src/gateway/store_controller_role.cpp
+++ b/src/gateway/store_controller_role.cpp
@@ -219,7 +219,7 @@
     watch_of(kind).poll_now();
 }
 
-void store_controller::end_fetch(
+void store_controller::on_kind_read(
     state_kind kind, steady_time sent, steady_time now)
 {
     local_copy const& v = state_.kinds[static_cast<std::size_t>(kind)];
@@ -234,7 +234,7 @@
     record_read(state_, kind, sent);
 }
 
-void store_controller::retry_fetch(
+void store_controller::on_fetch_failed(
     state_kind kind, error const& why, steady_time now)
 {
     local_copy const& v = state_.kinds[static_cast<std::size_t>(kind)];
@@ -255,7 +255,7 @@
     if (must_fetch_config(state_, now) && now >= next_config_fetch_)
     {
         bool const uses_long_interval =
-            config_.is_parked() && has_fetched_stale_;
+            config_.is_parked() && lists_newest_next_;
         next_config_fetch_ =
             now + (uses_long_interval ? long_config_fetch_interval
                                       : short_config_fetch_interval);
@@ -264,7 +264,7 @@
             config_query_.ask();
         else
             config_.list_now(
-                std::exchange(has_fetched_stale_, !has_fetched_stale_)
+                std::exchange(lists_newest_next_, !lists_newest_next_)
                     ? read_freshness::newest
                     : read_freshness::may_be_stale);
     }
--- a/src/metrics/metrics.hpp
+++ b/src/metrics/metrics.hpp
@@ -41,7 +41,7 @@
 {
     std::string_view service;
     std::string_view kind;     // of objects
-    std::string_view progress; // of what removes a fault
+    std::string_view progress; // of a repair, such as "asked" or "failed"
 };
 
 // Upper bounds in seconds of a histogram's buckets: those of the Prometheus
