Repeat the look-up of an era whose answer was of another one

What callers would see: a gateway that starts while the store comes back from an older copy could refuse all keys (503), as it never learned whether the store has a record of its era.

Cause: object_query dropped an answer of an era that isn't accepted without telling its owner, which repeats failed look-ups only.

No run has shown the state in a gateway.

Change: such an answer is a failure of the query.

--- a/src/gateway/object_query.cpp
+++ b/src/gateway/object_query.cpp
@@ -50,6 +50,9 @@
     if (!handlers_.accepts_era(protocol_.era(*reply)))
     {
         is_pending_ = false;
+        handlers_.on_failure(make_error(
+            error_kind::frame_stale,
+            "the response is of another era of the store"));
         return;
     }
     loader_.start(
--- a/src/gateway/object_query.hpp
+++ b/src/gateway/object_query.hpp
@@ -29,6 +29,7 @@
     std::function<void(std::vector<platform_object>&&)> on_objects;
     // What was read is confirmed as of this time.
     std::function<void(steady_time as_of)> on_contact;
+    // Nothing was read; also after a response of an era that is not accepted.
     std::function<void(error const&)> on_failure;
 };
 
