--- a/src/gateway/copy_fetch_test.cpp
+++ b/src/gateway/copy_fetch_test.cpp
@@ -27,7 +27,7 @@
         {
             s.settings.instance = name;
             s.settings.key_bound = seconds(5);
-            s.self = static_cast<incarnation>(name.back());
+            s.self = name == "g0" ? 1 : 2;
             s.started = start;
             s.peers[other].address = other;
             s.config_confirmed = start;
