--- a/review/standins3/cases.cc
+++ b/review/standins3/cases.cc
@@ -580,10 +580,11 @@
     // coldPerS x coldFactor + coldTolerance
     static constexpr std::size_t bound = 29;
 
-    void add(worker const& w)
+    // Returns how many they are with this one.
+    std::size_t add(worker const& w)
     {
         if (w.cold_ms_left() <= 0)
-            return;
+            return 0;
         std::lock_guard const lock(mutex_);
         auto& all = times_[w.what().id];
         all.push_back(now());
@@ -592,6 +593,7 @@
              it != all.rend() && all.back() - *it < milliseconds(1000); ++it)
             ++n;
         most_ = std::max(most_, n);
+        return n;
     }
     std::size_t most() const
     {
@@ -630,14 +632,23 @@
         .body = "{}"};
 }
 
+// A cold worker crashes at three times coldPerS in one second; the pages say
+// "well above that". It doesn't come back within the case.
 worker::handler serve_short(world& w, cold_arrivals& cold)
 {
+    constexpr std::size_t most_borne = 48;
     return [&](worker& self, channel& c, message const& m, std::uint64_t)
     {
-        cold.add(self);
+        std::size_t const n = cold.add(self);
         w.record.write(
             self.what().id + (self.cold_ms_left() > 0 ? " (cold)" : "") +
             " gets " + m.header("Attempt-Id"));
+        if (n > most_borne && self.is_up())
+        {
+            w.record.write(self.what().id + " CRASHES, it is cold");
+            self.crash();
+            return false;
+        }
         return send_stream(self, c, m, 40, 3, 20);
     };
 }
@@ -854,12 +865,118 @@
     return late > most_retries ? broken : held;
 }
 
+// --- A worker that asks for a pause before its new entry is known -------------
+
+// A worker restarts and asks for a pause while the store is down.
+int paused_restart(world& w)
+{
+    constexpr int pause_s = 8;
+    constexpr int most = 2;
+    constexpr int slack_ms = 500;
+    std::mutex mutex;
+    std::atomic<bool> asks{false};
+    std::map<std::string, time_point> asked; // by gateway
+    std::map<std::string, int> early;
+    w.platform.put("config", "main", engine_config());
+    worker::handler const serve =
+        [&](worker& self, channel& c, message const& m, std::uint64_t)
+    {
+        std::string const id = m.header("Attempt-Id");
+        bool const is_first = &self == w.workers.front().get();
+        if (!is_first || !asks)
+            return send_stream(self, c, m, 40, 3, 20);
+        // Clients put the gateway into the path.
+        std::string const from = m.target().substr(m.target().rfind('/') + 1);
+        std::lock_guard const lock(mutex);
+        auto const it = asked.find(from);
+        int left_ms = pause_s * 1000;
+        if (it != asked.end())
+        {
+            auto const since = std::chrono::duration_cast<milliseconds>(
+                now() - it->second);
+            left_ms -= static_cast<int>(since.count());
+            if (since > milliseconds(slack_ms) && left_ms > 0)
+            {
+                ++early[from];
+                w.record.write(
+                    self.what().id + " gets " + id + " of gateway " + from +
+                    " " + std::to_string(since.count()) +
+                    " ms after it asked for a pause");
+            }
+        }
+        else
+        {
+            asked[from] = now();
+            w.record.write(
+                self.what().id + " asks gateway " + from + " for a pause");
+        }
+        if (left_ms <= 0)
+            return send_stream(self, c, m, 40, 3, 20);
+        return c.send(
+            head_of(503, id, false) + "Not-Executed: 1\r\nRetry-After: " +
+            std::to_string(std::max(1, left_ms / 1000)) +
+            "\r\nContent-Length: 0\r\n\r\n");
+    };
+    w.add_worker("i-hitra", "hitra", "beam-pool", 64, serve);
+    w.add_gateway("hitra", usual_contracts);
+    w.add_gateway("frosta", usual_contracts);
+    w.start_gateways();
+    std::atomic<std::uint64_t> number{0};
+    std::atomic<bool> is_over{false};
+    std::vector<std::thread> threads;
+    for (int i = 0; i < 24; ++i)
+        threads.emplace_back(
+            [&, i]
+            {
+                client c(w.record, "client-" + std::to_string(i));
+                while (!is_over)
+                {
+                    request r = short_stream(++number);
+                    r.target = "/pufi791/" + std::to_string(i % 2);
+                    c.call(
+                        w.gateways[static_cast<std::size_t>(i) % 2]->address(),
+                        r);
+                    sleep_ms(100);
+                }
+            });
+    sleep_ms(4000);
+    worker& restarted = *w.workers.front();
+    if (is_disrupted())
+    {
+        w.platform.set_silent(true);
+        w.record.write("the store is down");
+    }
+    restarted.crash();
+    w.record.write("a worker crashes");
+    sleep_ms(1200);
+    asks = true;
+    restarted.start_again(0);
+    w.record.write("it is back");
+    sleep_ms(2800);
+    w.platform.set_silent(false);
+    w.record.write("the store answers");
+    sleep_ms(7000);
+    is_over = true;
+    for (auto& it : threads)
+        it.join();
+    int worst = 0;
+    for (auto const& [from, n] : early)
+        worst = std::max(worst, n);
+    w.record.write(
+        std::to_string(worst) +
+        " requests of one gateway reached the worker within the pause and "
+        "later than 0.5 s after it asked, allowed " +
+        std::to_string(most));
+    return worst > most ? broken : held;
+}
+
 using run_function = std::function<int(world&)>;
 
 std::map<std::string, run_function> const cases{
     {"refusal-copies", refusal_copies},
     {"early-heads", early_heads},
     {"returned-zone", returned_zone},
+    {"paused-restart", paused_restart},
     {"restarted-gateways", restarted_gateways},
     {"deadly-before-answer",
      [](world& w) { return deadly_request(w, crash_moment::before_answer); }},
--- a/review/standins3/standins.cc
+++ b/review/standins3/standins.cc
@@ -436,8 +436,16 @@
     std::lock_guard const lock(mutex_);
     auto& all = kinds_[kind];
     auto const it = all.find(name);
-    if (it != all.end() && it->second.spec == spec)
-        return;
+    if (it != all.end())
+    {
+        // An entry changes when more than its sequence does.
+        json before = it->second.spec;
+        json after = spec;
+        before.erase("sequence");
+        after.erase("sequence");
+        if (before == after)
+            return;
+    }
     all[name].spec = std::move(spec);
     note(kind, name, false);
 }
@@ -469,6 +477,13 @@
     is_deaf_ = true;
 }
 
+void store::set_silent(bool is_silent)
+{
+    std::lock_guard const lock(mutex_);
+    is_silent_ = is_silent;
+    changed_.notify_all();
+}
+
 void store::forget_history()
 {
     std::lock_guard const lock(mutex_);
@@ -528,6 +543,13 @@
     {
         if (is_stopped_ || cuts != cuts_)
             return false;
+        if (is_silent_)
+        {
+            // Whoever asked hears nothing more on this channel.
+            changed_.wait(
+                lock, [this] { return is_stopped_ || !is_silent_; });
+            return false;
+        }
         for (change const& it : log_)
         {
             if (is_deaf_ || it.kind != kind || it.revision <= after)
@@ -607,6 +629,15 @@
         if (!m)
             return;
         sleep_ms(store_answer_ms);
+        {
+            std::unique_lock lock(mutex_);
+            if (is_silent_)
+            {
+                changed_.wait(
+                    lock, [this] { return is_stopped_ || !is_silent_; });
+                return;
+            }
+        }
         std::string const target = m->target();
         if (target.rfind(root, 0) != 0)
         {
--- a/review/standins3/standins.h
+++ b/review/standins3/standins.h
@@ -152,6 +152,8 @@
     // Watches hear nothing until forget_history(), which drops all history and
     // cuts the watches that wait.
     void make_deaf();
+    // Nothing is answered, also to calls that wait.
+    void set_silent(bool is_silent);
     void forget_history();
 
 private:
@@ -186,6 +188,7 @@
     std::uint64_t oldest_ = 0;
     std::uint64_t cuts_ = 0;
     bool is_deaf_ = false;
+    bool is_silent_ = false;
     bool is_stopped_ = false;
     std::atomic<int> stale_ms_{0};
     std::unique_ptr<server> server_;
