--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -8,6 +8,9 @@
     echo "build the deploy file's target and review/build-3.sh first"
     exit 2
 fi
+TMPDIR=$(mktemp -d) || exit 2
+export TMPDIR
+trap 'rm -rf "$TMPDIR"' EXIT
 timeout -k 2 115 target/review3/cases refusal-copies review/11/record.txt
 code=$?
 [ "$code" -le 2 ] || code=2
--- a/review/standins3/cases.cc
+++ b/review/standins3/cases.cc
@@ -277,7 +277,8 @@
     std::atomic<int> spoiler{-1}; // the worker that spoils answers
     std::mutex mutex;
     std::map<std::string, std::vector<std::string>> runs;
-    std::map<channel const*, std::string> copies;
+    // By worker and number of the channel.
+    std::map<std::pair<int, std::uint64_t>, std::string> copies;
     std::vector<std::unique_ptr<counters>> all;
 
     w.platform.put(
@@ -300,13 +301,16 @@
         w.add_worker(
             "i-" + hex_id(100 + i).substr(0, 8), i % 2 == 0 ? "hitra" : "frosta",
             "field-app", slots,
-            [&, i](worker& self, channel& c, message const& m, std::uint64_t)
+            [&, i](
+                worker& self, channel& c, message const& m,
+                std::uint64_t channel_number)
             {
                 std::string const id = m.header("Attempt-Id");
                 std::string copy;
                 {
                     std::lock_guard const lock(mutex);
-                    if (auto const it = copies.find(&c); it != copies.end())
+                    if (auto const it = copies.find({i, channel_number});
+                        it != copies.end())
                     {
                         copy = it->second;
                         copies.erase(it);
@@ -341,7 +345,7 @@
                     {
                         ++n.copies;
                         std::lock_guard const lock(mutex);
-                        copies[&c] = refusal;
+                        copies[{i, channel_number}] = refusal;
                     }
                     w.record.write(
                         self.what().id + " is full and refuses " + id);
@@ -404,11 +408,19 @@
                                           : "{\"roll\":1}"});
                 }
             });
+    int sent_copies = 0;
+    int answers = 0;
     for (int i = 0; i < times; ++i)
     {
         time_point const from =
             begun + milliseconds((copies_for_ms + pause_ms) * i + pause_ms);
         sleep_until(from);
+        // The dose holds for each of the times by itself.
+        for (auto const& it : all)
+        {
+            sent_copies += it->copies.exchange(0);
+            answers += it->answers.exchange(0);
+        }
         if (is_disrupted())
             spoiler = i % 2;
         sleep_until(from + milliseconds(copies_for_ms));
@@ -429,8 +441,6 @@
             text += " " + it;
         w.record.write("RAN MORE THAN ONCE: " + id + " at" + text);
     }
-    int sent_copies = 0;
-    int answers = 0;
     for (auto const& it : all)
     {
         sent_copies += it->copies;
@@ -573,25 +583,29 @@
 
 // --- Requests that reach cold workers ---------------------------------------
 
-// Requests of the last second that reached a worker while it was cold.
+// Requests that clients sent, and that reached a cold worker, within one second.
 class cold_arrivals
 {
 public:
     // coldPerS x coldFactor + coldTolerance
     static constexpr std::size_t bound = 29;
 
+    void note_sent(std::string const& id)
+    {
+        std::lock_guard const lock(mutex_);
+        sent_[id] = now();
+    }
     // Returns how many they are with this one.
-    std::size_t add(worker const& w)
+    std::size_t add(worker const& w, std::string const& id)
     {
         if (w.cold_ms_left() <= 0)
             return 0;
         std::lock_guard const lock(mutex_);
-        auto& all = times_[w.what().id];
-        all.push_back(now());
-        std::size_t n = 0;
-        for (auto it = all.rbegin();
-             it != all.rend() && all.back() - *it < milliseconds(1000); ++it)
-            ++n;
+        auto& all = sent_to_[w.what().id];
+        all.push_back(sent_[id]);
+        time_point const from = now() - milliseconds(1000);
+        auto const n = static_cast<std::size_t>(std::count_if(
+            all.begin(), all.end(), [&](time_point at) { return at > from; }));
         most_ = std::max(most_, n);
         return n;
     }
@@ -603,10 +617,14 @@
 
 private:
     mutable std::mutex mutex_;
-    std::map<std::string, std::vector<time_point>> times_;
+    std::map<std::string, time_point> sent_; // by client, by id
+    std::map<std::string, std::vector<time_point>> sent_to_;
     std::size_t most_ = 0;
 };
 
+// coldStartS
+constexpr int cold_ms = 3000;
+
 json engine_config()
 {
     return config_of(
@@ -639,7 +657,7 @@
     constexpr std::size_t most_borne = 48;
     return [&](worker& self, channel& c, message const& m, std::uint64_t)
     {
-        std::size_t const n = cold.add(self);
+        std::size_t const n = cold.add(self, m.header("Attempt-Id"));
         w.record.write(
             self.what().id + (self.cold_ms_left() > 0 ? " (cold)" : "") +
             " gets " + m.header("Attempt-Id"));
@@ -675,7 +693,14 @@
     w.add_gateway("hitra", usual_contracts);
     w.add_gateway("frosta", usual_contracts);
     w.start_gateways();
-    steady_load load(w, 60, 210, short_stream);
+    steady_load load(
+        w, 60, 210,
+        [&](std::uint64_t n)
+        {
+            request r = short_stream(n);
+            cold.note_sent(r.attempt);
+            return r;
+        });
     sleep_ms(5000);
     w.platform.put("evacuations", "hitra", json::object());
     w.record.write("hitra is evacuated");
@@ -690,7 +715,7 @@
     worker& returned = *w.workers.front();
     // A beat has just been written; the next one tells that it is cold.
     returned.write_entry();
-    returned.become_cold(3000);
+    returned.become_cold(cold_ms);
     w.platform.erase("evacuations", "hitra");
     w.record.write("hitra is taken back, its worker is cold");
     sleep_ms(200);
@@ -718,10 +743,17 @@
     w.add_gateway("frosta", usual_contracts);
     w.start_gateways();
     w.platform.set_stale(2000);
-    steady_load load(w, 60, 210, short_stream);
+    steady_load load(
+        w, 60, 210,
+        [&](std::uint64_t n)
+        {
+            request r = short_stream(n);
+            cold.note_sent(r.attempt);
+            return r;
+        });
     sleep_ms(6000);
     worker& cooled = *w.workers.front();
-    cooled.become_cold(4000);
+    cooled.become_cold(cold_ms);
     cooled.write_entry();
     w.record.write("the worker of hitra has become cold and says so");
     sleep_ms(500);
--- a/review/standins3/standins.cc
+++ b/review/standins3/standins.cc
@@ -733,12 +733,14 @@
 int worker::cold_ms_left() const
 {
     auto const left =
-        std::chrono::duration_cast<milliseconds>(cold_until_ - now()).count();
+        std::chrono::duration_cast<milliseconds>(
+            cold_until_.load() - now()).count();
     return std::max(0, static_cast<int>(left));
 }
 
 void worker::write_entry()
 {
+    next_beat_ = now() + milliseconds(options_.heartbeat_ms);
     store_.put(
         "servers", options_.id,
         {{"service", options_.service},
@@ -755,18 +757,13 @@
 void worker::beat()
 {
     constexpr int lapse_beats = 3;
-    time_point next = now();
     time_point last_up = now();
     while (!is_over_)
     {
         if (is_up_)
             last_up = now();
-        if (now() >= next)
-        {
-            next = now() + milliseconds(options_.heartbeat_ms);
-            if (is_up_)
-                write_entry();
-        }
+        if (now() >= next_beat_.load() && is_up_)
+            write_entry();
         if (now() - last_up >
             milliseconds(lapse_beats * options_.heartbeat_ms))
             store_.erase("servers", options_.id);
--- a/review/standins3/standins.h
+++ b/review/standins3/standins.h
@@ -246,8 +246,9 @@
     std::atomic<bool> is_up_{false};
     std::atomic<bool> is_over_{false};
     std::int64_t born_ = 0;
-    std::int64_t sequence_ = 0;
-    time_point cold_until_{};
+    std::atomic<std::int64_t> sequence_{0};
+    std::atomic<time_point> cold_until_{};
+    std::atomic<time_point> next_beat_{};
     std::atomic<std::uint64_t> channels_{0};
     std::thread beats_;
 };
