Send a request again on a connection that has not carried it

Cause: an answer is matched to the pending request by the attempt's id, which all sends of a request bear. Overload control keeps the connection of a refusal, and the pool gave it to the next send of the same request, so that a late second copy of the refusal was read as the answer to that send.

Change: connections have numbers, a request knows those that have carried it, and upstream_pool::take() passes them over. They stay idle for other requests. The rule does not ask what the answer was, so that it also holds for a failure that is repeated on a route that may be repeated. Late answers that are skipped are logged and counted, and so are connections that are passed over.

Ruled out: closing the connection of each refusal, as full upstreams reset new ones.

--- a/src/gateway/proxied_request.cpp
+++ b/src/gateway/proxied_request.cpp
@@ -176,8 +176,11 @@
 std::shared_ptr<upstream_connection>
 proxied_request::take_connection(upstream_selection const& c, steady_time now)
 {
-    result<std::shared_ptr<upstream_connection>> taken =
-        context_.pool.take(c.chosen, is_repeatable(route_), now);
+    result<std::shared_ptr<upstream_connection>> taken = context_.pool.take(
+        c.chosen,
+        {.is_repeatable = is_repeatable(route_),
+         .carried_by = attempts_.connections},
+        now);
     if (!taken)
     {
         context_.state.counters.count(
@@ -223,6 +226,7 @@
     ++attempts_.arrivals;
     ++attempts_.sends;
     attempts_.tried.push_back(upstream_->info.id);
+    attempts_.connections.push_back(connection_->number());
     record_session(
         context_.state.sessions, request_.session, upstream_->info.version,
         now);
@@ -258,6 +262,7 @@
         {.on_connected = guarded(&proxied_request::on_connected),
          .on_head = guarded(&proxied_request::on_head),
          .on_body = guarded(&proxied_request::on_body),
+         .on_late_response = guarded(&proxied_request::on_late_response),
          .on_complete = guarded(&proxied_request::on_complete),
          .on_response_failure =
              guarded(&proxied_request::on_response_failure)});
--- a/src/gateway/proxied_request.hpp
+++ b/src/gateway/proxied_request.hpp
@@ -136,7 +136,8 @@
         std::uint32_t arrivals = 0; // sends that reached an upstream
         std::uint32_t runs = 0;     // attempts that may have run
         std::vector<std::string> tried;
-        std::vector<std::string> refused_by; // full, plain upstreams
+        std::vector<std::string> refused_by;    // full, plain upstreams
+        std::vector<std::uint64_t> connections; // that have carried them
         error_kind last_failure = error_kind::no_upstream;
     };
 
@@ -232,6 +233,7 @@
     void claim_response(std::size_t bytes, steady_time now);
     void set_pause();
     void on_body(std::string&& bytes);
+    void on_late_response(std::string const& attempt_id);
     void on_complete();
     void on_response_failure(response_failure const& why);
     void fail_attempt(
--- a/src/gateway/proxied_request_response.cpp
+++ b/src/gateway/proxied_request_response.cpp
@@ -366,6 +366,17 @@
     set_pause();
 }
 
+void proxied_request::on_late_response(std::string const& attempt_id)
+{
+    context_.state.counters.count("late_responses_total", "", scope());
+    context_.log.write(
+        log_event::late_response_skipped,
+        {{"request_id", request_.attempt_id},
+         {"upstream", upstream_->info.id},
+         {"late_id",
+          attempt_id.empty() ? "-" : attempt_id.substr(0, max_logged_value)}});
+}
+
 void proxied_request::on_complete()
 {
     steady_time const now = boot_now();
--- a/src/gateway/upstream_pool.cpp
+++ b/src/gateway/upstream_pool.cpp
@@ -42,9 +42,10 @@
 
 upstream_connection::upstream_connection(
     std::shared_ptr<tcp_stream> stream,
-    std::shared_ptr<upstream_state> upstream)
+    std::shared_ptr<upstream_state> upstream, std::uint64_t number)
     : stream_(std::move(stream))
     , upstream_(std::move(upstream))
+    , number_(number)
 {
 }
 
@@ -165,6 +166,8 @@
     {
         // A connection that carries surplus responses is not reused.
         keep_alive_ = false;
+        if (handlers_.on_late_response)
+            handlers_.on_late_response(answer.attempt_id);
         return true;
     }
     has_head_ = true;
@@ -285,29 +288,58 @@
 }
 
 result<std::shared_ptr<upstream_connection>> upstream_pool::take(
-    std::shared_ptr<upstream_state> const& upstream, bool is_repeatable,
+    std::shared_ptr<upstream_state> const& upstream, connection_query const& q,
+    steady_time now)
+{
+    if (auto c = take_idle(upstream, q, now))
+        return c;
+    return open(upstream);
+}
+
+// Returns the connection that was in use last of those that may carry the
+// request, or null. Closes those that can't be used any more.
+std::shared_ptr<upstream_connection> upstream_pool::take_idle(
+    std::shared_ptr<upstream_state> const& upstream, connection_query const& q,
     steady_time now)
 {
     auto const it = idle_.find(upstream->info.id);
-    while (it != idle_.end() && !it->second.empty())
+    if (it == idle_.end())
+        return nullptr;
+    std::vector<std::shared_ptr<upstream_connection>>& all = it->second;
+    for (std::size_t i = all.size(); i-- > 0;)
     {
-        std::shared_ptr<upstream_connection> c = it->second.back();
+        std::shared_ptr<upstream_connection> c = all[i];
         duration const idle = now - c->idle_since;
         bool const is_usable = c->upstream() == upstream && c->is_reusable() &&
                                idle < idle_limit(*c);
-        if (is_usable && !is_repeatable && idle > max_idle_unrepeatable)
-            break; // the others have been idle for longer
-        it->second.pop_back();
+        if (is_usable && !q.is_repeatable && idle > max_idle_unrepeatable)
+            return nullptr; // the others have been idle for longer
+        bool const has_carried =
+            std::find(q.carried_by.begin(), q.carried_by.end(), c->number()) !=
+            q.carried_by.end();
+        if (is_usable && has_carried)
+        {
+            counters_.count("connections_passed_over_total", "carried_attempt");
+            continue;
+        }
+        all.erase(all.begin() + static_cast<std::ptrdiff_t>(i));
         if (is_usable)
             return c;
         c->abort();
     }
+    return nullptr;
+}
+
+result<std::shared_ptr<upstream_connection>>
+upstream_pool::open(std::shared_ptr<upstream_state> const& upstream)
+{
     counters_.count("upstream_connections_total");
     result<std::shared_ptr<tcp_stream>> stream = tcp_stream::connect(
         loop_, upstream->info.address, upstream_stream_limits);
     if (!stream)
         return tl::unexpected<error>(stream.error());
-    return std::make_shared<upstream_connection>(std::move(*stream), upstream);
+    return std::make_shared<upstream_connection>(
+        std::move(*stream), upstream, ++last_number_);
 }
 
 void upstream_pool::put_back(
@@ -348,18 +380,15 @@
     std::string const id = upstream->info.id;
     if (probes_.contains(id))
         return;
-    counters_.count("upstream_connections_total");
-    result<std::shared_ptr<tcp_stream>> stream = tcp_stream::connect(
-        loop_, upstream->info.address, upstream_stream_limits);
-    if (!stream)
+    result<std::shared_ptr<upstream_connection>> const opened = open(upstream);
+    if (!opened)
     {
         // Lack of a descriptor says nothing about the upstream.
-        if (stream.error().kind != error_kind::queue_full)
+        if (opened.error().kind != error_kind::queue_full)
             done(nullptr);
         return;
     }
-    auto const c =
-        std::make_shared<upstream_connection>(std::move(*stream), upstream);
+    std::shared_ptr<upstream_connection> const& c = *opened;
     probes_[id] = c;
     c->await_connection(
         [this, id, done = std::move(done)](bool is_connected)
--- a/src/gateway/upstream_pool.hpp
+++ b/src/gateway/upstream_pool.hpp
@@ -1,7 +1,7 @@
 // Pool of connections to upstreams; each carries one request at a time.
 //
 // Example:
-//   auto c = pool.take(upstream, is_repeatable, now);
+//   auto c = pool.take(upstream, {.is_repeatable = true}, now);
 //   c->send(bytes, {.on_head = ..., .on_body = ..., .on_complete = ...});
 //   pool.put_back(c, now); // after a complete response
 //
@@ -14,9 +14,11 @@
 #include "http_stream/tcp_stream.hpp"
 #include "metrics/metrics.hpp"
 
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -41,6 +43,9 @@
     std::function<void()> on_connected;
     std::function<void(http_response_head&&)> on_head;
     std::function<void(std::string&&)> on_body;
+    // A response to an earlier request, which bears its attempt id, was
+    // skipped.
+    std::function<void(std::string const& attempt_id)> on_late_response;
     std::function<void()> on_complete;
     std::function<void(response_failure const&)> on_response_failure;
 };
@@ -50,9 +55,10 @@
     : public std::enable_shared_from_this<upstream_connection>
 {
 public:
+    // `number` tells the connection apart from all others of its pool.
     upstream_connection(
         std::shared_ptr<tcp_stream> stream,
-        std::shared_ptr<upstream_state> upstream);
+        std::shared_ptr<upstream_state> upstream, std::uint64_t number);
     ~upstream_connection();
     upstream_connection(upstream_connection const&) = delete;
     upstream_connection& operator=(upstream_connection const&) = delete;
@@ -88,6 +94,10 @@
     {
         return upstream_;
     }
+    std::uint64_t number() const
+    {
+        return number_;
+    }
     // Reads the rest of the response, which is of no interest, and calls `done`
     // with whether it ended well; at most `max_bytes` are read. Precondition:
     // its head was read and it has not ended.
@@ -122,6 +132,7 @@
 
     std::shared_ptr<tcp_stream> stream_;
     std::shared_ptr<upstream_state> upstream_;
+    std::uint64_t number_;
     std::unique_ptr<response_reader> reader_;
     std::string attempt_id_;
     upstream_response (*decode_)(http_response_head const&) = nullptr;
@@ -136,6 +147,18 @@
     int idle_seconds_ = 0;
 };
 
+// What a request requires of its connection.
+struct connection_query
+{
+    // Whether the request may be sent again if the upstream closes an idle
+    // connection meanwhile.
+    bool is_repeatable = false;
+    // Numbers of the connections that have carried the same attempt id. A
+    // second copy of their response bears that id too, so that it can't be told
+    // from the response to this request.
+    std::span<std::uint64_t const> carried_by;
+};
+
 // Keeps idle connections per upstream. Not thread-safe.
 class upstream_pool
 {
@@ -147,10 +170,11 @@
     // Returns an idle connection or opens a new one. Errors: those of
     // tcp_stream::connect(). A request that is not repeatable gets an idle
     // connection only if it was in use recently, because the upstream may close
-    // an idle one at any time.
+    // an idle one at any time. None of `q.carried_by` is returned; these stay
+    // idle for other requests.
     result<std::shared_ptr<upstream_connection>> take(
-        std::shared_ptr<upstream_state> const& upstream, bool is_repeatable,
-        steady_time now);
+        std::shared_ptr<upstream_state> const& upstream,
+        connection_query const& q, steady_time now);
 
     // Keeps the connection for reuse, or closes it if it is not reusable.
     // Precondition: `c` was taken from a pool and has no pending request.
@@ -179,8 +203,15 @@
     std::size_t idle() const;
 
 private:
+    std::shared_ptr<upstream_connection> take_idle(
+        std::shared_ptr<upstream_state> const& upstream,
+        connection_query const& q, steady_time now);
+    result<std::shared_ptr<upstream_connection>>
+    open(std::shared_ptr<upstream_state> const& upstream);
+
     ev::loop_ref loop_;
     metrics& counters_;
+    std::uint64_t last_number_ = 0;
     std::map<
         std::string, std::vector<std::shared_ptr<upstream_connection>>,
         std::less<>>
--- a/src/log/log_events.cpp
+++ b/src/log/log_events.cpp
@@ -288,6 +288,11 @@
         "A delayed attempt goes on.",
         "Its upstream is late (`delay`), and no other one takes over because "
         "of `why`. `silent_ms` is the time since the upstream sent anything."},
+    log_event_row{
+        late_response_skipped, "late_response_skipped", log_level::info,
+        "Skipped a late response to an earlier request.",
+        "It came on the connection of the request and bore `late_id` (`-`: no "
+        "id). The connection is not used again."},
     log_event_row{
         response_held_back, "response_held_back", log_level::info,
         "A response waits for room.",
--- a/src/log/log_events.hpp
+++ b/src/log/log_events.hpp
@@ -86,6 +86,7 @@
     larger_model_asked,
     attempt_failed,
     attempt_kept,
+    late_response_skipped,
     response_held_back,
     attempt_refused,
     request_served,
