Read an answer whose head arrives before its body

Refusals and notices in such answers were lost too: a request that the upstream had refused was answered 502 instead of 503.

Cause: body_limit(boost::none). Boost.Beast 1.74 compares the length of the body with the empty optional, which is less than any number, so that the end of the head is an error. Bytes of the body in the same buffer make the parser go on and overwrite it, and the stand-ins of all tests write both in one call.

Change: the limit is the largest number, which says the same in every version of the library.

--- a/src/http_client/http_client_answer_test.cpp
+++ b/src/http_client/http_client_answer_test.cpp
@@ -4,6 +4,7 @@
 #include "http_client/http_client_test_support.hpp"
 
 #include <catch2/catch.hpp>
+#include <memory>
 #include <optional>
 #include <string>
 
@@ -110,6 +111,44 @@
     CHECK(r.reply->headers.at("x-own") == "1");
 }
 
+// Guards against an answer that depends on how the network cuts its bytes.
+TEST_CASE("an answer to a call is the same in all pieces")
+{
+    constexpr duration between_pieces = milliseconds(3);
+    std::string const head = "HTTP/1.1 200 OK\r\nX-Own: 1\r\n";
+    std::string const answer = GENERATE_COPY(
+        head + "Content-Length: 5\r\n\r\nhello",
+        head + "Transfer-Encoding: chunked\r\n\r\n"
+               "3\r\nhel\r\n2;a=b\r\nlo\r\n0\r\nX-Late: 1\r\n\r\n",
+        "HTTP/1.1 103 X\r\nX-Early: 1\r\n\r\n" + head + "\r\nhello");
+    for (std::size_t cut = 1; cut < answer.size(); ++cut)
+    {
+        INFO("cut at " << cut << " of " << answer);
+        ev::dynamic_loop loop;
+        std::unique_ptr<loop_timer> rest;
+        raw_server const server(
+            loop,
+            [&](tcp_stream& s)
+            {
+                s.send(answer.substr(0, cut));
+                rest = std::make_unique<loop_timer>(
+                    loop,
+                    [&]
+                    {
+                        s.send(answer.substr(cut));
+                        s.close_after_output();
+                    });
+                rest->start(between_pieces);
+            });
+        call_result const r = call(loop, server.url(), "b");
+        REQUIRE(r.reply);
+        CHECK(r.streamed == "hello");
+        CHECK(r.reply->headers.at("x-own") == "1");
+        CHECK_FALSE(r.reply->headers.contains("x-early"));
+        CHECK_FALSE(r.reply->headers.contains("x-late"));
+    }
+}
+
 // Guards against a part of an answer that looks whole: the server ends the
 // connection while the request is being sent.
 TEST_CASE("an answer without a length fails when the upload is cut")
--- a/src/http_stream/http_reader.cpp
+++ b/src/http_stream/http_reader.cpp
@@ -7,6 +7,7 @@
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <charconv>
+#include <limits>
 #include <optional>
 
 namespace marjorambeam
@@ -25,6 +26,11 @@
 constexpr unsigned min_status = 100;
 constexpr unsigned max_status = 599;
 
+// The parser's limit on the body of a response, whose reader bounds it. Not
+// boost::none: Boost 1.74 compares a length with it, and none is less than any.
+constexpr std::uint64_t no_body_limit =
+    std::numeric_limits<std::uint64_t>::max();
+
 // A body that grows with what arrives. The library's own reserves what a length
 // announces.
 struct growing_body
@@ -296,7 +302,7 @@
         parser.emplace();
         parser->eager(true);
         parser->skip(has_no_body);
-        parser->body_limit(boost::none);
+        parser->body_limit(no_body_limit);
     }
 };
 
