--- a/fakes/relay/fake_relay.cpp
+++ b/fakes/relay/fake_relay.cpp
@@ -26,6 +26,9 @@
 constexpr std::size_t block_bytes = 64U << 10U;
 constexpr std::size_t max_held_bytes = 1U << 20U;
 constexpr int backlog = 1024;
+// Bytes of a read that are passed on in pieces, and the time between these.
+constexpr std::size_t max_cut_bytes = 256;
+constexpr duration piece_gap = std::chrono::milliseconds(1);
 
 sockaddr_in socket_address(std::string const& text)
 {
@@ -123,6 +126,10 @@
     {
         delay_ = delay;
     }
+    void set_piece_bytes(std::size_t bytes)
+    {
+        piece_bytes_ = bytes;
+    }
     bool is_open() const
     {
         return sides_[0]->fd >= 0;
@@ -173,7 +180,19 @@
         }
         buf.resize(static_cast<std::size_t>(n));
         to.held += buf.size();
-        to.out.push_back({steady_now() + delay_, std::move(buf)});
+        steady_time due = steady_now() + delay_;
+        if (!to.out.empty())
+            due = std::max(due, to.out.back().due);
+        bool const is_cut = piece_bytes_ > 0 && &from == sides_[1].get();
+        std::size_t at = 0;
+        while (is_cut && at < std::min(buf.size(), max_cut_bytes))
+        {
+            to.out.push_back({due, buf.substr(at, piece_bytes_)});
+            at += to.out.back().bytes.size();
+            due += piece_gap;
+        }
+        if (at < buf.size())
+            to.out.push_back({due, buf.substr(at)});
     }
 
     // Sends what is due and chooses what to wait for.
@@ -228,6 +247,7 @@
 
     std::array<std::unique_ptr<side>, 2> sides_;
     duration delay_{0};
+    std::size_t piece_bytes_ = 0;
     bool is_silent_ = false;
     loop_timer timer_;
 };
@@ -291,6 +311,7 @@
     connections_.push_back(
         std::make_unique<relay_connection>(loop_, caller, target));
     connections_.back()->set_delay(delay_);
+    connections_.back()->set_piece_bytes(piece_bytes_);
 }
 
 void fake_relay::on_datagram(ev::io&, int)
@@ -342,6 +363,13 @@
         it->set_delay(delay);
 }
 
+void fake_relay::set_piece_bytes(std::size_t bytes)
+{
+    piece_bytes_ = bytes;
+    for (auto const& it : connections_)
+        it->set_piece_bytes(bytes);
+}
+
 bool fake_relay::set_target(std::string_view address)
 {
     if (!split_address(address))
@@ -377,6 +405,8 @@
         body.is_object() && is_flag("silence_existing") &&
         is_flag("cut_existing") && is_flag("refuse_new") &&
         (!body.contains("delay_ms") || body["delay_ms"].is_number_unsigned()) &&
+        (!body.contains("piece_bytes") ||
+         body["piece_bytes"].is_number_unsigned()) &&
         (!body.contains("target") ||
          (body["target"].is_string() &&
           set_target(body["target"].get<std::string>())));
@@ -392,6 +422,8 @@
     refuse_new(body.value("refuse_new", is_refusing_));
     if (body.contains("delay_ms"))
         set_delay(std::chrono::milliseconds(body["delay_ms"].get<int>()));
+    if (body.contains("piece_bytes"))
+        set_piece_bytes(body["piece_bytes"].get<std::size_t>());
     ex.respond(200, {}, "{}");
 }
 
--- a/fakes/relay/fake_relay.hpp
+++ b/fakes/relay/fake_relay.hpp
@@ -8,11 +8,11 @@
 //
 // HTTP on the admin address: PUT /faults with any of the members
 // "silence_existing", "cut_existing" (acts once on the open connections),
-// "refuse_new", "delay_ms" and "target" (stay until changed; a target given
-// here is used by new connections, for a daemon that is started after its
-// relay); GET /counts. Datagrams to the same port are passed to the target,
-// because daemons use one address for both; nothing is returned to their
-// senders.
+// "refuse_new", "delay_ms", "piece_bytes" and "target" (stay until changed; a
+// target given here is used by new connections, for a daemon that is started
+// after its relay); GET /counts. Datagrams to the same port are passed to the
+// target, because daemons use one address for both; nothing is returned to
+// their senders.
 //
 // Everything here runs on the loop's thread; nothing is thread-safe.
 #pragma once
@@ -71,6 +71,9 @@
     bool set_target(std::string_view address);
     // Bytes read from now on are passed on after `delay`.
     void set_delay(duration delay);
+    // The start of what the target sends at once is passed on in pieces of
+    // `bytes`, a millisecond after one another; 0: as it was read.
+    void set_piece_bytes(std::size_t bytes);
 
     fake_relay_counts const& counts() const
     {
@@ -88,6 +91,7 @@
     fake_relay_settings settings_;
     fake_relay_counts counts_;
     duration delay_{0};
+    std::size_t piece_bytes_ = 0;
     bool is_refusing_ = false;
     int fd_ = -1; // bound all the time, listening unless refusing
     int datagram_fd_ = -1;
--- a/fakes/relay/fake_relay_test.cpp
+++ b/fakes/relay/fake_relay_test.cpp
@@ -66,3 +66,18 @@
     CHECK(rig.get() == 200);
     CHECK(steady_now() - start >= std::chrono::milliseconds(100));
 }
+
+// Guards against a relay that passes on in one piece what it is told to cut.
+TEST_CASE("what the target sends is cut into pieces")
+{
+    relay_rig rig;
+    REQUIRE(rig.get() == 200);
+    rig.relay.set_piece_bytes(1);
+    steady_time const start = steady_now();
+    CHECK(rig.get() == 200);
+    // The head alone has more bytes than that.
+    CHECK(steady_now() - start >= std::chrono::milliseconds(50));
+    rig.relay.set_piece_bytes(0);
+    CHECK(rig.get() == 200);
+    CHECK(rig.relay.counts().accepted == 1);
+}
