--- a/src/gateway/upstream_pool.cpp
+++ b/src/gateway/upstream_pool.cpp
@@ -174,8 +174,8 @@
     // Such an answer is whole if the upstream ends it in order and takes all of
     // the request; one that resets the connection instead has cut it.
     stream_->report_end_after_delivery(reader_->ends_with_connection());
-    // Without ids, a second copy could be taken for the next response. A refusal
-    // without an id is kept, as a full upstream resets new connections.
+    // Without ids, a second copy could be taken for the next response. A
+    // refusal without an id is kept, as a full upstream resets new connections.
     bool const is_told_apart = !answer.attempt_id.empty() || is_refusal;
     keep_alive_ = keep_alive_ && head.keep_alive && is_told_apart;
     idle_seconds_ = head.keep_alive_seconds;
