--- a/src/http_stream/split_message_test.cpp
+++ b/src/http_stream/split_message_test.cpp
@@ -194,7 +194,7 @@
              ok + "Content-Length: 5\r\n\r\nhello",
          "hello"},
         {"refusal",
-         "HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nRetry-After: 0.5\r\n"
+         "HTTP/1.1 503 Busy\r\nX-Refused: 1\r\nRetry-After: 0.5\r\n"
          "Content-Length: 4\r\n\r\nbusy",
          "busy"},
         {"failure", "HTTP/1.0 500 X\r\nContent-Length: 3\r\n\r\nbad", "bad"}};
