--- a/src/http_stream/split_message_test.cpp
+++ b/src/http_stream/split_message_test.cpp
@@ -42,70 +42,47 @@
                << " headers, body \"" << o.body << "\"";
 }
 
-// Gives a reader the bytes that have arrived and are not used yet, as a
-// connection does.
+using pieces = std::vector<std::string_view>;
+
+// Gives a reader the pieces one after another, each with what is not used yet,
+// as a connection does, until the message is done or has failed.
 template <class Reader>
-class feeder
+outcome feed(Reader& r, pieces const& all)
 {
-public:
-    explicit feeder(Reader& reader)
-        : reader_(reader)
-    {
-    }
-
-    // Returns false once the message is done or has failed.
-    bool arrive(std::string_view bytes)
+    outcome o;
+    std::string unused;
+    for (std::string_view it : all)
     {
-        unused_.append(bytes);
-        while (!unused_.empty() && !reader_.is_done())
+        unused.append(it);
+        while (!unused.empty() && !r.is_done())
         {
-            result<std::size_t> const n = reader_.put(unused_);
+            result<std::size_t> const n = r.put(unused);
             if (!n)
+                return {.failure = n.error().kind};
+            unused.erase(0, *n);
+            o.used += *n;
+            if constexpr (requires { r.take_body(); })
             {
-                failure_ = n.error().kind;
-                return false;
-            }
-            unused_.erase(0, *n);
-            used_ += *n;
-            if constexpr (requires { reader_.take_body(); })
-            {
-                if (reader_.is_head_done())
-                    body_ += reader_.take_body();
+                if (r.is_head_done())
+                    o.body += r.take_body();
             }
             if (*n == 0)
                 break;
         }
-        return !reader_.is_done();
     }
-
-    std::optional<error_kind> failure_;
-    std::size_t used_ = 0;
-    std::string body_;
-
-private:
-    Reader& reader_;
-    std::string unused_;
-};
-
-using pieces = std::vector<std::string_view>;
+    o.is_done = r.is_done();
+    return o;
+}
 
 outcome read_response(pieces const& all, bool has_no_body, bool ends)
 {
     response_reader r(has_no_body);
-    feeder f(r);
-    for (std::string_view it : all)
-    {
-        if (!f.arrive(it))
-            break;
-    }
-    outcome o{.failure = f.failure_};
+    outcome o = feed(r, all);
     if (o.failure)
         return o;
     if (ends && !r.put_end())
         o.failure = error_kind::answer_cut;
     o.is_done = r.is_done();
-    o.used = f.used_;
-    o.body = f.body_;
     if (!r.is_head_done())
         return o;
     http_response_head const head = r.head();
@@ -119,18 +96,8 @@
 outcome read_request(pieces const& all)
 {
     request_reader r({.max_header_bytes = 512, .max_body_bytes = 64});
-    feeder f(r);
-    for (std::string_view it : all)
-    {
-        if (!f.arrive(it))
-            break;
-    }
-    outcome o{.failure = f.failure_};
-    if (o.failure)
-        return o;
-    o.is_done = r.is_done();
-    o.used = f.used_;
-    if (!r.is_done())
+    outcome o = feed(r, all);
+    if (!o.is_done)
         return o;
     o.length = r.announced_length();
     http_request_message m = r.take();
