--- a/src/gateway/proxied_request.hpp
+++ b/src/gateway/proxied_request.hpp
@@ -137,7 +137,7 @@
         std::uint32_t runs = 0;     // attempts that may have run
         std::vector<std::string> tried;
         std::vector<std::string> refused_by;    // full, plain upstreams
-        std::vector<std::uint64_t> connections; // that have carried them
+        std::vector<std::uint64_t> connections; // see connection_query
         error_kind last_failure = error_kind::no_upstream;
     };
 
--- a/src/gateway/upstream_pool.hpp
+++ b/src/gateway/upstream_pool.hpp
@@ -43,7 +43,7 @@
     std::function<void()> on_connected;
     std::function<void(http_response_head&&)> on_head;
     std::function<void(std::string&&)> on_body;
-    // A response to an earlier request, which bears its attempt id, was
+    // A response with another attempt id, that of an earlier request, was
     // skipped.
     std::function<void(std::string const& attempt_id)> on_late_response;
     std::function<void()> on_complete;
