Hold a head in pieces to its limit

What callers would see: a head of any size is read and passed on if each of its pieces ends with the first byte of a header line, so that what a gateway holds for it is not bounded; a head a little above the limit is refused or not by how the network cuts it. Found in the last read of this change, by feeding heads near their limit in pieces; nobody has reported it.

Cause: Boost.Beast compares its limit with the bytes that it has not consumed, and consumes whole lines while a byte or two of the next are all that is left.

Change: the readers count the bytes of a head. Start line and header fields may have as many bytes each as a head in one piece was allowed before, so that no sound head is refused now. The limit on answers is the library's default, as a constant.

--- a/src/http_stream/http_reader.cpp
+++ b/src/http_stream/http_reader.cpp
@@ -26,6 +26,9 @@
 constexpr unsigned min_status = 100;
 constexpr unsigned max_status = 599;
 
+// Limit on the header fields of a response.
+constexpr std::size_t max_response_header_bytes = std::size_t{8} << 10U;
+
 // The parser's limit on the body of a response, whose reader bounds it. Not
 // boost::none: Boost 1.74 compares a length with it, and none is less than any.
 constexpr std::uint64_t no_body_limit =
@@ -162,6 +165,56 @@
     return used;
 }
 
+// Bytes of a head so far. The parser's own limit holds only for what it has not
+// consumed, so that a head in pieces could be of any size.
+struct head_size
+{
+    std::size_t start_line = 0; // with its end
+    std::size_t consumed = 0;   // with the start line
+};
+
+// Keeps the parser's limit out of the way: a start line and header fields that
+// are within `max_bytes` each are together within the limit.
+template <class Parser>
+void set_header_limit(Parser& parser, std::size_t max_bytes)
+{
+    constexpr std::size_t most = std::numeric_limits<std::uint32_t>::max();
+    parser.header_limit(
+        static_cast<std::uint32_t>(std::min(max_bytes, most / 2) * 2));
+}
+
+// Feeds a parser until the head is done or needs more. Neither the start line
+// nor the header fields may have more than `max_bytes`. Returns the bytes used.
+template <class Parser>
+std::size_t feed_head(
+    Parser& parser, head_size& size, std::size_t max_bytes,
+    std::string_view bytes, error_code& ec)
+{
+    if (size.consumed == 0)
+        size.start_line = std::min(bytes.find('\n'), bytes.size() - 1) + 1;
+    parser.eager(false); // so that it stops behind the head
+    std::size_t used = 0;
+    while (used < bytes.size() && !parser.is_header_done() && !ec)
+    {
+        std::size_t const n = parser.put(
+            boost::asio::const_buffer(bytes.data() + used, bytes.size() - used),
+            ec);
+        used += n;
+        if (n == 0)
+            break;
+    }
+    parser.eager(true);
+    if (ec == http::error::need_more)
+        ec = {};
+    size.consumed += used;
+    std::size_t const unused =
+        parser.is_header_done() ? 0 : bytes.size() - used;
+    std::size_t const fields = size.consumed + unused - size.start_line;
+    if (!ec && std::max(size.start_line, fields) > max_bytes)
+        ec = http::error::header_limit;
+    return used;
+}
+
 int keep_alive_seconds(std::string_view value)
 {
     std::string lower(value);
@@ -228,14 +281,16 @@
 struct request_reader::implementation
 {
     http::request_parser<growing_body> parser;
+    std::size_t max_header_bytes = 0;
+    head_size head;
 };
 
 request_reader::request_reader(message_limits limits)
     : impl_(std::make_unique<implementation>())
 {
     impl_->parser.eager(true);
-    impl_->parser.header_limit(
-        static_cast<std::uint32_t>(limits.max_header_bytes));
+    impl_->max_header_bytes = limits.max_header_bytes;
+    set_header_limit(impl_->parser, limits.max_header_bytes);
     impl_->parser.body_limit(limits.max_body_bytes);
 }
 
@@ -244,7 +299,12 @@
 result<std::size_t> request_reader::put(std::string_view bytes)
 {
     error_code ec;
-    std::size_t const used = feed(impl_->parser, bytes, ec);
+    std::size_t used = 0;
+    if (!impl_->parser.is_header_done() && !bytes.empty())
+        used = feed_head(
+            impl_->parser, impl_->head, impl_->max_header_bytes, bytes, ec);
+    if (!ec && impl_->parser.is_header_done())
+        used += feed(impl_->parser, bytes.substr(used), ec);
     if (ec)
         return fail(request_error(ec), ec.message());
     if (!impl_->parser.is_header_done())
@@ -296,10 +356,13 @@
 struct response_reader::implementation
 {
     std::optional<http::response_parser<growing_body>> parser;
+    head_size head;
 
     void restart(bool has_no_body)
     {
+        head = {};
         parser.emplace();
+        set_header_limit(*parser, max_response_header_bytes);
         parser->eager(true);
         parser->skip(has_no_body);
         parser->body_limit(no_body_limit);
@@ -321,7 +384,12 @@
     while (true)
     {
         error_code ec;
-        used += feed(*impl_->parser, bytes.substr(used), ec);
+        if (!impl_->parser->is_header_done() && used < bytes.size())
+            used += feed_head(
+                *impl_->parser, impl_->head, max_response_header_bytes,
+                bytes.substr(used), ec);
+        if (!ec && impl_->parser->is_header_done())
+            used += feed(*impl_->parser, bytes.substr(used), ec);
         if (ec)
             return fail(error_kind::answer_corrupt, ec.message());
         if (!impl_->parser->is_header_done())
--- a/src/http_stream/split_message_test.cpp
+++ b/src/http_stream/split_message_test.cpp
@@ -317,6 +317,57 @@
     }
 }
 
+// Guards against a head that is within its limit in some pieces only.
+TEST_CASE("A head near its limit is the same in all pieces")
+{
+    constexpr std::size_t request_limit = 512;
+    constexpr std::size_t response_limit = 8192;
+    std::size_t const below = GENERATE(1, 0);
+    bool const is_over = GENERATE(false, true);
+    auto const message = [&](std::string const& start, std::size_t limit)
+    {
+        std::size_t const size = is_over ? limit + 1 + below : limit - below;
+        std::string fields = "Host: h\r\nContent-Length: 1\r\nX: ";
+        std::string const end = "\r\n\r\n";
+        fields += std::string(size - fields.size() - end.size(), 'a') + end;
+        return start + fields + "b";
+    };
+    CAPTURE(below, is_over);
+    std::string const request = message("POST /a HTTP/1.1\r\n", request_limit);
+    CHECK(read_request({request}).is_done == !is_over);
+    check_all_pieces(request, read_request);
+    std::string const response = message("HTTP/1.1 200 OK\r\n", response_limit);
+    auto const read = [](pieces const& all)
+    { return read_response(all, false, false); };
+    CHECK(read({response}).is_done == !is_over);
+    check_all_pieces(response, read);
+}
+
+// Guards against a head of any size: the parser consumes whole lines if the
+// first byte of the next one is there, and its limit holds for the rest only.
+TEST_CASE("A head of many lines in pieces keeps to its limit")
+{
+    std::string const line = "X-Line: " + std::string(100, 'a') + "\r\n";
+    constexpr std::size_t lines = 200;
+    auto const feed_lines = [&](auto& r, std::string const& start)
+    {
+        std::string unused = start + line.substr(0, 1);
+        for (std::size_t i = 0; i < lines; ++i)
+        {
+            result<std::size_t> const n = r.put(unused);
+            if (!n)
+                return i;
+            unused.erase(0, *n);
+            unused += line.substr(1) + line.substr(0, 1);
+        }
+        return lines;
+    };
+    request_reader q({.max_header_bytes = 512, .max_body_bytes = 64});
+    CHECK(feed_lines(q, "GET / HTTP/1.1\r\nHost: h\r\n") <= 5);
+    response_reader r(false);
+    CHECK(feed_lines(r, "HTTP/1.1 200 OK\r\n") <= 80);
+}
+
 // Guards against an event that is passed on in part, or ends elsewhere, because
 // of how the network cuts it.
 TEST_CASE("Events are the same in all pieces")
